--- /dev/null
+++ b/src/bin/mosspick-adapter.rs
@@ -0,0 +1,54 @@
+//! Hosts instances of the module on a binary wire: frames on standard input, replies on standard output.
+
+#![forbid(unsafe_code)]
+
+use std::io::{self, BufReader, Write};
+use std::process::ExitCode;
+
+use mosspick::policy::Balancer;
+use mosspick::wire::{Decoder, Input, Instance, Reply, WireError, read_frame};
+use rustc_hash::FxHashMap;
+
+fn main() -> ExitCode {
+    match run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("mosspick-adapter: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run() -> Result<(), WireError> {
+    let mut input = BufReader::with_capacity(1 << 20, io::stdin().lock());
+    let mut output = io::stdout().lock();
+    let mut decoder = Decoder::default();
+    let mut instances: FxHashMap<Instance, Balancer> = FxHashMap::default();
+    let (mut frame, mut out, mut reply, mut actions) = (Vec::new(), Vec::new(), Reply::default(), Vec::new());
+    while read_frame(&mut input, &mut frame)?.is_some() {
+        let batch = decoder.decode(&frame)?;
+        for (instance, input) in batch.input {
+            match input {
+                Input::Begin { seed, settings } => {
+                    instances.insert(instance, Balancer::new(*settings, seed));
+                }
+                Input::Killed => {
+                    instances.remove(&instance);
+                }
+                Input::Event(event) => {
+                    if let Some(balancer) = instances.get_mut(&instance) {
+                        balancer.handle(batch.now, event, &mut actions);
+                    }
+                    for action in actions.drain(..) {
+                        reply.push(instance, &action);
+                    }
+                }
+            }
+        }
+        reply.finish(batch.seq, &mut out);
+        output.write_all(&out)?;
+        output.flush()?;
+        out.clear();
+    }
+    Ok(())
+}
--- /dev/null
+++ b/src/policy.rs
@@ -0,0 +1,1234 @@
+//! Every decision of the balancer. Its settings, events and actions are in `src/interface.rs`, the records it
+//! keeps in `src/state.rs`.
+//!
+//! The path of a request, for the reader on call:
+//! 1. `on_request` ranks it: told worth against the other classes picks one of four tiers. Where its class
+//!    keeps order, it waits for its key's turn first (`next_turn`) and takes no room until then.
+//! 2. It joins its tier's queue and `dispatch` releases the highest tier first. While any server has
+//!    room this empties the queue at once, so the order is that of arrival.
+//! 3. `pick` takes, among servers with room, the least smoothed peak latency x (own in-flight + 1). The
+//!    servers are this node's subset (`rerank`); where peers tell of theirs, in-flight is the group's.
+//! 4. `send` passes the gate (`may_send`), the one place that checks rules 1, 2, 3, 5, 6 and the attempts;
+//!    rule 4 (cold servers) is `cold_room`, rule 7 (connections on drains) is `hang_up`.
+//! 5. Without room it stays held. Low and Medium ones are refused once the queue's wait passes a share
+//!    of the time left (`overloaded`), and any held one when its time is nearly up (`on_give_up`).
+//! 6. `on_ended` learns the server's latency and limit, then answers, retries or waits (`settle`).
+//! 7. Every final answer of ours comes from `finish`, which asks `may_refuse` whether it may be a refusal.
+
+use std::sync::Arc;
+
+use rand_core::{RngCore, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use rustc_hash::FxHashMap;
+
+use crate::interface::{
+    Action, AttemptNo, Class, ClassId, Condition, Discovery, Effect, Ended, Event, Group, ListChange, Nanos,
+    NewRequest, Outcome, RequestId, SECOND, ServerId, ServerInfo, Settings, TenantId, TimerToken, ZoneId,
+};
+use crate::meter::{mix, nanos, ring, seconds};
+use crate::peers::{self, Peers};
+use crate::state::{Attempt, ClassState, Flow, Pools, Queues, Ran, Request, Server, TenantState};
+use crate::turns::Turns;
+
+/// Servers compared for one pick: enough to avoid a bad one, few enough for 10 us and against herding.
+const SAMPLE: usize = 5;
+/// Places a server is taken to have for all nodes together until its limit is learned.
+const START_PLACES: f64 = 2.5;
+/// Places of a server that all nodes together never go below, so that a limit can be learned upward.
+const LEAST_PLACES: f64 = 1.0;
+/// A server's smoothed latency should stay at this share of the aim: the rest is for our own queue ...
+const AIM_SHARE: f64 = 0.25;
+/// ... but not under the first nor over the second multiple of what its class takes when it is calm.
+const CALM: (f64, f64) = (1.25, 1.6);
+/// ... and never over this share of the aim, should the calm state never have been seen.
+const AIM_MOST: f64 = 0.6;
+/// How fast a limit follows that judgement, a second, up and down: crowding costs more than waiting,
+/// and a rise that outruns the latency it is judged by ends in crowding.
+const GAIN: (f64, f64) = (1.25, 2.5);
+/// Samples in a few seconds that are trusted half.
+const EVIDENCE: f64 = 10.0;
+/// Smoothed latency over its mark from which a share under one place is no longer rounded up.
+const JAMMED: f64 = 1.25;
+/// Factor of a limit after an attempt that was turned away or failed.
+const CUT: f64 = 0.85;
+/// A limit is used, and may rise, when this share of the node's places is taken.
+const USED: f64 = 0.7;
+/// Time in which a least latency that no longer occurs is given up: long, or an overload would pass for
+/// the normal state.
+const FLOOR_S: f64 = 300.0;
+/// Weight of a sample above the smoothed latency (peaks count at once) ...
+const RISE: f64 = 0.4;
+/// ... and the least and the most weight of one below it.
+const FALL: (f64, f64) = (0.08, 0.5);
+/// Span after which an unused server's latency is believed a third as much; it drifts to the mean ...
+const FORGET_S: f64 = 5.0;
+/// ... to a little under it: at the mean itself a server once slow might never be tried again.
+const UNUSED: f64 = 0.8;
+/// A latency counts for at most this multiple of the expected, or one hung answer would keep its server
+/// out of use long after it recovered.
+const MOST_STRETCH: f64 = 10.0;
+/// An outstanding attempt this many times over its expected latency marks its server as suspect.
+const SUSPECT: f64 = 5.0;
+/// First and longest time a failing server is set aside.
+const ASIDE_S: (f64, f64) = (0.5, 8.0);
+/// Failures in a row, none proving health in between, that set a server aside.
+const FAILURES: u32 = 3;
+/// A second copy goes out at this multiple of the expected latency.
+const HEDGE: f64 = 3.0;
+/// While a node's mean of attempts is under this share of its limits ...
+const CALM_USE: f64 = 0.8;
+/// ... it may have this many square roots of them more at once.
+const BURST: f64 = 2.0;
+/// Retries and hedges earned by each request, so that they cannot multiply an overload.
+const RETRY_SHARE: f64 = 0.1;
+/// Most retries saved up, in requests.
+const RETRY_BURST: f64 = 10.0;
+/// New Low and Medium requests are refused when the queue's wait passes this share of their time left.
+const WAIT_SHARE: f64 = 0.3;
+/// Least servers a node uses: where connections are priced, and where not.
+const WIDTH: (usize, usize) = (3, 5);
+/// Notes that cost more than this share of a request are dear, and none are sent.
+const DEAR_NOTES: f64 = 0.05;
+/// Least nodes of a group on average, and most: each tells each of the others.
+const GROUP_LEAST: usize = 4;
+const GROUP_MOST: usize = 12;
+/// What a note tells is believed for this multiple of the mean latency; then it is told again if it still
+/// holds. Ends are told to every other peer only.
+const NOTE_LASTS: f64 = 2.5;
+/// From this share of a request on a crossing of zones is dear: below it costs less than a full own zone.
+const DEAR_CROSSING: f64 = 0.05;
+/// Memory of traffic rates.
+pub(crate) const RATE_S: f64 = 3.0;
+/// Share of a warm server's traffic, times the ramp, that a cold one gets.
+const COLD_SHARE: f64 = 0.8;
+/// Between two looks at limits, suspects and the set of servers in use.
+const REFRESH: Nanos = SECOND / 20;
+/// Between two tries to place held requests when no event frees a place.
+const PUMP: Nanos = SECOND / 50;
+/// Least time between two log lines of one kind.
+const LOG_EVERY: Nanos = 5 * SECOND;
+
+/// Tiers, highest first, as indices of the queues.
+const HIGHEST: usize = 0;
+const MEDIUM: usize = 2;
+const LOW: usize = 3;
+
+/// Kinds of timers: the upper half of a token.
+const T_GIVE_UP: u64 = 1;
+const T_HEDGE: u64 = 2;
+const T_PUMP: u64 = 3;
+const T_ASK: u64 = 4;
+const T_AGAIN: u64 = 5;
+const T_HANG_UP: u64 = 6;
+const T_TURN: u64 = 7;
+
+/// How far so many samples in a few seconds are trusted; few of them are mostly noise.
+fn sure(count: f64) -> f64 {
+    count / (count + EVIDENCE)
+}
+
+/// The decisions of one node.
+pub struct Balancer {
+    settings: Settings,
+    rng: Pcg64Mcg,
+    now: Nanos,
+    servers: Vec<Server>,
+    slots: FxHashMap<ServerId, usize>,
+    pools: Pools,
+    flow: Flow,
+    subscribed: bool,
+    ask_fails: u32,
+    classes: Vec<ClassState>,
+    tenants: Vec<TenantState>,
+    requests: FxHashMap<RequestId, Request>,
+    turns: Turns,
+    peers: Peers,
+    /// Nodes with the same subset, which this one tells what it has out; number and time of the last note.
+    group: Vec<u32>,
+    told: (u8, Nanos),
+    to_tell: Option<bool>,
+    queues: Queues,
+    pumping: bool,
+    overload: bool,
+    logged: [Nanos; 6],
+}
+
+impl Balancer {
+    /// A node that knows no server yet. `settings` should have passed [`Settings::check`].
+    #[must_use]
+    pub fn new(settings: Settings, seed: u64) -> Self {
+        let class = |aim: Nanos| ClassState {
+            mean: seconds(aim) * 0.2,
+            calm: 0.0,
+            calm_at: 0,
+            samples: 0,
+            hint: 0.0,
+        };
+        Self {
+            rng: Pcg64Mcg::seed_from_u64(seed),
+            classes: settings.classes.iter().map(|c| class(c.aim)).collect(),
+            tenants: vec![TenantState::default(); settings.tenants.len()],
+            settings,
+            now: 0,
+            servers: Vec::new(),
+            slots: FxHashMap::default(),
+            pools: Pools::default(),
+            flow: Flow { retry_budget: 2.0, load: 0.5, ..Flow::default() },
+            subscribed: false,
+            ask_fails: 0,
+            requests: FxHashMap::default(),
+            turns: Turns::default(),
+            peers: Peers::default(),
+            group: Vec::new(),
+            told: (0, 0),
+            to_tell: None,
+            queues: Queues::default(),
+            pumping: false,
+            overload: false,
+            logged: [0; 6],
+        }
+    }
+
+    /// Decides on one event at `now` and appends what is to be done to `actions`.
+    pub fn handle(&mut self, now: Nanos, event: Event, actions: &mut Vec<Action>) {
+        self.now = self.now.max(now);
+        if self.now >= self.pools.refreshed + REFRESH {
+            self.refresh(actions);
+        }
+        while let Some(key) = self.turns.rested(self.now) {
+            self.next_turn(key);
+        }
+        match event {
+            Event::Members(change) => self.on_members(&change, actions),
+            Event::Request(request) => self.on_request(&request, actions),
+            Event::Ended(ended) => self.on_ended(&ended, actions),
+            // A started stream is the client's: that attempt is not called back, other copies are.
+            Event::Streaming { id, attempt } => self.on_over(id, Some(attempt), actions),
+            Event::ClientGone(id) => self.on_over(id, None, actions),
+            Event::Timer(token) => self.on_timer(token, actions),
+            Event::Note { from, body } => self.peers.hear(from, &body, self.now),
+        }
+        self.dispatch(actions);
+        if let Some(sent) = self.to_tell.take() {
+            self.tell(sent, actions);
+        }
+    }
+
+    fn chance(&mut self) -> f64 {
+        (self.rng.next_u64() >> 11) as f64 / (1u64 << 53) as f64
+    }
+
+    fn below(&mut self, end: usize) -> usize {
+        ((u64::from(self.rng.next_u32()) * end as u64) >> 32) as usize
+    }
+
+    fn told(&self, class: ClassId) -> &Class {
+        &self.settings.classes[usize::from(class.0)]
+    }
+
+    fn log(&mut self, kind: usize, line: &str, actions: &mut Vec<Action>) {
+        if self.logged[kind] == 0 || self.now >= self.logged[kind] + LOG_EVERY {
+            self.logged[kind] = self.now;
+            actions.push(Action::Log(line.into()));
+        }
+    }
+
+    // ---- Membership -----------------------------------------------------------------------------
+
+    fn on_members(&mut self, change: &ListChange, actions: &mut Vec<Action>) {
+        match change {
+            ListChange::Delta(list) => list.iter().for_each(|info| self.learn(info)),
+            ListChange::Full(list) | ListChange::Cached(list) => {
+                // A server missing from a whole list is gone: nothing goes to it from this moment.
+                self.servers.iter_mut().for_each(|server| server.ready = false);
+                list.iter().for_each(|info| self.learn(info));
+            }
+            ListChange::Failed => {
+                self.subscribed = false;
+                self.ask_fails += 1;
+                self.log(0, "list of servers lost, going on with the last one", actions);
+            }
+        }
+        if self.settings.discovery == Discovery::Ask {
+            self.keep_subscription(change, actions);
+        }
+        for slot in 0..self.servers.len() {
+            self.hang_up(slot, actions);
+        }
+        self.rerank();
+        self.refresh(actions);
+    }
+
+    /// A draining server waits for its connections to end: idle ones are closed at the notice, and again
+    /// whenever an attempt there has ended. Once more half the time later, should one have been opening.
+    fn hang_up(&self, slot: usize, actions: &mut Vec<Action>) {
+        let server = &self.servers[slot];
+        if let Some(within) = self.settings.hang_up_within.filter(|_| !server.ready) {
+            actions.push(Action::FreeLinks(server.id));
+            self.arm(self.now + within / 2, T_HANG_UP, server.id.0, actions);
+        }
+    }
+
+    /// A subscription is asked for at a random moment, and again after a failure with growing random
+    /// pauses: a thousand nodes that start or lose the list together must not ask together.
+    fn keep_subscription(&mut self, change: &ListChange, actions: &mut Vec<Action>) {
+        let most = seconds(self.settings.ask_every) * 0.5;
+        let pause = match change {
+            ListChange::Cached(_) => most * self.chance(),
+            ListChange::Failed => {
+                let pause = (0.5 * f64::from(1u32 << self.ask_fails.min(6))).min(most);
+                pause * (0.5 + 0.5 * self.chance())
+            }
+            _ => {
+                if !self.subscribed && self.ask_fails > 0 {
+                    self.log(5, "list of servers regained", actions);
+                }
+                self.subscribed = true;
+                self.ask_fails = 0;
+                return;
+            }
+        };
+        self.arm(self.now + nanos(pause), T_ASK, 0, actions);
+    }
+
+    fn learn(&mut self, info: &ServerInfo) {
+        let ready = info.condition == Condition::Ready;
+        let slot = match self.slots.get(&info.id) {
+            Some(&slot) => slot,
+            None if !ready => return,
+            None => {
+                let rank = mix(u64::from(info.id.0));
+                self.servers.push(Server::new(info, rank, self.now));
+                self.slots.insert(info.id, self.servers.len() - 1);
+                self.servers.len() - 1
+            }
+        };
+        let luck = self.chance();
+        let server = &mut self.servers[slot];
+        server.ready = ready;
+        server.zone = info.zone;
+        server.cell = info.cell;
+        server.weight =
+            if info.weight.is_finite() && info.weight > 0.0 { f64::from(info.weight) } else { 1.0 };
+        if info.started_at > server.started_at {
+            // A restart: what was learned of the old process does not hold for the cold one.
+            server.started_at = info.started_at;
+            server.stretch = 1.0;
+            server.failures = 0;
+            server.aside_until = 0;
+            server.trial = false;
+            // Nodes take turns: each owes a random part of a request before its first one.
+            server.cold_budget = -luck;
+            server.cold_at = self.now;
+        }
+    }
+
+    /// Forgets departed servers without attempts and orders the rest on a ring that all nodes share, each
+    /// from a place of its own on it (deterministic subsetting): a subset changes little with the list, and
+    /// every server is in as many subsets as any other. Subsets drawn at random put up to a third more
+    /// nodes on some servers, and with narrow subsets these choked.
+    fn rerank(&mut self) {
+        if self.servers.iter().any(|s| !s.ready && s.out.is_empty()) {
+            self.servers.retain(|s| s.ready || !s.out.is_empty());
+            self.slots = self.servers.iter().enumerate().map(|(slot, s)| (s.id, slot)).collect();
+        }
+        // Own zone first where crossing is dear; the other zones serve when it lacks room.
+        self.pools.ranked = Default::default();
+        for (slot, server) in self.servers.iter().enumerate().filter(|(_, s)| s.ready) {
+            self.pools.ranked[usize::from(self.is_far(server.zone))].push(slot);
+        }
+        for ranked in &mut self.pools.ranked {
+            ranked.sort_unstable_by_key(|&slot| self.servers[slot].rank);
+            let place = ring(self.settings.me, ranked.len());
+            ranked.rotate_left(place);
+        }
+        self.regroup();
+    }
+
+    /// Where notes are allowed and cheap, nodes form groups with one subset each and tell each other what
+    /// they have out: hundreds of nodes with a request a second each otherwise pick blindly, and servers
+    /// crowd and choke beside idle ones. Lost or late notes leave the pick as it is without them.
+    fn regroup(&mut self) {
+        self.group.clear();
+        let servers = self.pools.ranked[0].len();
+        if !self.settings.peers || servers == 0 || !self.pools.ranked[1].is_empty() {
+            return;
+        }
+        let nodes = self.settings.nodes;
+        let groups = (servers / self.least_width(servers)).max(nodes as usize / GROUP_MOST).clamp(1, servers);
+        let me = self.settings.me;
+        self.group = peers::group(me, nodes, groups);
+        // Two notes a request, of two servers each.
+        let bytes = 2.0 * 12.0 * self.group.len() as f64;
+        let dear = self.settings.peer_price * bytes / 256.0 > DEAR_NOTES;
+        // A few nodes a group would leave the groups too uneven; such nodes see enough alone.
+        if dear || (nodes as usize) < GROUP_LEAST * groups {
+            return self.group.clear();
+        }
+        // The whole group takes the ring from the same server on.
+        self.pools.ranked[0].rotate_right(ring(me, servers));
+        self.pools.ranked[0].rotate_left(ring(me, groups) * servers / groups);
+    }
+
+    fn tell(&mut self, all: bool, actions: &mut Vec<Action>) {
+        self.told = (self.told.0.wrapping_add(1), self.now);
+        let servers = self.pools.active[0].iter().map(|&slot| &self.servers[slot]);
+        let body: Arc<[u8]> = peers::write(self.told.0, servers.map(|s| (s.id, s.out.len()))).into();
+        // Ends are told to every other one in turn: half the notes, and what a note told fades anyway.
+        let (step, skip) = if all { (1, 0) } else { (2, usize::from(self.told.0 / 2 % 2)) };
+        let to = self.group.iter().skip(skip).step_by(step);
+        actions.extend(to.map(|&to| Action::Tell { to, body: body.clone() }));
+    }
+
+    /// Whether what most of the group has out is known; else a node keeps to its own share of places.
+    fn informed(&self) -> bool {
+        !self.group.is_empty() && 2 * self.peers.heard() > self.group.len()
+    }
+
+    /// Attempts known to be out at a server: own ones and those that the group told of.
+    fn known_out(&self, slot: usize) -> usize {
+        self.servers[slot].out.len() + self.peers.out(self.servers[slot].id)
+    }
+
+    fn is_far(&self, zone: ZoneId) -> bool {
+        self.settings.crossing_price >= DEAR_CROSSING && zone != self.settings.zone
+    }
+
+    // ---- Server health and limits ---------------------------------------------------------------
+
+    /// Looks over the servers in use: who is out of order, how many are needed, what room they give.
+    fn refresh(&mut self, actions: &mut Vec<Action>) {
+        self.pools.refreshed = self.now;
+        self.note_out();
+        let means = self.classes.iter().map(|class| class.mean).sum::<f64>() / self.classes.len() as f64;
+        let lasts = nanos(NOTE_LASTS * means);
+        self.peers.expire(self.now.saturating_sub(lasts), self.now.saturating_sub(10 * lasts));
+        if self.flow.out_total > 0 && self.now > self.told.1 + lasts {
+            self.to_tell = Some(true);
+        }
+        let servers: usize = self.pools.ranked.iter().map(Vec::len).sum();
+        if servers == 0 {
+            self.pools.active = Default::default();
+            self.pools.limit_sum = 0.0;
+            return;
+        }
+        self.resize(servers);
+        // Servers taken in for lack of room start small: widening alone must not add places, or a fleet
+        // that is short of room gets more work for it.
+        let first = self.pools.limit_sum == 0.0;
+        let nodes = self.nodes_per_server();
+        let start = if first { START_PLACES.min(nodes) } else { LEAST_PLACES } / nodes;
+        let (mut bad, mut all) = (0, 0);
+        for pool in 0..2 {
+            self.pools.active[pool].clear();
+            let want = self.want(pool);
+            let mut healthy = 0;
+            for at in 0..self.pools.ranked[pool].len() {
+                if healthy >= want {
+                    break;
+                }
+                let slot = self.pools.ranked[pool][at];
+                self.pools.active[pool].push(slot);
+                all += 1;
+                if self.out_of_order(slot) {
+                    bad += 1;
+                } else {
+                    healthy += 1;
+                }
+                let server = &mut self.servers[slot];
+                if server.limit == 0.0 {
+                    server.limit = start;
+                }
+            }
+        }
+        // When most are out of order it is not they: the cause lies elsewhere, and all are used.
+        let most = bad * 2 > all;
+        if most != self.pools.most_aside {
+            self.pools.most_aside = most;
+            self.log(1, &format!("{bad} of {all} servers look out of order; most in doubt: {most}"), actions);
+        }
+        self.move_limits();
+        self.sum_up();
+        if self.overload && self.queues.order.is_empty() {
+            self.overload = false;
+            self.log(3, "overload left", actions);
+        }
+    }
+
+    fn sum_up(&mut self) {
+        let (mut limits, mut out, mut ramps, mut warm) = ([0.0; 2], [0; 2], 0.0, false);
+        for (pool, slots) in self.pools.active.iter().enumerate() {
+            for &slot in slots {
+                let server = &self.servers[slot];
+                if !self.pools.most_aside && self.out_of_order(slot) {
+                    continue;
+                }
+                let ramp = self.ramp(server);
+                out[pool] += server.out.len();
+                limits[pool] += server.limit * ramp;
+                ramps += ramp;
+                warm |= ramp >= 1.0;
+            }
+        }
+        self.pools.limits = limits;
+        self.pools.out = out;
+        self.pools.limit_sum = limits[0] + limits[1];
+        // What a warm server does, from all that this node was served. Not from what was sent: in an overload
+        // that is several times what servers can do, and rates of single servers, a request every few
+        // seconds, read far too high after a first one; hundreds of nodes that went by either pushed cold
+        // servers over. Where nothing is warm, what is asked for stands in.
+        let flow = if warm { &self.flow.served } else { &self.flow.arrivals };
+        self.pools.warm_rate = flow.low(self.now) / ramps.max(1.0);
+    }
+
+    /// How many servers this node uses: enough for its own traffic and for the subsets to cover the fleet
+    /// once. It does not widen for lack of room: when all nodes lacked it, each server came to be shared by
+    /// many nodes that could not see each other's attempts, and stood crowded beside idle ones.
+    fn resize(&mut self, servers: usize) {
+        // A node that carries much more than others must not put it on as few servers.
+        let own = (1.5 * self.flow.demand).ceil() as usize;
+        self.pools.width = self.least_width(servers).max(own).min(servers);
+    }
+
+    fn least_width(&self, servers: usize) -> usize {
+        let least = if self.settings.connections_priced { WIDTH.0 } else { WIDTH.1 };
+        least.max(servers.div_ceil(self.settings.nodes as usize))
+    }
+
+    /// The mean of own attempts over the last second or so; to be called before their number changes.
+    fn note_out(&mut self) {
+        let weight = 1.0 - (-seconds(self.now.saturating_sub(self.flow.demand_at))).exp();
+        self.flow.demand += weight * ((self.pools.out[0] + self.pools.out[1]) as f64 - self.flow.demand);
+        self.flow.demand_at = self.now;
+    }
+
+    fn want(&self, pool: usize) -> usize {
+        let near = self.pools.ranked[0].len();
+        if pool == 0 { self.pools.width } else { self.pools.width.saturating_sub(near).max(self.spare_far()) }
+    }
+
+    /// Servers of other zones kept at hand for when the own zone lacks room.
+    fn spare_far(&self) -> usize {
+        if self.pools.ranked[1].is_empty() { 0 } else { (self.pools.width / 2).max(1) }
+    }
+
+    fn nodes_per_server(&self) -> f64 {
+        if !self.group.is_empty() {
+            return self.group.len() as f64 + 1.0;
+        }
+        let servers: usize = self.pools.ranked.iter().map(Vec::len).sum();
+        (f64::from(self.settings.nodes) * self.pools.width as f64 / servers.max(1) as f64).max(1.0)
+    }
+
+    /// Set aside, or silent for so long that it may be hung: a hung server gives no samples, so the
+    /// age of what is outstanding counts as its latency.
+    fn out_of_order(&self, slot: usize) -> bool {
+        let server = &self.servers[slot];
+        self.now < server.aside_until || server.age(self.now) > SUSPECT
+    }
+
+    fn expected(&self, class: ClassId, work: f64) -> f64 {
+        // Never under a tick: timers go by it, and answers too fast to measure must not make them spin.
+        (self.classes[usize::from(class.0)].mean * (0.5 + 0.5 * work)).max(seconds(self.settings.tick))
+    }
+
+    fn learn_latency(&mut self, slot: usize, class: ClassId, work: f64, took: Nanos) {
+        let now = self.now;
+        let expected = self.expected(class, work);
+        let state = &mut self.classes[usize::from(class.0)];
+        let base = seconds(took) / (0.5 + 0.5 * work);
+        state.samples += 1;
+        if state.samples == 1 {
+            state.mean = base;
+        }
+        state.mean += (1.0 / f64::from(state.samples)).max(0.03) * (base.min(5.0 * state.mean) - state.mean);
+        let up = (seconds(now.saturating_sub(state.calm_at)) / FLOOR_S).min(1.0);
+        state.calm_at = now;
+        let weight = if state.samples < 30 {
+            1.0
+        } else if state.mean < state.calm {
+            0.02
+        } else {
+            up
+        };
+        state.calm += weight * (state.mean - state.calm);
+        let calm = state.calm;
+        let server = &mut self.servers[slot];
+        let x = (seconds(took) / expected).min(MOST_STRETCH);
+        let idle = seconds(now.saturating_sub(server.seen));
+        server.stretch = server.faded(now);
+        let weight = if x > server.stretch { RISE } else { idle.clamp(FALL.0, FALL.1) };
+        server.stretch += weight * (x - server.stretch);
+        server.seen = now;
+        self.learn_limit(slot, class, base, calm, idle);
+    }
+
+    /// Judges a latency against the aim, for the server and for all; moves the server's limit by how it
+    /// differs from the others.
+    fn learn_limit(&mut self, slot: usize, class: ClassId, base: f64, calm: f64, idle: f64) {
+        let aim = seconds(self.told(class).aim);
+        let least = LEAST_PLACES / self.nodes_per_server();
+        let server = &mut self.servers[slot];
+        let mark = (AIM_SHARE * aim).clamp(CALM.0 * calm, CALM.1 * calm).min(AIM_MOST * aim);
+        let fast = idle.clamp(0.02, 0.3);
+        let load = (base / mark).min(4.0);
+        server.load += fast * (load - server.load);
+        let since = seconds(self.now.saturating_sub(self.flow.load_at)).clamp(0.01, 0.1);
+        self.flow.load_at = self.now;
+        self.flow.load += since * (load - self.flow.load);
+        let count = server.rate.get(self.now) * RATE_S;
+        let error = (self.flow.load - server.load) * sure(count);
+        let gain = if error < 0.0 { GAIN.1 } else { GAIN.0 };
+        server.limit =
+            (server.limit * (gain * idle.clamp(0.01, 0.5) * error.max(-1.0)).exp()).clamp(least, 1e4);
+    }
+
+    /// Moves all limits by the smoothed latency of all servers: down when it is over its mark, slowly up
+    /// when it is under and the node's places are used. By time and not by each server's samples: where
+    /// a node has many servers these are seldom, and limits hardly fell while the whole fleet was crowded.
+    fn move_limits(&mut self) {
+        let span = seconds(self.flow.load_at.saturating_sub(self.flow.moved_at)).min(0.5);
+        self.flow.moved_at = self.flow.load_at;
+        let used = !self.queues.order.is_empty() || self.flow.out_total as f64 >= USED * self.pools.limit_sum;
+        let error = 1.0 - self.flow.load;
+        // Few samples for each server judge late, and many such nodes rising on them crowd the fleet.
+        let count = self.flow.arrivals.get(self.now) * RATE_S / self.pools.width.max(1) as f64;
+        if error < 0.0 || used {
+            let gain = sure(count) * if error < 0.0 { GAIN.1 } else { GAIN.0 };
+            let factor = (gain * span * error.max(-1.0)).exp();
+            let least = LEAST_PLACES / self.nodes_per_server();
+            for slot in self.pools.active.iter().flatten() {
+                let server = &mut self.servers[*slot];
+                server.limit = (server.limit * factor).clamp(least, 1e4);
+            }
+        }
+    }
+
+    fn learn_failure(&mut self, slot: usize, count: u32, actions: &mut Vec<Action>) {
+        let least = LEAST_PLACES / self.nodes_per_server();
+        let luck = 0.5 + self.chance();
+        let server = &mut self.servers[slot];
+        server.limit = (server.limit * CUT).max(least);
+        server.failures += count;
+        // Failing fast must not look like being fast.
+        server.stretch = server.stretch.max(3.0);
+        server.seen = self.now;
+        if (server.failures >= FAILURES || server.trial) && self.now >= server.aside_until {
+            let span = (ASIDE_S.0 * f64::from(1u32 << server.aside_times.min(6))).min(ASIDE_S.1) * luck;
+            server.aside_until = self.now + nanos(span);
+            server.aside_times += 1;
+            server.trial = true;
+            let id = server.id.0;
+            self.log(1, &format!("server {id} set aside for {span:.1} s"), actions);
+        }
+    }
+
+    // ---- Cold ramp ------------------------------------------------------------------------------
+
+    /// Share of its capacity that a server has at least by now.
+    fn ramp(&self, server: &Server) -> f64 {
+        let age = self.now.saturating_sub(server.started_at);
+        if server.started_at == 0 || age >= self.settings.cold_span {
+            return 1.0;
+        }
+        let grown = age as f64 / self.settings.cold_span as f64;
+        self.settings.cold_from + (1.0 - self.settings.cold_from) * grown
+    }
+
+    /// A cold server earns work as a share of what this node sends a warm one, and may not save it up:
+    /// each node alone keeps that share, so all nodes together do, however uneven their traffic is.
+    fn cold_room(&mut self, slot: usize) -> bool {
+        let ramp = self.ramp(&self.servers[slot]);
+        if ramp >= 1.0 {
+            return true;
+        }
+        let rate = COLD_SHARE * ramp * self.pools.warm_rate;
+        let most = (rate * seconds(self.settings.fall_span) * 0.25).max(0.01);
+        let server = &mut self.servers[slot];
+        let earned = rate * seconds(self.now.saturating_sub(server.cold_at));
+        server.cold_at = self.now;
+        server.cold_budget = (server.cold_budget + earned).min(most);
+        server.cold_budget > 0.0
+    }
+
+    // ---- Tiers and queues -----------------------------------------------------------------------
+
+    /// The told worth against the best class's; without differences in worth everything is Medium.
+    fn tier(&self, worth: f64) -> usize {
+        let worths = || self.settings.classes.iter().map(|class| class.worth);
+        let best = worths().fold(0.0, f64::max);
+        let least = worths().fold(f64::MAX, f64::min);
+        let share = if best > 0.0 { worth / best } else { 1.0 };
+        match share {
+            x if x >= 0.8 && least < best => HIGHEST,
+            x if x > 0.55 && least < best => 1,
+            x if x > 0.3 => MEDIUM,
+            _ => LOW,
+        }
+    }
+
+    /// Whether a tenant is past its share of this node's traffic; counts the request.
+    fn over_share(&mut self, tenant: TenantId) -> bool {
+        let Some(told) = self.settings.tenants.get(tenant.0 as usize) else { return false };
+        let part = told.allowance_per_s / f64::from(self.settings.nodes);
+        let rate = part.max(told.share * self.flow.arrivals.get(self.now));
+        let state = &mut self.tenants[tenant.0 as usize];
+        let earned = rate * seconds(self.now.saturating_sub(state.at)).min(10.0);
+        state.at = self.now;
+        state.allowance = (state.allowance + earned).min(2.0 + 3.0 * rate);
+        if state.allowance < 1.0 {
+            return true;
+        }
+        state.allowance -= 1.0;
+        false
+    }
+
+    fn enqueue(&mut self, id: RequestId) {
+        let Some(request) = self.requests.get_mut(&id).filter(|r| r.held.is_none()) else { return };
+        self.queues.seq += 1;
+        // Most worth first in the top tier; worths are not negative, so their bits order like they do.
+        let rank = if request.tier == HIGHEST { u64::MAX - request.worth.to_bits() } else { 0 };
+        request.held = Some((rank, self.queues.seq));
+        self.queues.held[request.tier] += 1;
+        self.queues.order.insert((request.tier, rank, self.queues.seq, id));
+    }
+
+    fn unhold(&mut self, id: RequestId) {
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        if let Some((rank, seq)) = request.held.take() {
+            self.queues.held[request.tier] -= 1;
+            self.queues.order.remove(&(request.tier, rank, seq, id));
+        }
+    }
+
+    /// Releases held requests, highest tier first, while a server has room.
+    fn dispatch(&mut self, actions: &mut Vec<Action>) {
+        while self.has_places() {
+            let Some(&(tier, .., id)) = self.queues.order.first() else { return };
+            let Some(slot) = self.pick(id) else { break };
+            self.unhold(id);
+            self.queues.released[tier].add(self.now, 1.0);
+            self.send(id, slot, actions);
+        }
+        if !self.pumping && !self.queues.order.is_empty() {
+            self.pumping = true;
+            self.arm(self.now + PUMP, T_PUMP, 0, actions);
+        }
+    }
+
+    // ---- Order by key ---------------------------------------------------------------------------
+
+    /// Whether the request has its key's turn: all earlier ones are over, their attempts have ended and
+    /// the key has had its rest. The one that has the turn may be tried again or copied without a rest.
+    fn has_turn(&self, id: RequestId, request: &Request) -> bool {
+        request.key.is_none_or(|key| {
+            let (first, rested) = self.turns.state(key, id, self.now);
+            first && (rested || !request.attempts.is_empty())
+        })
+    }
+
+    /// Gives the turn to the next request of a key, which joins its queue only now: until then it takes
+    /// no room and stands in nobody's way.
+    fn next_turn(&mut self, key: u64) {
+        let Some(id) = self.turns.next(key, self.now) else { return };
+        if self.requests.get(&id).is_some_and(|r| !r.done && r.attempts.is_empty()) {
+            self.enqueue(id);
+        }
+    }
+
+    // ---- Admission ------------------------------------------------------------------------------
+
+    fn on_request(&mut self, new: &NewRequest, actions: &mut Vec<Action>) {
+        let NewRequest { id, class, tenant, hint, key, not_after } = *new;
+        let Some(told) = self.settings.classes.get(usize::from(class.0)) else { return };
+        let (aim, stretch, mut worth) = (told.aim, told.aim_stretch, told.worth);
+        let key = key.filter(|_| told.keep_order);
+        let aim = aim + (stretch * hint.unwrap_or(0) as f64) as Nanos;
+        let work = hint.map_or(1.0, |hint| self.hinted(class, hint));
+        self.flow.arrivals.add(self.now, 1.0);
+        self.flow.retry_budget = (self.flow.retry_budget + RETRY_SHARE).min(RETRY_BURST);
+        if tenant.is_some_and(|tenant| self.over_share(tenant)) {
+            worth *= self.settings.over_share_worth;
+        }
+        let request = Request {
+            class,
+            worth,
+            tier: self.tier(worth),
+            work,
+            aim_at: self.now + aim,
+            not_after,
+            attempts: Vec::new(),
+            out: 0,
+            held: None,
+            done: false,
+            key,
+        };
+        let tier = request.tier;
+        self.requests.insert(id, request);
+        if let Some(key) = key {
+            self.turns.join(key, id);
+            self.next_turn(key);
+        } else {
+            self.enqueue(id);
+        }
+        self.dispatch(actions);
+        if self.requests.get(&id).is_some_and(|request| request.attempts.is_empty()) {
+            if self.requests[&id].held.is_some() && tier >= MEDIUM && self.overloaded(id) {
+                self.note_overload(actions);
+                self.finish(id, true, actions);
+            } else {
+                self.arm_give_up(id, actions);
+            }
+        }
+    }
+
+    fn hinted(&mut self, class: ClassId, hint: Nanos) -> f64 {
+        let state = &mut self.classes[usize::from(class.0)];
+        if state.hint == 0.0 {
+            state.hint = hint as f64;
+        }
+        state.hint += 0.01 * (hint as f64 - state.hint);
+        (hint as f64 / state.hint).clamp(0.05, 30.0)
+    }
+
+    /// Judges by this node's own queue: its length over the rate at which it drains. Between 0.7 and 1
+    /// of the bound chance decides, so that nodes neither refuse in step nor let all back at once.
+    fn overloaded(&mut self, id: RequestId) -> bool {
+        let luck = 0.7 + 0.3 * self.chance();
+        let Some(request) = self.requests.get(&id) else { return false };
+        let all: f64 = self.queues.released.iter().map(|rate| rate.get(self.now)).sum();
+        let drain = self.queues.released[request.tier].get(self.now).max(0.05 * all);
+        let left = seconds(request.aim_at.min(request.not_after).saturating_sub(self.now));
+        let left = left - self.expected(request.class, request.work);
+        self.queues.held[request.tier] as f64 > drain * left * WAIT_SHARE * luck
+    }
+
+    /// Until when an answer is worth anything.
+    fn useful_until(&self, request: &Request) -> Nanos {
+        let late = self.told(request.class).late_worth > 0.0;
+        if late { request.not_after } else { request.aim_at.min(request.not_after) }
+    }
+
+    /// The moment when a held request has no time left for its aim, also where a late answer earns
+    /// something: served late, it would take the place of one that can still be in time. A smaller margin
+    /// sent the top queue's requests at the last moment only, and most ended unanswered.
+    fn give_up_at(&self, request: &Request) -> Nanos {
+        let margin = nanos(self.expected(request.class, request.work)).max(2 * self.settings.tick);
+        let latest = request.not_after.saturating_sub(2 * self.settings.tick);
+        request.aim_at.saturating_sub(margin).min(latest).max(self.now + 1).min(latest)
+    }
+
+    fn arm_give_up(&mut self, id: RequestId, actions: &mut Vec<Action>) {
+        if let Some(request) = self.requests.get(&id) {
+            self.arm(self.give_up_at(request), T_GIVE_UP, id.0, actions);
+        }
+    }
+
+    fn note_overload(&mut self, actions: &mut Vec<Action>) {
+        if !self.overload {
+            self.overload = true;
+            let held = self.queues.order.len();
+            let line = format!("overload entered: {held} requests held, refusing the lowest tiers");
+            self.log(2, &line, actions);
+        }
+    }
+
+    // ---- Pick -----------------------------------------------------------------------------------
+
+    /// The sum of limits bounds the node's attempts, so that fractions of a place count.
+    fn has_places(&self) -> bool {
+        if self.informed() {
+            let known: usize = self.pools.active[0].iter().map(|&slot| self.known_out(slot)).sum();
+            return (known as f64) < self.pools.limit_sum * self.nodes_per_server();
+        }
+        self.fits(self.pools.out[0] + self.pools.out[1], self.pools.limit_sum)
+    }
+
+    /// Limits bound the mean. A node whose share is a place or two could never serve two requests that
+    /// come together while servers idle: while its mean is low it may go over by as much as chance alone
+    /// brings about, which evens out over the nodes.
+    fn fits(&self, out: usize, limit: f64) -> bool {
+        let calm = self.flow.demand < CALM_USE * self.pools.limit_sum;
+        let burst = if calm { BURST * limit.sqrt() } else { 0.0 };
+        // A share under one place is rounded up to one, or little could go out beside idle servers; but not
+        // while latency is over its mark: hundreds of nodes that each kept a place then kept a fleet that
+        // had choked choked. Should also ease a shared dependency that slows. Does harm where latency stays
+        // over its mark for other reasons than load: then a node sends less than it could.
+        let one = out == 0 && (self.flow.demand < limit || self.flow.load < JAMMED);
+        one || (out > 0 || limit >= 1.0) && (out as f64) < limit + burst
+    }
+
+    /// The own zone is full at the sum of its limits; each server alone, rounded up, would hide that.
+    fn own_zone_full(&self, pool: usize) -> bool {
+        let two = !self.pools.ranked[1].is_empty();
+        two && !self.fits(self.pools.out[pool], self.pools.limits[pool])
+    }
+
+    fn room(&mut self, slot: usize, id: RequestId) -> bool {
+        let server = &self.servers[slot];
+        let nodes = if self.informed() { self.nodes_per_server() } else { 1.0 };
+        let out = if self.informed() { self.known_out(slot) } else { server.out.len() };
+        if out as f64 >= (server.limit * nodes).ceil().max(1.0) {
+            return false;
+        }
+        if !self.pools.most_aside {
+            if self.out_of_order(slot) {
+                return false;
+            }
+            // On trial after it was set aside: one at a time, and only what may be tried elsewhere.
+            if server.trial
+                && (!server.out.is_empty() || self.told(self.requests[&id].class).effect == Effect::Unsafe)
+            {
+                return false;
+            }
+        }
+        self.cold_room(slot) && self.may_send(id, slot)
+    }
+
+    fn score(&mut self, slot: usize) -> f64 {
+        let tie = 1.0 + 0.05 * self.chance();
+        let server = &self.servers[slot];
+        let size = if self.settings.weights_tell_size { server.weight.max(0.1) } else { 1.0 };
+        server.latency(self.now) * (self.known_out(slot) as f64 + 1.0) / size * tie
+    }
+
+    /// Among servers with room the least smoothed peak latency x (own in-flight + 1); on many servers
+    /// a sample of them. Own zone first while it has room.
+    fn pick(&mut self, id: RequestId) -> Option<usize> {
+        for pool in 0..2 {
+            if self.own_zone_full(pool) {
+                continue;
+            }
+            let count = self.pools.active[pool].len();
+            let mut best: Option<(f64, usize)> = None;
+            let all = count <= SAMPLE;
+            let mut found = 0;
+            // A few more looks where the sample meets full servers; never a scan of a large fleet.
+            for look in 0..if all { count } else { 4 * SAMPLE } {
+                let at = if all { look } else { self.below(count) };
+                let slot = self.pools.active[pool][at];
+                if self.room(slot, id) {
+                    let score = self.score(slot);
+                    if best.is_none_or(|(least, _)| score < least) {
+                        best = Some((score, slot));
+                    }
+                    found += 1;
+                    if found >= SAMPLE {
+                        break;
+                    }
+                }
+            }
+            if let Some((_, slot)) = best {
+                return Some(slot);
+            }
+        }
+        None
+    }
+
+    // ---- Retries and final answers --------------------------------------------------------------
+
+    /// The gate: every send passes here. Rules 2 (no effect twice), 3 (drains), 4 (cold servers, by
+    /// `cold_room` just before) and the limit of attempts.
+    fn may_send(&self, id: RequestId, slot: usize) -> bool {
+        let (Some(request), server) = (self.requests.get(&id), &self.servers[slot]) else { return false };
+        if request.done
+            || !server.ready
+            || request.attempts.len() >= self.settings.max_attempts as usize
+            || (request.out > 0 && !self.settings.parallel_tries)
+            || self.now + self.settings.tick > request.not_after
+            || request.attempts.iter().any(|a| a.server == server.id && a.ran != Ran::Never)
+        {
+            return false;
+        }
+        let first = request.attempts.iter().find(|a| a.ran != Ran::Never);
+        self.has_turn(id, request)
+            && first.is_none_or(|first| self.may_repeat(request.class, first, Some(server)))
+    }
+
+    /// Whether what `first` may have done allows another attempt, there or (`None`) anywhere.
+    fn may_repeat(&self, class: ClassId, first: &Attempt, to: Option<&Server>) -> bool {
+        match self.told(class).effect {
+            Effect::Safe => true,
+            Effect::Unsafe => false,
+            Effect::Keyed { group, window } => {
+                let inside = to.is_none_or(|server| match group {
+                    Group::All => true,
+                    Group::Zone => first.zone == server.zone,
+                    Group::Cell => first.cell == server.cell,
+                });
+                // A tenth of the window is left for the way to the server.
+                inside && self.now < first.sent + window / 10 * 9
+            }
+        }
+    }
+
+    fn may_refuse(&self, request: &Request) -> bool {
+        match self.told(request.class).effect {
+            Effect::Safe | Effect::Keyed { group: Group::All, .. } => true,
+            _ => request.attempts.iter().all(|a| a.ran == Ran::Never),
+        }
+    }
+
+    fn send(&mut self, id: RequestId, slot: usize, actions: &mut Vec<Action>) {
+        if !self.may_send(id, slot) {
+            return;
+        }
+        let now = self.now;
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        let server = &mut self.servers[slot];
+        let number = request.attempts.len();
+        let (zone, cell) = (server.zone, server.cell);
+        request.attempts.push(Attempt { server: server.id, zone, cell, sent: now, ran: Ran::Outstanding });
+        request.out += 1;
+        let (class, work, tries_left) =
+            (request.class, request.work, number + 1 < self.settings.max_attempts as usize);
+        let safe = self.told(class).effect == Effect::Safe;
+        let expected = self.expected(class, work);
+        let server = &mut self.servers[slot];
+        server.out.push_back((id, number, now, expected));
+        server.rate.add(now, work);
+        server.cold_budget -= work;
+        self.note_out();
+        self.flow.out_total += 1;
+        self.to_tell = Some(true);
+        let far = usize::from(self.is_far(zone));
+        self.pools.out[far] += 1;
+        let patience = nanos(HEDGE * expected * self.servers[slot].latency(now).clamp(1.0, 2.0));
+        // Where two may not be out at once, giving up on the first is the only way to try another.
+        let timeout = (safe && tries_left && !self.settings.parallel_tries).then_some(2 * patience);
+        actions.push(Action::Send { id, server: self.servers[slot].id, timeout });
+        if safe && tries_left && self.settings.parallel_tries {
+            self.arm(now + patience, T_HEDGE, id.0, actions);
+        }
+    }
+
+    /// A second copy of a safe request that takes too long, while places and budget allow.
+    fn on_hedge(&mut self, id: RequestId, actions: &mut Vec<Action>) {
+        let Some(request) = self.requests.get(&id) else { return };
+        if request.done || request.out != 1 {
+            return;
+        }
+        let expected = self.expected(request.class, request.work);
+        if self.now + nanos(0.7 * expected) > self.useful_until(request) {
+            return;
+        }
+        let idle = self.queues.order.is_empty() && self.has_places() && self.flow.retry_budget >= 1.0;
+        if let Some(slot) = if idle { self.pick(id) } else { None } {
+            self.flow.retry_budget -= 1.0;
+            self.send(id, slot, actions);
+        } else {
+            self.arm(self.now + nanos(expected), T_HEDGE, id.0, actions);
+        }
+    }
+
+    fn on_ended(&mut self, ended: &Ended, actions: &mut Vec<Action>) {
+        let (id, number) = (ended.id, usize::from(ended.attempt.0));
+        let never_ran = ended.outcome.never_ran(self.settings.full_unproven);
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        let Some(attempt) = request.attempts.get_mut(number).filter(|a| a.ran == Ran::Outstanding) else {
+            return;
+        };
+        attempt.ran = if never_ran { Ran::Never } else { Ran::Maybe };
+        request.out -= 1;
+        let (class, work, key) = (request.class, request.work, request.key);
+        if let Some(key) = key.filter(|_| ended.outcome.may_go_on()) {
+            // The work may go on at the server: the key rests.
+            let until = self.now + self.settings.order_settle;
+            self.turns.rest(key, until);
+            self.arm(until, T_TURN, 0, actions);
+        }
+        self.note_out();
+        self.flow.out_total -= 1;
+        self.to_tell.get_or_insert(false);
+        if let Some(&slot) = self.slots.get(&ended.server) {
+            self.servers[slot].out.retain(|&(request, n, ..)| (request, n) != (id, number));
+            // Exact again at the next refresh, should the server be out of order.
+            let far = usize::from(self.is_far(self.servers[slot].zone));
+            self.pools.out[far] = self.pools.out[far].saturating_sub(1);
+            self.learn_outcome(slot, (class, work), ended, actions);
+            self.hang_up(slot, actions);
+        }
+        if ended.complete {
+            self.on_over(id, None, actions);
+        } else {
+            self.settle(id, actions);
+        }
+    }
+
+    fn learn_outcome(&mut self, slot: usize, of: (ClassId, f64), ended: &Ended, actions: &mut Vec<Action>) {
+        let ((class, work), took) = (of, ended.took);
+        match ended.outcome {
+            Outcome::Ok => {
+                self.flow.served.add(self.now, work);
+                self.learn_latency(slot, class, work, took);
+                let server = &mut self.servers[slot];
+                server.failures = 0;
+                if server.trial {
+                    server.trial = false;
+                    let id = server.id.0;
+                    self.log(4, &format!("server {id} is back"), actions);
+                } else {
+                    server.aside_times = 0;
+                }
+            }
+            // A hung server whose attempts are all called back for a faster copy would never show.
+            Outcome::Cancelled if seconds(took) > HEDGE * self.expected(class, work) => {
+                self.learn_failure(slot, 1, actions);
+            }
+            Outcome::Cancelled | Outcome::Moot => {}
+            // A server that only turns away may be draining without the list saying so.
+            // It would have taken longer: learning from answers alone, what is sent too late stays unseen.
+            Outcome::TimedOut => {
+                self.learn_latency(slot, class, work, 2 * took);
+                self.learn_failure(slot, 1, actions);
+            }
+            Outcome::Full | Outcome::Error | Outcome::Reset => {
+                self.learn_failure(slot, 1, actions);
+            }
+            Outcome::ConnectFailed => self.learn_failure(slot, 2, actions),
+        }
+    }
+
+    /// After an attempt without success: wait for another, try again, or answer.
+    fn settle(&mut self, id: RequestId, actions: &mut Vec<Action>) {
+        let Some(request) = self.requests.get(&id) else { return };
+        if request.done {
+            return self.on_over(id, None, actions);
+        }
+        if request.out > 0 || request.held.is_some() {
+            return;
+        }
+        let first = request.attempts.iter().find(|a| a.ran != Ran::Never);
+        let unrun = first.is_none();
+        let price = if unrun { 0.3 } else { 1.0 };
+        let again = request.attempts.len() < self.settings.max_attempts as usize
+            && first.is_none_or(|first| self.may_repeat(request.class, first, None))
+            // The same moment as for a held request: a later one would have it wait without a next step.
+            && self.now + 1 < self.give_up_at(request)
+            && self.flow.retry_budget >= price;
+        if !again {
+            return self.finish(id, true, actions);
+        }
+        let end = self.give_up_at(request);
+        if let Some(slot) = if self.has_places() { self.pick(id) } else { None } {
+            self.flow.retry_budget -= price;
+            self.send(id, slot, actions);
+        } else if unrun {
+            self.enqueue(id);
+            self.arm_give_up(id, actions);
+        } else {
+            self.arm(end.min(self.now + PUMP), T_AGAIN, id.0, actions);
+        }
+    }
+
+    /// Every final answer of ours. A refusal promises that nothing happened; where that is not certain
+    /// the answer is a failure.
+    fn finish(&mut self, id: RequestId, refuse: bool, actions: &mut Vec<Action>) {
+        let Some(request) = self.requests.get(&id).filter(|request| !request.done) else { return };
+        if refuse && self.may_refuse(request) {
+            let retry_after = self.settings.retry_after.then_some(self.settings.max_retry_after / 4);
+            actions.push(Action::Refuse { id, retry_after });
+        } else {
+            actions.push(Action::Fail(id));
+        }
+        self.on_over(id, None, actions);
+    }
+
+    /// The request has its final answer or needs none: nothing more is sent, copies are called back.
+    fn on_over(&mut self, id: RequestId, keep: Option<AttemptNo>, actions: &mut Vec<Action>) {
+        self.unhold(id);
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        if !request.done {
+            request.done = true;
+            if self.settings.cancel {
+                let numbered = (0..).map(AttemptNo).zip(&request.attempts);
+                let out = numbered.filter(|(number, a)| a.ran == Ran::Outstanding && keep != Some(*number));
+                actions.extend(out.map(|(attempt, _)| Action::Cancel { id, attempt }));
+            }
+        }
+        let key = request.key;
+        if request.out == 0 {
+            self.requests.remove(&id);
+            if let Some(key) = key {
+                self.turns.leave(key, id);
+                self.next_turn(key);
+            }
+        }
+    }
+
+    // ---- Timers ---------------------------------------------------------------------------------
+
+    fn arm(&self, at: Nanos, kind: u64, about: u32, actions: &mut Vec<Action>) {
+        actions.push(Action::Timer {
+            at: at.max(self.now + 1),
+            token: TimerToken(kind << 32 | u64::from(about)),
+        });
+    }
+
+    fn on_timer(&mut self, token: TimerToken, actions: &mut Vec<Action>) {
+        let id = RequestId(token.0 as u32);
+        match token.0 >> 32 {
+            T_GIVE_UP => self.on_give_up(id, actions),
+            T_HEDGE => self.on_hedge(id, actions),
+            T_PUMP => self.pumping = false,
+            T_ASK if !self.subscribed => actions.push(Action::Subscribe),
+            T_AGAIN => self.settle(id, actions),
+            T_HANG_UP => {
+                let server = ServerId(id.0);
+                if self.slots.get(&server).is_none_or(|&slot| !self.servers[slot].ready) {
+                    actions.push(Action::FreeLinks(server));
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// A held request nearly out of time is refused, whatever its tier; so is one still without its turn.
+    fn on_give_up(&mut self, id: RequestId, actions: &mut Vec<Action>) {
+        let Some(request) = self.requests.get(&id) else { return };
+        let no_turn = request.key.is_some() && request.attempts.is_empty();
+        if request.held.is_some() || no_turn {
+            if request.held.is_some() {
+                self.note_overload(actions);
+            }
+            self.finish(id, true, actions);
+        }
+    }
+}
+
+impl Server {
+    fn new(info: &ServerInfo, rank: u64, now: Nanos) -> Self {
+        Self {
+            id: info.id,
+            ready: true,
+            stretch: 1.0,
+            seen: now,
+            load: 0.5,
+            cold_at: now,
+            rank,
+            ..Self::default()
+        }
+    }
+
+    /// Age of the oldest outstanding attempt over what was expected of it.
+    fn age(&self, now: Nanos) -> f64 {
+        self.out
+            .front()
+            .map_or(0.0, |&(.., sent, expected)| seconds(now.saturating_sub(sent)) / expected.max(1e-6))
+    }
+
+    /// The smoothed latency by now: an old one drifts to a little under the mean.
+    fn faded(&self, now: Nanos) -> f64 {
+        let believed = (-seconds(now.saturating_sub(self.seen)) / FORGET_S).exp();
+        UNUSED + (self.stretch - UNUSED) * believed
+    }
+
+    /// What the pick goes by: what is outstanding counts as soon as it is older.
+    fn latency(&self, now: Nanos) -> f64 {
+        self.faded(now).max(self.age(now)).max(0.05)
+    }
+}
+
+#[cfg(test)]
+#[path = "../tests/unit/gate.rs"]
+mod gate;
--- /dev/null
+++ b/src/wire.rs
@@ -0,0 +1,720 @@
+//! Frames and settings text to and from the module's interface. Decides nothing.
+//!
+//! A frame is little-endian without padding: a header, then records of a code, a length and fields.
+//! Everything that is read is checked against the bounds of its record; whatever does not fit is a
+//! [`WireError`] that names the record and the fault.
+
+use std::io::{self, Read};
+use std::sync::Arc;
+
+use rustc_hash::FxHashMap;
+use serde::Deserialize;
+use thiserror::Error;
+
+use crate::interface::{
+    Action, AttemptNo, CellId, Class, ClassId, Condition, Discovery, Effect, Ended, Event, Group, ListChange,
+    Nanos, NewRequest, Outcome, RequestId, ServerId, ServerInfo, Settings, SettingsError, Tenant, TenantId,
+    TimerToken, ZoneId,
+};
+
+/// Number of an instance on the wire.
+pub type Instance = u32;
+
+const HEADER: usize = 20;
+const ENTRY: usize = 23;
+/// Longest frame that is read; far above any real one, it keeps a bad length from exhausting memory.
+const MAX_FRAME: usize = 1 << 30;
+const LISTS: u32 = 16;
+const HAS_HINT: u16 = 1;
+
+/// A frame that cannot be understood.
+#[derive(Debug, Error)]
+pub enum WireError {
+    /// The stream ended inside a frame.
+    #[error("frame: input ended inside a frame")]
+    ShortFrame,
+    /// The frame's length cannot be right.
+    #[error("frame: length {0} is not plausible")]
+    FrameLength(usize),
+    /// Bytes are left after the last record.
+    #[error("frame: {0} bytes after its last record")]
+    Trailing(usize),
+    /// A record's header or fields reach past the frame.
+    #[error("record {record}: it reaches past the end of the frame")]
+    PastFrame {
+        /// Position of the record in its frame.
+        record: u32,
+    },
+    /// A field reaches past its record.
+    #[error("record {record} ({name}): field `{field}` reaches past its end")]
+    PastRecord {
+        /// Position of the record in its frame.
+        record: u32,
+        /// Its name.
+        name: &'static str,
+        /// The field.
+        field: &'static str,
+    },
+    /// A record of a code that does not exist.
+    #[error("record {record}: unknown code {code}")]
+    UnknownCode {
+        /// Position of the record in its frame.
+        record: u32,
+        /// The code.
+        code: u8,
+    },
+    /// A field's value has no meaning.
+    #[error("record {record} ({name}): `{field}` is {value}, which has no meaning")]
+    BadValue {
+        /// Position of the record in its frame.
+        record: u32,
+        /// Its name.
+        name: &'static str,
+        /// The field.
+        field: &'static str,
+        /// Its value.
+        value: u64,
+    },
+    /// Settings that are not UTF-8.
+    #[error("record {record} (begin): settings are not UTF-8")]
+    SettingsText {
+        /// Position of the record in its frame.
+        record: u32,
+    },
+    /// Settings that are not the expected JSON.
+    #[error("record {record} (begin): settings: {source}")]
+    SettingsJson {
+        /// Position of the record in its frame.
+        record: u32,
+        /// What the parser says.
+        source: serde_json::Error,
+    },
+    /// Settings that contradict themselves.
+    #[error("record {record} (begin): {source}")]
+    SettingsValue {
+        /// Position of the record in its frame.
+        record: u32,
+        /// Which value.
+        source: SettingsError,
+    },
+    /// Reading failed.
+    #[error("input: {0}")]
+    Io(#[from] io::Error),
+}
+
+/// A batch of records for the instances.
+#[derive(Debug, Default)]
+pub struct Batch {
+    /// The clock.
+    pub now: Nanos,
+    /// Number of the batch.
+    pub seq: u32,
+    /// What happened, in order.
+    pub input: Vec<(Instance, Input)>,
+}
+
+/// What a record means to one instance.
+#[derive(Debug)]
+pub enum Input {
+    /// The instance starts.
+    Begin {
+        /// Seed of its random numbers.
+        seed: u64,
+        /// Its settings.
+        settings: Box<Settings>,
+    },
+    /// The instance is killed.
+    Killed,
+    /// An event of the module.
+    Event(Event),
+}
+
+/// Reads one frame; `None` at a clean end of input.
+///
+/// # Errors
+/// Input that ends inside a frame, or a length that is not plausible.
+pub fn read_frame(input: &mut impl Read, frame: &mut Vec<u8>) -> Result<Option<()>, WireError> {
+    frame.clear();
+    input.by_ref().take(HEADER as u64).read_to_end(frame)?;
+    match frame.len() {
+        0 => return Ok(None),
+        HEADER => {}
+        _ => return Err(WireError::ShortFrame),
+    }
+    let len = u32::from_le_bytes([frame[0], frame[1], frame[2], frame[3]]) as usize;
+    if len > MAX_FRAME {
+        return Err(WireError::FrameLength(len));
+    }
+    if input.by_ref().take(len as u64).read_to_end(frame)? < len {
+        return Err(WireError::ShortFrame);
+    }
+    Ok(Some(()))
+}
+
+/// Bounds of the indices that an instance's settings allow.
+#[derive(Clone, Copy, Debug)]
+struct Bounds {
+    classes: usize,
+    tenants: usize,
+    zones: u16,
+}
+
+/// Decodes batches; keeps the numbered server lists and the bounds of each instance's settings.
+#[derive(Debug, Default)]
+pub struct Decoder {
+    lists: FxHashMap<u32, Arc<[ServerInfo]>>,
+    bounds: FxHashMap<Instance, Bounds>,
+}
+
+impl Decoder {
+    /// Decodes a whole frame as [`read_frame`] left it.
+    ///
+    /// # Errors
+    /// The first fault found; nothing of the batch should be acted upon then.
+    pub fn decode(&mut self, frame: &[u8]) -> Result<Batch, WireError> {
+        let Some((header, mut rest)) = frame.split_at_checked(HEADER) else {
+            return Err(WireError::ShortFrame);
+        };
+        let word =
+            |at: usize| u32::from_le_bytes([header[at], header[at + 1], header[at + 2], header[at + 3]]);
+        if word(0) as usize != rest.len() {
+            return Err(WireError::FrameLength(word(0) as usize));
+        }
+        let now = u64::from(word(4)) | u64::from(word(8)) << 32;
+        let mut batch = Batch { now, seq: word(16), input: Vec::new() };
+        for record in 0..word(12) {
+            let past = WireError::PastFrame { record };
+            let Some((head, body)) = rest.split_at_checked(5) else { return Err(past) };
+            let len = u32::from_le_bytes([head[1], head[2], head[3], head[4]]) as usize;
+            let Some((body, after)) = body.split_at_checked(len) else { return Err(past) };
+            rest = after;
+            let fields = Fields { record, name: "", left: body };
+            if let Some(input) = self.record(head[0], fields)? {
+                batch.input.push(input);
+            }
+        }
+        if rest.is_empty() { Ok(batch) } else { Err(WireError::Trailing(rest.len())) }
+    }
+
+    fn record(&mut self, code: u8, mut f: Fields<'_>) -> Result<Option<(Instance, Input)>, WireError> {
+        f.name = match code {
+            1 => "begin",
+            2 => "roster_change",
+            3 => "new_request",
+            4 => "streaming",
+            5 => "ended",
+            6 => "timed_out_client",
+            7 => "timeout_fired",
+            8 => "pong",
+            9 => "note_from",
+            10 => "killed",
+            11 => "roster",
+            _ => return Err(WireError::UnknownCode { record: f.record, code }),
+        };
+        if code == 11 {
+            return self.roster(f).map(|()| None);
+        }
+        let instance = f.u32("i")?;
+        if code == 1 {
+            return self.begin(instance, f).map(|input| Some((instance, input)));
+        }
+        // An instance just killed, or never begun: its events concern nobody.
+        let Some(&bounds) = self.bounds.get(&instance) else { return Ok(None) };
+        let event = match code {
+            2 => self.members(f, bounds)?,
+            3 => new_request(f, bounds)?,
+            4 => {
+                let id = RequestId(f.u32("corr")?);
+                f.u32("backend")?;
+                f.u64("took_ns")?;
+                Event::Streaming { id, attempt: AttemptNo(f.u8("leg")?) }
+            }
+            5 => ended(f)?,
+            6 => Event::ClientGone(RequestId(f.u32("corr")?)),
+            7 => Event::Timer(TimerToken(f.u64("token")?)),
+            8 => {
+                // The module neither probes nor needs what probes tell; they are only checked.
+                f.u32("backend")?;
+                f.outcome()?;
+                f.u64("took_ns")?;
+                f.report()?;
+                return Ok(None);
+            }
+            9 => {
+                let from = u32::from(f.u16("neighbour")?);
+                let len = f.u16("body")?;
+                Event::Note { from, body: f.take("body", usize::from(len))?.to_vec() }
+            }
+            _ => {
+                self.bounds.remove(&instance);
+                return Ok(Some((instance, Input::Killed)));
+            }
+        };
+        Ok(Some((instance, Input::Event(event))))
+    }
+
+    fn begin(&mut self, instance: Instance, mut f: Fields<'_>) -> Result<Input, WireError> {
+        let seed = f.u64("entropy")?;
+        let len = f.u32("boot_info")? as usize;
+        let text = f.take("boot_info", len)?;
+        let record = f.record;
+        let text = std::str::from_utf8(text).map_err(|_| WireError::SettingsText { record })?;
+        let boot: Boot =
+            serde_json::from_str(text).map_err(|source| WireError::SettingsJson { record, source })?;
+        let settings = boot.settings().map_err(|source| WireError::SettingsValue { record, source })?;
+        let bounds = Bounds {
+            classes: settings.classes.len(),
+            tenants: settings.tenants.len(),
+            zones: settings.zones.max(1),
+        };
+        self.bounds.insert(instance, bounds);
+        Ok(Input::Begin { seed, settings: Box::new(settings) })
+    }
+
+    fn roster(&mut self, mut f: Fields<'_>) -> Result<(), WireError> {
+        let table = f.u32("table")?;
+        if table >= LISTS {
+            return Err(f.bad("table", table));
+        }
+        let count = f.u32("records")? as usize;
+        let bytes = f.take("records", count.saturating_mul(ENTRY))?;
+        let entries = bytes.chunks_exact(ENTRY).map(|chunk| {
+            let mut e = Fields { left: chunk, ..f };
+            let id = ServerId(e.u32("backend")?);
+            let zone = ZoneId(e.u16("site")?);
+            e.u16("machine")?;
+            Ok(ServerInfo {
+                id,
+                zone,
+                cell: CellId(e.u16("cohort")?),
+                condition: match e.u8("condition")? {
+                    0 => Condition::Ready,
+                    1 => Condition::Draining,
+                    2 => Condition::Gone,
+                    other => return Err(e.bad("condition", other)),
+                },
+                weight: f32::from_bits(e.u32("heft")?),
+                started_at: e.u64("started_at_ns")?,
+            })
+        });
+        let list = entries.collect::<Result<Arc<[ServerInfo]>, WireError>>()?;
+        self.lists.insert(table, list);
+        Ok(())
+    }
+
+    fn members(&self, mut f: Fields<'_>, bounds: Bounds) -> Result<Event, WireError> {
+        let table = f.u32("table")?;
+        f.u32("epoch")?;
+        let mode = f.u8("mode")?;
+        if mode == 3 {
+            return Ok(Event::Members(ListChange::Failed));
+        }
+        let list = self.lists.get(&table).ok_or_else(|| f.bad("table", table))?.clone();
+        if let Some(beyond) = list.iter().find(|server| server.zone.0 >= bounds.zones) {
+            return Err(f.bad("site", beyond.zone.0));
+        }
+        Ok(Event::Members(match mode {
+            0 => ListChange::Delta(list),
+            1 => ListChange::Full(list),
+            2 => ListChange::Cached(list),
+            other => return Err(f.bad("mode", other)),
+        }))
+    }
+}
+
+fn new_request(mut f: Fields<'_>, bounds: Bounds) -> Result<Event, WireError> {
+    let id = RequestId(f.u32("corr")?);
+    let hint = f.u64("hint_ns")?;
+    let tenant = f.u32("account")?;
+    let key = f.u64("partition_key")?;
+    let not_after = f.u64("not_after_ns")?;
+    let class = f.u16("qos")?;
+    let bits = f.u16("bits")?;
+    if usize::from(class) >= bounds.classes {
+        return Err(f.bad("qos", class));
+    }
+    if bounds.tenants > 0 && tenant as usize >= bounds.tenants {
+        return Err(f.bad("account", tenant));
+    }
+    Ok(Event::Request(NewRequest {
+        id,
+        class: ClassId(class),
+        tenant: (bounds.tenants > 0).then_some(TenantId(tenant)),
+        hint: (bits & HAS_HINT != 0 && hint > 0).then_some(hint),
+        key: (key != 0).then_some(key),
+        not_after,
+    }))
+}
+
+fn ended(mut f: Fields<'_>) -> Result<Event, WireError> {
+    let id = RequestId(f.u32("corr")?);
+    let complete = f.u8("complete")? != 0;
+    let server = ServerId(f.u32("backend")?);
+    let outcome = f.outcome()?;
+    let attempt = AttemptNo(f.u8("leg")?);
+    let took = f.u64("took_ns")?;
+    f.report()?;
+    Ok(Event::Ended(Ended { id, attempt, server, outcome, took, complete }))
+}
+
+/// The fields of one record that are not read yet.
+#[derive(Clone, Copy)]
+struct Fields<'a> {
+    record: u32,
+    name: &'static str,
+    left: &'a [u8],
+}
+
+impl<'a> Fields<'a> {
+    fn take(&mut self, field: &'static str, len: usize) -> Result<&'a [u8], WireError> {
+        let past = WireError::PastRecord { record: self.record, name: self.name, field };
+        let (taken, left) = self.left.split_at_checked(len).ok_or(past)?;
+        self.left = left;
+        Ok(taken)
+    }
+
+    fn array<const N: usize>(&mut self, field: &'static str) -> Result<[u8; N], WireError> {
+        let mut bytes = [0; N];
+        bytes.copy_from_slice(self.take(field, N)?);
+        Ok(bytes)
+    }
+
+    fn u8(&mut self, field: &'static str) -> Result<u8, WireError> {
+        self.array(field).map(|[byte]| byte)
+    }
+
+    fn u16(&mut self, field: &'static str) -> Result<u16, WireError> {
+        self.array(field).map(u16::from_le_bytes)
+    }
+
+    fn u32(&mut self, field: &'static str) -> Result<u32, WireError> {
+        self.array(field).map(u32::from_le_bytes)
+    }
+
+    fn u64(&mut self, field: &'static str) -> Result<u64, WireError> {
+        self.array(field).map(u64::from_le_bytes)
+    }
+
+    fn bad(&self, field: &'static str, value: impl Into<u64>) -> WireError {
+        WireError::BadValue { record: self.record, name: self.name, field, value: value.into() }
+    }
+
+    fn outcome(&mut self) -> Result<Outcome, WireError> {
+        Ok(match self.u16("code")? {
+            200 => Outcome::Ok,
+            502 => Outcome::Error,
+            429 => Outcome::Full,
+            408 => Outcome::TimedOut,
+            521 => Outcome::ConnectFailed,
+            520 => Outcome::Reset,
+            444 => Outcome::Cancelled,
+            409 => Outcome::Moot,
+            other => return Err(self.bad("code", other)),
+        })
+    }
+
+    /// The module does not use load reports; their values are skipped, whatever they are.
+    fn report(&mut self) -> Result<(), WireError> {
+        let count = usize::from(self.u8("telemetry")?);
+        self.take("telemetry", count * 4).map(drop)
+    }
+}
+
+/// Collects the actions of one reply.
+#[derive(Debug, Default)]
+pub struct Reply {
+    count: u32,
+    body: Vec<u8>,
+}
+
+impl Reply {
+    /// Adds an action of an instance.
+    pub fn push(&mut self, instance: Instance, action: &Action) {
+        self.count += 1;
+        match action {
+            Action::Send { id, server, timeout } => {
+                self.start(1, 20, instance);
+                self.word(id.0);
+                self.word(server.0);
+                self.long(timeout.unwrap_or(0));
+            }
+            Action::Refuse { id, retry_after } => {
+                self.start(2, 16, instance);
+                self.word(id.0);
+                self.long(retry_after.unwrap_or(0));
+            }
+            Action::Fail(id) => {
+                self.start(3, 8, instance);
+                self.word(id.0);
+            }
+            Action::Cancel { id, attempt } => {
+                self.start(4, 9, instance);
+                self.word(id.0);
+                self.body.push(attempt.0);
+            }
+            Action::Timer { at, token } => {
+                self.start(5, 20, instance);
+                self.long(*at);
+                self.long(token.0);
+            }
+            Action::Tell { to, body } => {
+                let len = u16::try_from(body.len()).unwrap_or_default();
+                let text = &body[..usize::from(len)];
+                self.start(8, 10 + u32::from(len), instance);
+                self.word(*to);
+                self.body.extend_from_slice(&len.to_le_bytes());
+                self.body.extend_from_slice(text);
+            }
+            Action::FreeLinks(server) => {
+                self.start(7, 8, instance);
+                self.word(server.0);
+            }
+            Action::Subscribe => {
+                self.start(11, 5, instance);
+                self.body.push(1);
+            }
+            Action::Log(line) => {
+                let mut end = line.len().min(usize::from(u16::MAX));
+                while !line.is_char_boundary(end) {
+                    end -= 1;
+                }
+                let text = &line.as_bytes()[..end];
+                self.start(9, 6 + u32::try_from(end).unwrap_or_default(), instance);
+                self.body.extend_from_slice(&u16::try_from(end).unwrap_or_default().to_le_bytes());
+                self.body.extend_from_slice(text);
+            }
+        }
+    }
+
+    /// Writes the whole frame to `out` and clears this reply.
+    pub fn finish(&mut self, seq: u32, out: &mut Vec<u8>) {
+        out.extend_from_slice(&self.count.to_le_bytes());
+        let len = u32::try_from(self.body.len()).unwrap_or(u32::MAX);
+        out.extend_from_slice(&len.to_le_bytes());
+        out.extend_from_slice(&seq.to_le_bytes());
+        out.append(&mut self.body);
+        self.count = 0;
+    }
+
+    fn start(&mut self, code: u8, len: u32, instance: Instance) {
+        self.body.push(code);
+        self.word(len);
+        self.word(instance);
+    }
+
+    fn word(&mut self, value: u32) {
+        self.body.extend_from_slice(&value.to_le_bytes());
+    }
+
+    fn long(&mut self, value: u64) {
+        self.body.extend_from_slice(&value.to_le_bytes());
+    }
+}
+
+/// Settings as they are written; unknown keys are ignored.
+#[derive(Deserialize)]
+#[serde(default)]
+struct Boot {
+    ceilings: Ceilings,
+    classes: Vec<BootClass>,
+    counted_by: String,
+    me: u32,
+    membership_mode: String,
+    my_zone: u16,
+    over_share_worth: f64,
+    prices: Prices,
+    quantum_ns: Nanos,
+    replicas_of_me: u32,
+    rules: Rules,
+    tenants: Vec<BootTenant>,
+    weights: String,
+    zones: Vec<String>,
+}
+
+impl Default for Boot {
+    fn default() -> Self {
+        Self {
+            ceilings: Ceilings::default(),
+            classes: Vec::new(),
+            counted_by: "request".into(),
+            me: 0,
+            membership_mode: "automatic".into(),
+            my_zone: 0,
+            over_share_worth: 1.0,
+            prices: Prices::default(),
+            quantum_ns: 1_000_000,
+            replicas_of_me: 1,
+            rules: Rules::default(),
+            tenants: Vec::new(),
+            weights: "off".into(),
+            zones: Vec::new(),
+        }
+    }
+}
+
+#[derive(Deserialize)]
+#[serde(default)]
+struct Ceilings {
+    cancel: bool,
+    max_attempts: u32,
+    max_retry_after_ns: Nanos,
+    parallel_tries: bool,
+    peers: bool,
+    retry_after: bool,
+}
+
+impl Default for Ceilings {
+    fn default() -> Self {
+        Self {
+            cancel: false,
+            max_attempts: 1,
+            max_retry_after_ns: 1_000_000_000,
+            parallel_tries: false,
+            peers: false,
+            retry_after: false,
+        }
+    }
+}
+
+#[derive(Default, Deserialize)]
+#[serde(default)]
+struct Prices {
+    connection: f64,
+    cross_zone: f64,
+    handshake: f64,
+    peer: f64,
+}
+
+#[derive(Deserialize)]
+#[serde(default)]
+struct Rules {
+    ask_every_ns: Nanos,
+    cold_from: f64,
+    cold_ns: Nanos,
+    fall_multiple: f64,
+    fall_ns: Nanos,
+    full_unproven: bool,
+    hang_up_within_ns: Option<Nanos>,
+    order_settle_ns: Nanos,
+}
+
+impl Default for Rules {
+    fn default() -> Self {
+        Self {
+            ask_every_ns: 10_000_000_000,
+            cold_from: 0.1,
+            cold_ns: 30_000_000_000,
+            fall_multiple: 2.0,
+            fall_ns: 2_000_000_000,
+            full_unproven: false,
+            hang_up_within_ns: None,
+            order_settle_ns: 0,
+        }
+    }
+}
+
+#[derive(Deserialize)]
+struct BootClass {
+    #[serde(default)]
+    aim_stretch: f64,
+    deadline_ns: Nanos,
+    #[serde(default)]
+    dedup_scope: Option<String>,
+    effect: String,
+    #[serde(default)]
+    keep_order: bool,
+    #[serde(default)]
+    late_worth: f64,
+    target_ns: Nanos,
+    #[serde(default)]
+    window_ns: Nanos,
+    #[serde(default = "one")]
+    worth: f64,
+}
+
+fn one() -> f64 {
+    1.0
+}
+
+#[derive(Deserialize)]
+struct BootTenant {
+    #[serde(default)]
+    allowance_per_s: f64,
+    #[serde(default)]
+    share: f64,
+}
+
+impl Boot {
+    fn settings(self) -> Result<Settings, SettingsError> {
+        let classes = self.classes.iter().map(BootClass::class).collect::<Result<_, _>>()?;
+        let settings = Settings {
+            me: self.me,
+            nodes: self.replicas_of_me,
+            zone: ZoneId(self.my_zone),
+            zones: u16::try_from(self.zones.len()).map_err(|_| SettingsError::OutOfRange("zones"))?,
+            classes,
+            tenants: self
+                .tenants
+                .iter()
+                .map(|t| Tenant { share: t.share, allowance_per_s: t.allowance_per_s })
+                .collect(),
+            over_share_worth: self.over_share_worth,
+            worth_by_work: self.counted_by == "work",
+            discovery: match self.membership_mode.as_str() {
+                "automatic" => Discovery::Push,
+                "subscribe" => Discovery::Ask,
+                _ => return Err(SettingsError::OutOfRange("membership_mode")),
+            },
+            tick: self.quantum_ns,
+            max_attempts: self.ceilings.max_attempts,
+            parallel_tries: self.ceilings.parallel_tries,
+            cancel: self.ceilings.cancel,
+            retry_after: self.ceilings.retry_after,
+            max_retry_after: self.ceilings.max_retry_after_ns,
+            connections_priced: self.prices.connection > 0.0 || self.prices.handshake > 0.0,
+            crossing_price: self.prices.cross_zone,
+            weights_tell_size: matches!(self.weights.as_str(), "nominal" | "rough"),
+            peers: self.ceilings.peers,
+            peer_price: self.prices.peer,
+            ask_every: self.rules.ask_every_ns,
+            cold_from: self.rules.cold_from,
+            cold_span: self.rules.cold_ns,
+            fall_multiple: self.rules.fall_multiple,
+            fall_span: self.rules.fall_ns,
+            full_unproven: self.rules.full_unproven,
+            order_settle: self.rules.order_settle_ns,
+            hang_up_within: self.rules.hang_up_within_ns.filter(|&within| within > 0),
+        };
+        settings.check().map(|()| settings)
+    }
+}
+
+impl BootClass {
+    fn class(&self) -> Result<Class, SettingsError> {
+        let effect = match self.effect.as_str() {
+            "pure" => Effect::Safe,
+            "token" => Effect::Keyed { group: self.group()?, window: self.window_ns },
+            "side_effect" => Effect::Unsafe,
+            _ => return Err(SettingsError::OutOfRange("effect")),
+        };
+        Ok(Class {
+            aim: self.target_ns,
+            aim_stretch: self.aim_stretch,
+            deadline: self.deadline_ns,
+            worth: self.worth,
+            late_worth: self.late_worth,
+            effect,
+            keep_order: self.keep_order,
+        })
+    }
+
+    fn group(&self) -> Result<Group, SettingsError> {
+        match self.dedup_scope.as_deref() {
+            Some("all") => Ok(Group::All),
+            Some("zone") => Ok(Group::Zone),
+            // Without a word the narrowest group is the safe reading.
+            Some("cell") | None => Ok(Group::Cell),
+            Some(_) => Err(SettingsError::OutOfRange("dedup_scope")),
+        }
+    }
+}
--- /dev/null
+++ b/tests/wire.rs
@@ -0,0 +1,220 @@
+//! The wire: the byte examples of its description, malformed frames, and every truncation.
+
+use std::io::Write;
+use std::process::{Command, Stdio};
+
+use mosspick::interface::*;
+use mosspick::wire::{Decoder, Input, Reply, WireError, read_frame};
+
+const NOW: u64 = 8_410_152_848;
+
+fn hex(text: &str) -> Vec<u8> {
+    let digits: Vec<u8> = text.bytes().filter(|b| !b.is_ascii_whitespace()).collect();
+    let pairs = digits.chunks_exact(2).map(|pair| std::str::from_utf8(pair).unwrap());
+    pairs.map(|pair| u8::from_str_radix(pair, 16).unwrap()).collect()
+}
+
+fn frame(count: u32, records: &[u8]) -> Vec<u8> {
+    let mut out = u32::try_from(records.len()).unwrap().to_le_bytes().to_vec();
+    out.extend(NOW.to_le_bytes());
+    out.extend(count.to_le_bytes());
+    out.extend(12u32.to_le_bytes());
+    out.extend(records);
+    out
+}
+
+fn begin(instance: u32, settings: &str) -> Vec<u8> {
+    let mut body = instance.to_le_bytes().to_vec();
+    body.extend(77u64.to_le_bytes());
+    body.extend(u32::try_from(settings.len()).unwrap().to_le_bytes());
+    body.extend(settings.as_bytes());
+    let mut out = vec![1];
+    out.extend(u32::try_from(body.len()).unwrap().to_le_bytes());
+    out.extend(body);
+    out
+}
+
+fn settings() -> String {
+    let class = r#"{"deadline_ns": 1000000000, "target_ns": 500000000, "effect": "pure", "worth": 5.0}"#;
+    let tenants =
+        (0..100).map(|_| r#"{"share": 0.01, "allowance_per_s": 1.0}"#).collect::<Vec<_>>().join(",");
+    format!(
+        r#"{{"classes": [{class}], "tenants": [{tenants}], "zones": ["a"], "new_key": 1,
+            "report": {{"fields": ["recent_ms", "backlog"]}}, "ceilings": {{"max_attempts": 3}}}}"#
+    )
+}
+
+const ROSTER: &str = "0b 36000000 00000000 02000000 074a1203 0000 0000 0000 00 0000803f 0000000000000000
+    f211902c 0000 0000 0000 00 0000c03f 009d966b01000000";
+const CHANGE: &str = "02 0d000000 03000000 00000000 29000000 02";
+const REQUEST: &str =
+    "03 28000000 03000000 c4913a5d 001bb70000000000 00000000 640ad2557c3bf091 90dbb60302000000 0000 0100";
+const ENDED: &str = "05 21000000 03000000 c4913a5d 01 074a1203 c800 00 a0491a0100000000 02 0000684100004040";
+const TIMER: &str = "07 0c000000 03000000 4d00000000000000";
+const GONE: &str = "06 08000000 03000000 192b6f0e";
+
+fn whole() -> (u32, Vec<u8>) {
+    let mut records = begin(3, &settings());
+    for text in [ROSTER, CHANGE, REQUEST, ENDED, TIMER, GONE] {
+        records.extend(hex(text));
+    }
+    (7, records)
+}
+
+#[test]
+fn examples_are_read() {
+    let (count, records) = whole();
+    let batch = Decoder::default().decode(&frame(count, &records)).unwrap();
+    assert_eq!((batch.now, batch.seq), (NOW, 12));
+    let events: Vec<&Event> = batch
+        .input
+        .iter()
+        .filter_map(|(instance, input)| {
+            assert_eq!(*instance, 3);
+            if let Input::Event(event) = input { Some(event) } else { None }
+        })
+        .collect();
+    assert_eq!(events.len(), 5);
+    let Event::Members(ListChange::Cached(servers)) = events[0] else { panic!("{:?}", events[0]) };
+    assert_eq!(servers[0].id, ServerId(0x0312_4a07));
+    assert_eq!((servers[1].weight, servers[1].started_at), (1.5, 0x0000_0001_6b96_9d00));
+    let id = RequestId(0x5d3a_91c4);
+    assert_eq!(
+        events[1],
+        &Event::Request(NewRequest {
+            id,
+            class: ClassId(0),
+            tenant: Some(TenantId(0)),
+            hint: Some(12_000_000),
+            key: Some(0x91f0_3b7c_55d2_0a64),
+            not_after: 0x0000_0002_03b6_db90,
+        })
+    );
+    let server = ServerId(0x0312_4a07);
+    let (attempt, outcome) = (AttemptNo(0), Outcome::Ok);
+    assert_eq!(
+        events[2],
+        &Event::Ended(Ended { id, attempt, server, outcome, took: 18_500_000, complete: true })
+    );
+    assert_eq!(events[3], &Event::Timer(TimerToken(0x4d)));
+    assert_eq!(events[4], &Event::ClientGone(RequestId(0x0e6f_2b19)));
+}
+
+#[test]
+fn examples_are_written() {
+    let mut reply = Reply::default();
+    let (id, server) = (RequestId(0x5d3a_91c4), ServerId(0x0312_4a07));
+    reply.push(3, &Action::Send { id, server, timeout: Some(80_000_000) });
+    reply.push(3, &Action::Timer { at: 0x0000_0002_1336_2490, token: TimerToken(0x4d) });
+    reply.push(5, &Action::Log("two servers known".into()));
+    let mut out = Vec::new();
+    reply.finish(12, &mut out);
+    let expected = hex("03000000 4e000000 0c000000
+        01 14000000 03000000 c4913a5d 074a1203 00b4c40400000000
+        05 14000000 03000000 9024361302000000 4d00000000000000
+        09 17000000 05000000 1100 74776f2073657276657273206b6e6f776e");
+    assert_eq!(out, expected);
+    out.clear();
+    reply.finish(1, &mut out);
+    assert_eq!(out, hex("00000000 00000000 01000000"));
+}
+
+#[test]
+fn every_truncation_is_an_error_and_none_a_panic() {
+    let (count, records) = whole();
+    for len in 0..records.len() {
+        // The frame is cut and says so: its records no longer fit.
+        assert!(Decoder::default().decode(&frame(count, &records[..len])).is_err(), "cut at {len}");
+    }
+    let full = frame(count, &records);
+    for len in 1..full.len() {
+        let mut input = &full[..len];
+        assert!(matches!(read_frame(&mut input, &mut Vec::new()), Err(WireError::ShortFrame)));
+    }
+}
+
+#[test]
+fn changed_bytes_never_panic() {
+    let (count, records) = whole();
+    for at in 0..records.len() {
+        for value in [0x00, 0x7f, 0xff] {
+            let mut changed = records.clone();
+            changed[at] = value;
+            let _ = Decoder::default().decode(&frame(count, &changed));
+        }
+    }
+}
+
+#[test]
+fn faults_name_the_record() {
+    let fault = |records: Vec<u8>, count| {
+        Decoder::default().decode(&frame(count, &records)).map(drop).unwrap_err().to_string()
+    };
+    assert!(fault(hex("63 00000000"), 1).contains("unknown code 99"));
+    assert!(fault(begin(3, "{"), 1).contains("begin"));
+    assert!(fault(begin(3, "{}"), 1).contains("no class"));
+    let bad = settings().replace("500000000", "0");
+    assert!(fault(begin(3, &bad), 1).contains("aim"));
+    let with = |record: &str| [begin(3, &settings()), hex(record)].concat();
+    let class = REQUEST.replace(" 0000 0100", " 0900 0100");
+    assert!(fault(with(&class), 2).contains("`qos` is 9"));
+    assert!(fault(with(CHANGE), 2).contains("`table` is 0"));
+    let zone = [begin(3, &settings()), hex(&ROSTER.replace("074a1203 0000", "074a1203 0800")), hex(CHANGE)];
+    assert!(fault(zone.concat(), 3).contains("`site` is 8"));
+}
+
+#[test]
+fn odd_but_legal_records_are_skipped() {
+    let mut decoder = Decoder::default();
+    // Events of an instance that was killed in the same batch, and a list number used twice.
+    let records = [
+        begin(3, &settings()),
+        hex(ROSTER),
+        hex("0b 08000000 00000000 00000000"),
+        hex(CHANGE),
+        hex("0a 04000000 03000000"),
+        hex(REQUEST),
+    ];
+    let batch = decoder.decode(&frame(6, &records.concat())).unwrap();
+    assert_eq!(batch.input.len(), 3);
+    assert!(matches!(&batch.input[1].1, Input::Event(Event::Members(ListChange::Cached(l))) if l.is_empty()));
+    assert!(matches!(batch.input[2].1, Input::Killed));
+    let nan = ENDED.replace("00006841", "0000c07f");
+    let batch = decoder.decode(&frame(2, &[begin(3, &settings()), hex(&nan)].concat())).unwrap();
+    assert_eq!(batch.input.len(), 2);
+}
+
+fn drill(input: &[u8]) -> (Option<i32>, Vec<u8>, String) {
+    let mut child = Command::new(env!("CARGO_BIN_EXE_mosspick-adapter"))
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .unwrap();
+    child.stdin.take().unwrap().write_all(input).unwrap();
+    let done = child.wait_with_output().unwrap();
+    (done.status.code(), done.stdout, String::from_utf8(done.stderr).unwrap())
+}
+
+#[test]
+fn the_adapter_answers_each_frame_and_ends_cleanly() {
+    assert_eq!(drill(&[]), (Some(0), Vec::new(), String::new()));
+    let (count, records) = whole();
+    let (code, out, error) = drill(&[frame(0, &[]), frame(count, &records)].concat());
+    assert_eq!((code, error.as_str()), (Some(0), ""));
+    assert_eq!(&out[..12], hex("00000000 00000000 0c000000"));
+    // The request is sent on to one of the two servers.
+    let body = &out[24..];
+    assert!(body.windows(9).any(|w| w == hex("01 14000000 03000000")), "{body:?}");
+}
+
+#[test]
+fn the_adapter_says_what_is_wrong_in_one_line() {
+    let (count, records) = whole();
+    let full = frame(count, &records);
+    for bad in [frame(1, &hex("63 00000000")), full[..full.len() - 3].to_vec(), full[..7].to_vec()] {
+        let (code, out, error) = drill(&bad);
+        assert_eq!((code, out.len()), (Some(1), 0));
+        assert_eq!(error.lines().count(), 1, "{error}");
+    }
+}
