--- a/src/bin/mosspick-adapter.rs
+++ b/src/bin/pumicehead-adapter.rs
@@ -5,15 +5,15 @@
 use std::io::{self, BufReader, Write};
 use std::process::ExitCode;
 
-use mosspick::policy::Balancer;
-use mosspick::wire::{Decoder, Input, Instance, Reply, WireError, read_frame};
+use pumicehead::policy::Balancer;
+use pumicehead::wire::{Decoder, Input, Instance, Reply, WireError, read_frame};
 use rustc_hash::FxHashMap;
 
 fn main() -> ExitCode {
     match run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            eprintln!("mosspick-adapter: {error}");
+            eprintln!("pumicehead-adapter: {error}");
             ExitCode::FAILURE
         }
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,6 +2,7 @@
 #![warn(missing_docs)]
 #![doc = include_str!("../README.md")]
 
+pub mod boot;
 pub mod interface;
 pub mod meter;
 pub mod peers;
--- a/tests/combinations.rs
+++ b/tests/combinations.rs
@@ -4,7 +4,7 @@
 mod common;
 
 use common::*;
-use mosspick::interface::*;
+use pumicehead::interface::*;
 
 const CALM: Nanos = 40 * MS;
 
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -5,8 +5,8 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 
-use mosspick::interface::*;
-use mosspick::policy::Balancer;
+use pumicehead::interface::*;
+use pumicehead::policy::Balancer;
 
 pub const MS: Nanos = 1_000_000;
 
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -3,8 +3,8 @@
 use std::io::Write;
 use std::process::{Command, Stdio};
 
-use mosspick::interface::*;
-use mosspick::wire::{Decoder, Input, Reply, WireError, read_frame};
+use pumicehead::interface::*;
+use pumicehead::wire::{Decoder, Input, Reply, WireError, read_frame};
 
 const NOW: u64 = 8_410_152_848;
 
@@ -185,7 +185,7 @@
 }
 
 fn drill(input: &[u8]) -> (Option<i32>, Vec<u8>, String) {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_mosspick-adapter"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_pumicehead-adapter"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
