Test the node on loopback sockets; an idle connection that makes way counts

Seen: at the budget of connections every new one was answered 503 though idle ones could make way. Now only a connection for which no idle one could be closed is turned away, and quiet connections close without lingering.

--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -102,6 +102,11 @@
 }
 
 impl Conn {
+    /// Its last answer, if any, must have arrived by now.
+    fn is_quiet(&self) -> bool {
+        self.since.get().elapsed() > LINGER
+    }
+
     /// Nothing is asked or half asked, as far as can be seen.
     fn is_idle(&self) -> bool {
         !self.busy.get() && self.link.unread() != Unread::Bytes
@@ -173,27 +178,26 @@
         }
     }
 
-    /// Closes the connection that has been idle longest.
-    fn shed(&self) {
+    /// Closes the connection that has been idle longest; tells whether there was one.
+    fn shed(&self) -> bool {
         let conns = self.conns.borrow();
         let idle = conns.iter().filter(|conn| conn.used.get() && conn.is_idle());
-        if let Some(oldest) = idle.min_by_key(|conn| conn.since.get()) {
+        let oldest = idle.min_by_key(|conn| conn.since.get());
+        if let Some(oldest) = oldest {
             oldest.busy.set(true);
             oldest.close.notify_one();
         }
+        oldest.is_some()
     }
 
     fn take(self: Rc<Self>, stream: TcpStream) {
-        let full = self.conns.borrow().len() >= self.places;
-        if full {
-            self.shed();
-        }
+        let extra = self.conns.borrow().len() >= self.places && !self.shed();
         let conn = Rc::new(Conn {
             link: Link::new(stream),
             busy: Cell::new(false),
             used: Cell::new(false),
             since: Cell::new(Instant::now()),
-            extra: full,
+            extra,
             close: Notify::new(),
         });
         self.conns.borrow_mut().push(conn.clone());
@@ -215,14 +219,20 @@
         let mut builder = http1::Builder::new();
         builder.max_buf_size(LONGEST_HEAD);
         let mut served = pin!(builder.serve_connection(TokioIo::new(conn.link.clone()), service));
+        let mut idle = false;
         loop {
             tokio::select! {
                 // However it ends, the client knows as much as can be told.
                 _ = served.as_mut() => break,
-                () = conn.close.notified() => served.as_mut().graceful_shutdown(),
+                () = conn.close.notified() => {
+                    idle = conn.is_quiet();
+                    served.as_mut().graceful_shutdown();
+                }
             }
         }
-        let _ = timeout(LINGER, conn.link.linger()).await;
+        if !idle {
+            let _ = timeout(LINGER, conn.link.linger()).await;
+        }
     }
 
     async fn respond(&self, conn: &Conn, request: Request<Incoming>) -> Response<Full<Bytes>> {
--- /dev/null
+++ b/tests/common/net.rs
@@ -0,0 +1,353 @@
+//! A started node, scripted backends, a scripted discovery and a plain client, all on loopback.
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, mpsc};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// Far longer than anything takes; a test that reaches it has failed.
+const LIMIT: Duration = Duration::from_secs(30);
+
+/// Waits until something holds.
+pub fn wait_for(what: &str, mut holds: impl FnMut() -> bool) {
+    let start = Instant::now();
+    while !holds() {
+        assert!(start.elapsed() < LIMIT, "waited in vain: {what}");
+        thread::sleep(Duration::from_millis(5));
+    }
+}
+
+/// A message as it came: first line, lower-case header lines, body.
+#[derive(Clone, Debug, Default)]
+pub struct Message {
+    pub first: String,
+    pub headers: Vec<String>,
+    pub body: Vec<u8>,
+}
+
+impl Message {
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.iter().find_map(|line| line.strip_prefix(name)?.strip_prefix(": "))
+    }
+
+    pub fn status(&self) -> u16 {
+        self.first.split(' ').nth(1).and_then(|code| code.parse().ok()).unwrap_or(0)
+    }
+
+    /// Reads one; `None` when the connection ends first.
+    pub fn read(input: &mut impl BufRead) -> Option<Self> {
+        let mut lines = Vec::new();
+        loop {
+            let mut line = String::new();
+            if input.read_line(&mut line).ok()? == 0 {
+                return None;
+            }
+            match line.trim_end() {
+                "" => break,
+                text => lines.push(text.to_owned()),
+            }
+        }
+        let first = lines.remove(0);
+        let lower = |line: String| line.split_once(':').map(|(n, v)| n.to_lowercase() + ":" + v);
+        let mut message =
+            Self { first, headers: lines.into_iter().filter_map(lower).collect(), body: vec![] };
+        let length = message.header("content-length").map_or(0, |text| text.parse().unwrap());
+        message.body = vec![0; length];
+        input.read_exact(&mut message.body).ok()?;
+        Some(message)
+    }
+}
+
+/// What a backend does with a request.
+pub enum Act {
+    /// Writes this and keeps the connection.
+    Write(String),
+    /// Writes this and closes it.
+    WriteAndClose(String),
+    /// Says nothing until the other side closes.
+    Hang,
+}
+
+pub fn ok(body: &str) -> Act {
+    Act::Write(answer("200 OK", "", body))
+}
+
+pub fn answer(status: &str, headers: &str, body: &str) -> String {
+    format!("HTTP/1.1 {status}\r\n{headers}Content-Length: {}\r\n\r\n{body}", body.len())
+}
+
+/// A backend that follows a script.
+pub struct Backend {
+    pub address: SocketAddr,
+    pub seen: Arc<Mutex<Vec<Message>>>,
+    /// Connections that the other side or the script has closed.
+    pub closed: Arc<AtomicUsize>,
+}
+
+impl Backend {
+    pub fn start(script: impl Fn(&Message) -> Act + Send + Sync + 'static) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let (seen, closed) = (Arc::new(Mutex::new(Vec::new())), Arc::new(AtomicUsize::new(0)));
+        let (script, to) = (Arc::new(script), (seen.clone(), closed.clone()));
+        thread::spawn(move || {
+            for stream in listener.incoming() {
+                let (stream, script, (seen, closed)) = (stream.unwrap(), script.clone(), to.clone());
+                thread::spawn(move || {
+                    let mut input = BufReader::new(stream.try_clone().unwrap());
+                    while let Some(message) = Message::read(&mut input) {
+                        seen.lock().unwrap().push(message.clone());
+                        let (text, more) = match script(&message) {
+                            Act::Write(text) => (text, true),
+                            Act::WriteAndClose(text) => (text, false),
+                            Act::Hang => (String::new(), true),
+                        };
+                        if (&stream).write_all(text.as_bytes()).is_err() || !more {
+                            break;
+                        }
+                    }
+                    let _ = stream.shutdown(std::net::Shutdown::Both);
+                    closed.fetch_add(1, Ordering::SeqCst);
+                });
+            }
+        });
+        Self { address, seen, closed }
+    }
+
+    pub fn count(&self) -> usize {
+        self.seen.lock().unwrap().len()
+    }
+
+    pub fn closed(&self) -> usize {
+        self.closed.load(Ordering::SeqCst)
+    }
+}
+
+/// An entry of the list.
+pub fn host(name: &str, dial: SocketAddr, health: &str) -> String {
+    format!(
+        r#"{{"host":"{name}","dial":"{dial}","site":"a","class":"m","block":1,"health":"{health}","share":1.0,"born_ms":0,"odd":1}}"#
+    )
+}
+
+pub fn list(seq: u32, whole: bool, hosts: &[String]) -> String {
+    format!(r#"{{"seq":{seq},"whole":{whole},"hosts":[{}]}}"#, hosts.join(","))
+}
+
+/// Discovery: each watch is handed over as its request and the lines to write; dropping these ends it.
+pub struct Discovery {
+    pub address: SocketAddr,
+    pub watches: mpsc::Receiver<(String, mpsc::Sender<String>)>,
+}
+
+impl Discovery {
+    pub fn start() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let (sender, watches) = mpsc::channel();
+        thread::spawn(move || {
+            for stream in listener.incoming() {
+                let (mut stream, sender) = (stream.unwrap(), sender.clone());
+                thread::spawn(move || {
+                    let mut input = BufReader::new(stream.try_clone().unwrap());
+                    let Some(request) = Message::read(&mut input) else { return };
+                    let (lines, to_write) = mpsc::channel::<String>();
+                    let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+                    stream.write_all(head.as_bytes()).unwrap();
+                    let _ = sender.send((request.first, lines));
+                    loop {
+                        let line = match to_write.recv_timeout(Duration::from_secs(1)) {
+                            Ok(line) => line,
+                            Err(mpsc::RecvTimeoutError::Timeout) => String::new(),
+                            Err(mpsc::RecvTimeoutError::Disconnected) => return,
+                        };
+                        let chunk = format!("{:x}\r\n{line}\n\r\n", line.len() + 1);
+                        if stream.write_all(chunk.as_bytes()).is_err() {
+                            return;
+                        }
+                    }
+                });
+            }
+        });
+        Self { address, watches }
+    }
+
+    pub fn next(&self) -> (String, mpsc::Sender<String>) {
+        self.watches.recv_timeout(LIMIT).expect("a watch")
+    }
+}
+
+/// Settings with one class of each effect; `more` goes into `ceilings`.
+fn settings(mode: &str, aim_ms: u64, more: &str) -> String {
+    let class = |name: &str, effect: &str| {
+        let (aim, deadline) = (aim_ms * 1_000_000, 20_000_000_000u64);
+        format!(
+            r#"{{"name":"{name}","effect":"{effect}","dedup_scope":"all","window_ns":5000000000,"target_ns":{aim},"deadline_ns":{deadline},"worth":1.0}}"#
+        )
+    };
+    let classes = [class("read", "pure"), class("submit", "side_effect"), class("put", "token")];
+    format!(
+        r#"{{"classes":[{}],"zones":["a"],"kinds":["m"],"membership_mode":"{mode}","quantum_ns":5000000,"unheard":{{}},
+        "rules":{{"ask_every_ns":200000000}},"ceilings":{{"max_attempts":3,"cancel":true,"parallel_tries":true,
+        "retry_after":true,"max_retry_after_ns":2000000000,"conn_idle_ns":60000000000,"dial_timeout_ns":250000000{more}}}}}"#,
+        classes.join(",")
+    )
+}
+
+/// How a node is started.
+pub struct Setup {
+    pub known: String,
+    pub discovery: SocketAddr,
+    pub mode: &'static str,
+    pub aim_ms: u64,
+    pub ceilings: &'static str,
+}
+
+impl Setup {
+    /// Knows these backends, and has a discovery that nothing answers for.
+    pub fn of(backends: &[&Backend]) -> Self {
+        let hosts: Vec<_> =
+            backends.iter().enumerate().map(|(n, b)| host(&format!("s-{n}"), b.address, "active")).collect();
+        Self {
+            known: list(1, true, &hosts),
+            discovery: refusing(),
+            mode: "subscribe",
+            aim_ms: 10_000,
+            ceilings: "",
+        }
+    }
+
+    pub fn start(self) -> Node {
+        let text = format!(
+            r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{}","seed":"8c1f30d27a5be964",
+            "limits":{{"cores":1.0,"memory_mb":192,"sockets":256}},"known":{},"settings":{}}}"#,
+            self.discovery,
+            self.known,
+            settings(self.mode, self.aim_ms, self.ceilings)
+        );
+        Node::start(&text)
+    }
+}
+
+/// An address that refuses connections.
+pub fn refusing() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+}
+
+fn config_file(text: &str) -> PathBuf {
+    static NEXT: AtomicUsize = AtomicUsize::new(0);
+    let name = format!("node-{}-{}.json", std::process::id(), NEXT.fetch_add(1, Ordering::SeqCst));
+    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
+    std::fs::write(&path, text).unwrap();
+    path
+}
+
+fn command(text: &str) -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_pumicehead"));
+    command.env("EDGE_CONFIG", config_file(text)).stderr(Stdio::piped());
+    for name in ["EDGE_NAME", "EDGE_LISTEN", "EDGE_DISCOVERY"] {
+        command.env_remove(name);
+    }
+    command
+}
+
+/// Runs a node that is to end by itself at once: its code and what it said.
+pub fn run_with(text: &str) -> (Option<i32>, String) {
+    let done = command(text).output().unwrap();
+    (done.status.code(), String::from_utf8(done.stderr).unwrap())
+}
+
+/// A running node; killed when dropped.
+pub struct Node {
+    child: Child,
+    pub address: SocketAddr,
+}
+
+impl Node {
+    fn start(text: &str) -> Self {
+        let mut child = command(text).spawn().unwrap();
+        let mut log = BufReader::new(child.stderr.take().unwrap());
+        let mut first = String::new();
+        log.read_line(&mut first).unwrap();
+        let address = first.trim().rsplit(' ').next().and_then(|text| text.parse().ok());
+        let address = address.unwrap_or_else(|| panic!("no address in `{first}`"));
+        thread::spawn(move || std::io::copy(&mut log, &mut std::io::sink()));
+        Self { child, address }
+    }
+
+    pub fn connect(&self) -> Client {
+        Client::new(TcpStream::connect(self.address).unwrap())
+    }
+
+    /// One request on a connection of its own.
+    pub fn ask(&self, request: &str) -> Message {
+        let mut client = self.connect();
+        client.write(request);
+        client.read().expect("an answer")
+    }
+
+    pub fn terminate(&self) {
+        let pid = self.child.id().to_string();
+        assert!(Command::new("kill").args(["-TERM", &pid]).status().unwrap().success());
+    }
+
+    pub fn wait(&mut self) -> ExitStatus {
+        wait_for("the node's end", || self.child.try_wait().unwrap().is_some());
+        self.child.wait().unwrap()
+    }
+
+    pub fn is_running(&mut self) -> bool {
+        self.child.try_wait().unwrap().is_none()
+    }
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// A client's connection.
+pub struct Client {
+    stream: TcpStream,
+    input: BufReader<TcpStream>,
+}
+
+impl Client {
+    fn new(stream: TcpStream) -> Self {
+        stream.set_read_timeout(Some(LIMIT)).unwrap();
+        Self { input: BufReader::new(stream.try_clone().unwrap()), stream }
+    }
+
+    pub fn write(&mut self, text: &str) {
+        self.stream.write_all(text.as_bytes()).unwrap();
+    }
+
+    pub fn read(&mut self) -> Option<Message> {
+        Message::read(&mut self.input)
+    }
+
+    /// Whether the other side has closed.
+    pub fn at_end(&mut self) -> bool {
+        matches!(self.input.read(&mut [0]), Ok(0) | Err(_))
+    }
+}
+
+/// A request of a class with the headers that all need.
+pub fn request(class: &str, body: &str) -> String {
+    request_with(class, body, "X-Time-Left: 15000m\r\n")
+}
+
+pub fn request_with(class: &str, body: &str, headers: &str) -> String {
+    let method = if class == "read" { "GET" } else { "POST" };
+    let length = if body.is_empty() { String::new() } else { format!("Content-Length: {}\r\n", body.len()) };
+    format!(
+        "{method} /{class}/7f3a?x=1 HTTP/1.1\r\nHost: origin.svc\r\nX-Correlation-Id: 9b1f\r\nX-Service-Class: {class}\r\n\
+         X-Facts: a=1\r\nIdempotency-Key: 5c0f\r\n{headers}{length}\r\n{body}"
+    )
+}
--- /dev/null
+++ b/tests/node.rs
@@ -0,0 +1,312 @@
+//! The built node on loopback sockets, against scripted backends and a scripted discovery.
+
+#[path = "common/net.rs"]
+mod net;
+
+use std::sync::mpsc;
+use std::thread;
+use std::time::Duration;
+
+use net::*;
+
+fn is_refusal(status: u16) -> bool {
+    matches!(status, 429 | 503)
+}
+
+fn is_failure(status: u16) -> bool {
+    status != 200 && !is_refusal(status)
+}
+
+/// Guards the plain path: method, path, query, body and ids go on unchanged, and so does the answer's body.
+#[test]
+fn a_request_is_served() {
+    let backend = Backend::start(|_| ok("rank 1\r\n\0"));
+    let node = Setup::of(&[&backend]).start();
+    assert_eq!(node.ask("GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n").status(), 200);
+    let mut client = node.connect();
+    for _ in 0..3 {
+        client.write(&request("submit", "time=1:02"));
+        let answer = client.read().unwrap();
+        assert_eq!((answer.status(), answer.body.as_slice()), (200, b"rank 1\r\n\0".as_slice()));
+    }
+    let seen = backend.seen.lock().unwrap().clone();
+    assert_eq!(seen.len(), 3);
+    assert_eq!(
+        (seen[0].first.as_str(), seen[0].body.as_slice()),
+        ("POST /submit/7f3a?x=1 HTTP/1.1", &b"time=1:02"[..])
+    );
+    assert_eq!(seen[0].header("x-correlation-id"), Some("9b1f"));
+    assert_eq!(seen[0].header("idempotency-key"), Some("5c0f"));
+    assert!(seen[0].header("x-time-left").is_some_and(|left| left.ends_with('u')));
+    // A new connection costs a backend work: one carried all three.
+    assert_eq!(backend.closed(), 0);
+}
+
+/// Guards that a held request nearly out of time is refused with advice, and not by dropping the connection.
+#[test]
+fn a_request_without_a_backend_is_refused_with_retry_after() {
+    let node = Setup { aim_ms: 300, ..Setup::of(&[]) }.start();
+    let answer = node.ask(&request("read", ""));
+    assert!(is_refusal(answer.status()), "{answer:?}");
+    assert_eq!(answer.header("retry-after"), Some("0.500"));
+}
+
+/// Guards rule 2: after a reset or an error an unsafe request may have run, so it is neither sent again nor
+/// refused. A 503 without proof is such an error, and so is an answer that is cut, endless or no HTTP.
+#[test]
+fn an_unsafe_request_that_may_have_run_is_not_resent() {
+    let long = answer("200 OK", "", &"x".repeat((64 << 10) + 1));
+    let texts = [
+        String::new(),
+        answer("500 Internal Server Error", "", ""),
+        answer("503 Service Unavailable", "", ""),
+        answer("504 Gateway Timeout", "X-Unprocessed: 0\r\n", ""),
+        "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf".into(),
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n".into(),
+        "HTTP/1.1 200 OK\r\n\r\nwho knows where it ends".into(),
+        "nonsense\r\n\r\n".into(),
+        long,
+    ];
+    for text in texts {
+        let acted = text.clone();
+        let script = move |_: &Message| Act::WriteAndClose(acted.clone());
+        let (one, other) = (Backend::start(script.clone()), Backend::start(script));
+        let node = Setup::of(&[&one, &other]).start();
+        let answer = node.ask(&request("submit", "x"));
+        let start: String = text.chars().take(60).collect();
+        assert!(is_failure(answer.status()), "{start}: {answer:?}");
+        assert_eq!(one.count() + other.count(), 1, "{start}");
+    }
+}
+
+/// Guards that what is proven not to have run is tried again: `X-Unprocessed: 1`, and refused connections.
+#[test]
+fn what_never_ran_is_sent_again() {
+    let full = Backend::start(|_| Act::Write(answer("503 Service Unavailable", "X-Unprocessed: 1\r\n", "")));
+    let good = Backend::start(|_| ok("done"));
+    let hosts = [
+        host("s-full", full.address, "active"),
+        host("s-dead", refusing(), "active"),
+        host("s-good", good.address, "active"),
+    ];
+    let node = Setup { known: list(1, true, &hosts), ..Setup::of(&[]) }.start();
+    for n in 1..=4 {
+        assert_eq!(node.ask(&request("submit", "x")).status(), 200);
+        assert_eq!(good.count(), n);
+    }
+}
+
+/// Guards that a kept connection which the backend has closed meanwhile carries no request to its death.
+#[test]
+fn a_kept_connection_that_was_closed_is_not_used() {
+    let backend = Backend::start(|_| Act::WriteAndClose(answer("200 OK", "", "done")));
+    let node = Setup::of(&[&backend]).start();
+    for n in 1..=5 {
+        assert_eq!(node.ask(&request("submit", "x")).status(), 200);
+        wait_for("the backend's close", || backend.closed() == n);
+    }
+}
+
+/// Guards that a client that hangs up has its attempt called back, by closing the connection.
+#[test]
+fn a_client_that_leaves_is_noticed() {
+    let backend = Backend::start(|_| Act::Hang);
+    let node = Setup::of(&[&backend]).start();
+    let mut client = node.connect();
+    client.write(&request("submit", "x"));
+    wait_for("the attempt", || backend.count() == 1);
+    assert_eq!(backend.closed(), 0);
+    drop(client);
+    wait_for("the attempt's end", || backend.closed() == 1);
+}
+
+/// Guards rule 1: at its deadline a request gets an answer, though its backend says nothing.
+#[test]
+fn a_silent_backend_ends_at_the_deadline() {
+    let backend = Backend::start(|_| Act::Hang);
+    let node = Setup::of(&[&backend]).start();
+    let answer = node.ask(&request_with("submit", "x", "X-Time-Left: 250000.5u\r\n"));
+    assert!(is_failure(answer.status()), "{answer:?}");
+    assert_eq!(backend.count(), 1);
+    wait_for("the attempt's end", || backend.closed() == 1);
+}
+
+/// Guards rule 3: a backend that drains gets nothing new, and its idle connections close.
+#[test]
+fn a_draining_backend_gets_nothing_new() {
+    let (old, new) = (Backend::start(|_| ok("old")), Backend::start(|_| ok("new")));
+    let discovery = Discovery::start();
+    let node = Setup { discovery: discovery.address, ..Setup::of(&[&old]) }.start();
+    let (first, lines) = discovery.next();
+    assert_eq!(first, "GET /v1/servers?watch=1&after=1 HTTP/1.1");
+    assert_eq!(node.ask(&request("submit", "x")).body, b"old");
+    let hosts = [host("s-0", old.address, "leaving"), host("s-new", new.address, "active")];
+    lines.send(list(2, false, &hosts)).unwrap();
+    wait_for("the idle connection's end", || old.closed() == 1);
+    for _ in 0..10 {
+        assert_eq!(node.ask(&request("submit", "x")).body, b"new");
+    }
+    assert_eq!(old.count(), 1);
+}
+
+/// Guards that a watch that ends, or says what can't be understood, is begun anew from the last version, and
+/// that the node lives on meanwhile.
+#[test]
+fn a_watch_that_ends_is_begun_anew() {
+    let backend = Backend::start(|_| ok("found"));
+    let discovery = Discovery::start();
+    let mut node = Setup { discovery: discovery.address, ..Setup::of(&[]) }.start();
+    let (_, lines) = discovery.next();
+    lines.send(list(7, true, &[])).unwrap();
+    drop(lines);
+    let (first, lines) = discovery.next();
+    assert!(first.contains("after=7 "), "{first}");
+    lines.send("{\"seq\":8,\"whole\":true,\"hosts\":[{}]}".into()).unwrap();
+    let (first, lines) = discovery.next();
+    assert!(first.contains("after=7 "), "{first}");
+    let astray = host("s-0", backend.address, "active").replace("\"site\":\"a\"", "\"site\":\"nowhere\"");
+    lines.send(list(9, false, &[astray])).unwrap();
+    let (first, lines) = discovery.next();
+    assert!(first.contains("after=7 "), "{first}");
+    assert!(node.is_running());
+    lines.send(list(10, false, &[host("s-0", backend.address, "active")])).unwrap();
+    assert_eq!(node.ask(&request("submit", "x")).body, b"found");
+}
+
+/// Guards the planned restart: what was taken is answered, what comes right after SIGTERM too, with
+/// `Connection: close`; idle connections close; the node ends with 0.
+#[test]
+fn sigterm_finishes_what_was_taken() {
+    let (release, held) = mpsc::channel::<()>();
+    let held = std::sync::Mutex::new(held);
+    let backend = Backend::start(move |message| {
+        if message.body == b"slow" {
+            let _ = held.lock().unwrap().recv_timeout(Duration::from_secs(30));
+        }
+        ok("done")
+    });
+    let mut node = Setup::of(&[&backend]).start();
+    let mut idle = node.connect();
+    idle.write(&request("submit", "quick"));
+    assert_eq!(idle.read().unwrap().status(), 200);
+    let mut busy = node.connect();
+    busy.write(&request("submit", "slow"));
+    wait_for("the slow attempt", || backend.count() == 2);
+    node.terminate();
+    assert!(idle.at_end());
+    let late = node.ask(&request("submit", "late"));
+    assert_eq!((late.status(), late.header("connection")), (200, Some("close")));
+    release.send(()).unwrap();
+    let answer = busy.read().unwrap();
+    assert_eq!((answer.status(), answer.header("connection")), (200, Some("close")));
+    assert_eq!(node.wait().code(), Some(0));
+}
+
+/// Guards that nothing a client sends brings the node down, and that each fault has its status.
+#[test]
+fn bad_input_is_answered() {
+    let backend = Backend::start(|_| ok("done"));
+    let mut node = Setup::of(&[&backend]).start();
+    let good = request("submit", "x");
+    let without = |name: &str| {
+        let lines = good.split("\r\n").filter(|line| !line.starts_with(name));
+        lines.collect::<Vec<_>>().join("\r\n")
+    };
+    let time = |left: &str| request_with("submit", "x", &format!("X-Time-Left: {left}\r\n"));
+    let cases = [
+        (without("X-Correlation-Id"), 400),
+        (without("X-Service-Class"), 400),
+        (without("X-Time-Left"), 400),
+        (request("put", "x").replace("Idempotency-Key", "Other"), 400),
+        (good.replace("Class: submit", "Class: read"), 400),
+        (time("480"), 400),
+        (time("-1m"), 400),
+        (time("NaNm"), 400),
+        (time("1e400u"), 400),
+        (time("m"), 400),
+        (good.replace("X-Facts: a=1", "X-Weight-Hint: much"), 400),
+        (good.replace("Class: submit", "Class: other"), 404),
+        (good.replace("/submit/7f3a", "/other/7f3a"), 404),
+        (good.replace("/submit/7f3a", "/"), 404),
+        (good.replace("POST", "DELETE"), 405),
+        ("\u{1}\r\n\r\n".into(), 400),
+    ];
+    for (text, status) in cases {
+        assert_eq!(node.ask(&text).status(), status, "{text}");
+    }
+    assert_eq!(backend.count(), 0);
+    assert!(node.is_running());
+    assert_eq!(node.ask(&good).status(), 200);
+}
+
+/// Guards the limit on bodies: longer ones get 413, even while the client is still writing; one of exactly
+/// the limit passes.
+#[test]
+fn an_oversize_body_is_turned_away() {
+    let backend = Backend::start(|_| ok("done"));
+    let node = Setup::of(&[&backend]).start();
+    let most = "x".repeat(64 << 10);
+    assert_eq!(node.ask(&request("submit", &most)).status(), 200);
+    let long = format!("{most}x");
+    assert_eq!(node.ask(&request("submit", &long)).status(), 413);
+    let chunked = request("submit", "").trim_end().to_owned()
+        + &format!("\r\nTransfer-Encoding: chunked\r\n\r\n{:x}\r\n{long}\r\n0\r\n\r\n", long.len());
+    assert_eq!(node.ask(&chunked).status(), 413);
+    assert_eq!(backend.count(), 1);
+}
+
+/// Guards requests that arrive together on one connection: each is answered, in order.
+#[test]
+fn pipelined_requests_are_all_answered() {
+    let backend = Backend::start(|message| ok(std::str::from_utf8(&message.body).unwrap()));
+    let node = Setup::of(&[&backend]).start();
+    let mut client = node.connect();
+    client.write(&["a", "b", "c"].map(|body| request("submit", body)).concat());
+    for body in [b"a", b"b", b"c"] {
+        assert_eq!(client.read().unwrap().body, body);
+    }
+}
+
+/// Guards the bound on what is held: beyond it the node refuses at once, with advice.
+#[test]
+fn beyond_the_most_held_it_refuses() {
+    let backend = Backend::start(|_| Act::Hang);
+    let node = Setup { ceilings: r#","most_held":1"#, ..Setup::of(&[&backend]) }.start();
+    let mut first = node.connect();
+    first.write(&request("submit", "x"));
+    wait_for("the first attempt", || backend.count() == 1);
+    let answer = node.ask(&request("submit", "x"));
+    assert!(is_refusal(answer.status()) && answer.header("retry-after").is_some(), "{answer:?}");
+}
+
+/// Guards the descriptors: far more connections than they allow, all idle, and the node still takes new ones.
+#[test]
+fn idle_connections_make_way() {
+    let backend = Backend::start(|_| ok("done"));
+    let node = Setup::of(&[&backend]).start();
+    let clients: Vec<_> = (0..400)
+        .map(|_| {
+            let mut client = node.connect();
+            client.write(&request("submit", "x"));
+            let answer = client.read().unwrap();
+            assert!(matches!(answer.status(), 200 | 503), "{answer:?}");
+            client
+        })
+        .collect();
+    thread::sleep(Duration::from_millis(100));
+    assert_eq!(node.ask(&request("submit", "x")).status(), 200);
+    drop(clients);
+}
+
+/// Guards the start: a configuration that is missing or malformed is said plainly, with a non-zero exit.
+#[test]
+fn a_bad_configuration_ends_the_start() {
+    let sound = r#"{"listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"zz","settings":{"classes":[]}}"#;
+    for text in
+        ["", "{}", sound, &sound.replace("[]", r#"[{"effect":"pure","deadline_ns":1,"target_ns":1}]"#)]
+    {
+        let (code, said) = run_with(text);
+        assert_eq!((code, said.lines().count()), (Some(1), 1), "{said}");
+        assert!(said.starts_with("pumicehead: configuration"), "{said}");
+    }
+}
