Learn the calm latency and the mean hint without the noise of the start

A trace of load, limits and latencies ruled out the node (0.2 s of CPU, answers passed on in 0.2 ms) and real crowding (latency stayed the same at 2.7 places as at 9). At fault, both in policy.rs: - learn_latency: the calm latency was the least of a mean over 33 samples, seeded by the first 30, which are the fast ones: 77 ms where submits take 200. It is now the least of a mean with a memory of 15 s, seeded for 5 s; nodes with few requests keep what they had.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -56,6 +56,8 @@
 /// Time in which a least latency that no longer occurs is given up: long, or an overload would pass for
 /// the normal state.
 const FLOOR_S: f64 = 300.0;
+/// Memory of the mean latency that the calm one is the least of.
+const STEADY_S: f64 = 15.0;
 /// Weight of a sample above the smoothed latency (peaks count at once) ...
 const RISE: f64 = 0.4;
 /// ... and the least and the most weight of one below it.
@@ -161,8 +163,11 @@
             mean: seconds(aim) * 0.2,
             calm: 0.0,
             calm_at: 0,
+            steady: 0.0,
+            since: 0,
             samples: 0,
             hint: 0.0,
+            hints: 0,
         };
         Self {
             rng: Pcg64Mcg::seed_from_u64(seed),
@@ -542,16 +547,23 @@
             state.mean = base;
         }
         state.mean += (1.0 / f64::from(state.samples)).max(0.03) * (base.min(5.0 * state.mean) - state.mean);
-        let up = (seconds(now.saturating_sub(state.calm_at)) / FLOOR_S).min(1.0);
+        if state.samples == 1 {
+            (state.calm_at, state.since) = (now, now);
+        }
+        // By time where samples are many: the least of a mean over a second or two is mostly noise, and the
+        // first answers to come are the fast ones. A mark taken from those starved a calm fleet.
+        let gap = seconds(now.saturating_sub(state.calm_at));
+        let weight = (1.0 / f64::from(state.samples)).max((gap / STEADY_S).min(0.03));
+        state.steady += weight * (base.min(5.0 * state.mean) - state.steady);
         state.calm_at = now;
-        let weight = if state.samples < 30 {
+        let weight = if state.samples < 30 || seconds(now.saturating_sub(state.since)) < STEADY_S / 3.0 {
             1.0
-        } else if state.mean < state.calm {
-            0.02
+        } else if state.steady < state.calm {
+            (gap / STEADY_S).min(0.02)
         } else {
-            up
+            (gap / FLOOR_S).min(1.0)
         };
-        state.calm += weight * (state.mean - state.calm);
+        state.calm += weight * (state.steady - state.calm);
         let calm = state.calm;
         let server = &mut self.servers[slot];
         let x = (seconds(took) / expected).min(MOST_STRETCH);
@@ -784,10 +796,10 @@
 
     fn hinted(&mut self, class: ClassId, hint: Nanos) -> f64 {
         let state = &mut self.classes[usize::from(class.0)];
-        if state.hint == 0.0 {
-            state.hint = hint as f64;
-        }
-        state.hint += 0.01 * (hint as f64 - state.hint);
+        // A plain mean at first: one that began at the first hint took a hundred more to forget it, all
+        // latencies for their work drifted meanwhile, and the calm one was off for good.
+        state.hints += 1;
+        state.hint += (1.0 / f64::from(state.hints)).max(0.01) * (hint as f64 - state.hint);
         (hint as f64 / state.hint).clamp(0.05, 30.0)
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -77,8 +77,12 @@
     /// What the mean is when servers are calm, in seconds.
     pub calm: f64,
     pub calm_at: Nanos,
+    /// A mean with a longer memory, and when it began.
+    pub steady: f64,
+    pub since: Nanos,
     pub samples: u32,
     pub hint: f64,
+    pub hints: u32,
 }
 
 #[derive(Clone, Copy, Default)]
