Let a node of a small fleet start with its share of places

Seen: 15 to 33% of the requests of the first 5 s refused while servers had a place or two in use. At fault: refresh() capped a node's start at one place a server, which only binds where few nodes share one. The cap is gone; fleets with many nodes start as before.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -422,7 +422,7 @@
         // that is short of room gets more work for it.
         let first = self.pools.limit_sum == 0.0;
         let nodes = self.nodes_per_server();
-        let start = if first { START_PLACES.min(nodes) } else { LEAST_PLACES } / nodes;
+        let start = if first { START_PLACES } else { LEAST_PLACES } / nodes;
         let (mut bad, mut all) = (0, 0);
         for pool in 0..2 {
             self.pools.active[pool].clear();
