End slow, silent and doubtful clients in time; SIGHUP moves the watch

Seen: SIGHUP ended the node (exit 129; main had no handler). The HTTP library takes Content-Length out of the headers when Transfer-Encoding stands beside it, in either order: the header map can't tell, so the socket keeps the head as it came.

Changed: one look every 100 ms ends what has taken 2 s to its first request or over a later head; a body has the same 2 s; where places are short, connections make way by kind (closed, silent, idle, half a head), and only the chosen one's socket is asked. Doubtful framing gets 400 and a close, a body too long 413 at once, the id of an open request 409; one X-Correlation-Id, the class's own method, no absolute URI; headers go on by a list; a client's wait is at most its class's deadline. SIGHUP reads the file again and watches from its address, version 0; a malformed one changes nothing.

--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -101,10 +101,7 @@
     /// # Errors
     /// The first thing that is missing or malformed.
     pub fn load() -> Result<Self, ConfigError> {
-        let path = env::var("EDGE_CONFIG").map_err(|_| ConfigError::Unset)?;
-        let text =
-            fs::read_to_string(&path).map_err(|source| ConfigError::Read { path: path.clone(), source })?;
-        let file: File = serde_json::from_str(&text).map_err(|source| ConfigError::Json { path, source })?;
+        let file = read()?;
         let mut settings = file.settings.settings()?;
         // Nodes have no way to each other here: with notes off the module does without.
         settings.peers = false;
@@ -126,11 +123,33 @@
     }
 }
 
+/// Where discovery is by now, from the file alone: it has been written since the environment was set, and must
+/// be sound as a whole.
+///
+/// # Errors
+/// The first thing that is missing or malformed.
+pub fn moved() -> Result<SocketAddr, ConfigError> {
+    let file = read()?;
+    file.settings.settings()?;
+    parse("discovery", &file.discovery.ok_or_else(|| fault("discovery", "missing"))?)
+}
+
+fn read() -> Result<File, ConfigError> {
+    let path = env::var("EDGE_CONFIG").map_err(|_| ConfigError::Unset)?;
+    let text =
+        fs::read_to_string(&path).map_err(|source| ConfigError::Read { path: path.clone(), source })?;
+    serde_json::from_str(&text).map_err(|source| ConfigError::Json { path, source })
+}
+
 fn fault(name: &'static str, fault: &str) -> ConfigError {
     ConfigError::Value { name, fault: fault.into() }
 }
 
 fn address(name: &'static str, var: &str, file: Option<String>) -> Result<SocketAddr, ConfigError> {
     let text = env::var(var).ok().or(file).ok_or_else(|| fault(name, "missing"))?;
+    parse(name, &text)
+}
+
+fn parse(name: &'static str, text: &str) -> Result<SocketAddr, ConfigError> {
     text.parse().map_err(|_| fault(name, &format!("`{text}`, not an IP:port")))
 }
--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -1,10 +1,11 @@
 //! The event loop: feeds the module one event at a time and carries out its actions in their order. The only
 //! place that knows both the names of the protocol and the ids of the module.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, VecDeque};
 use std::hash::Hasher;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -34,6 +35,8 @@
 
 /// A client's request with what the module wants to know of it, by the protocol's names.
 pub struct Ask {
+    /// The client's name for it.
+    pub correlation: Box<str>,
     /// Class.
     pub class: usize,
     /// Tenant, where there are tenants.
@@ -66,6 +69,7 @@
     Ended { id: RequestId, attempt: AttemptNo, server: ServerId, sent: Nanos, end: (Outcome, Option<Served>) },
     List(u64, List),
     WatchEnded(u64, WatchError),
+    Moved(SocketAddr),
     GiveUp,
 }
 
@@ -74,20 +78,21 @@
 pub struct Handle {
     messages: mpsc::UnboundedSender<Message>,
     next: Rc<Cell<u32>>,
-    /// Requests without a final answer.
-    held: Rc<Cell<usize>>,
+    /// Requests without a final answer, by the clients' names.
+    held: Rc<RefCell<FxHashSet<Box<str>>>>,
 }
 
 /// Tells of a client that left before its answer.
 struct Waiting<'a> {
     handle: &'a Handle,
     id: RequestId,
+    correlation: Box<str>,
     answered: bool,
 }
 
 impl Drop for Waiting<'_> {
     fn drop(&mut self) {
-        self.handle.held.set(self.handle.held.get() - 1);
+        self.handle.held.borrow_mut().remove(&self.correlation);
         if !self.answered {
             let _ = self.handle.messages.send(Message::ClientGone(self.id));
         }
@@ -97,21 +102,30 @@
 impl Handle {
     /// Requests without a final answer.
     pub fn held(&self) -> usize {
-        self.held.get()
+        self.held.borrow().len()
     }
 
-    /// Waits for the final answer; dropped before, the client is gone.
-    pub async fn ask(&self, ask: Ask) -> Answer {
+    /// Waits for the final answer; dropped before, the client is gone. `None`: a request of this name is open,
+    /// and this one goes nowhere.
+    pub async fn ask(&self, ask: Ask) -> Option<Answer> {
+        let correlation = ask.correlation.clone();
+        if !self.held.borrow_mut().insert(correlation.clone()) {
+            return None;
+        }
         let id = RequestId(self.next.get());
         self.next.set(id.0.wrapping_add(1));
-        self.held.set(self.held.get() + 1);
-        let mut waiting = Waiting { handle: self, id, answered: false };
+        let mut waiting = Waiting { handle: self, id, correlation, answered: false };
         let (sender, answer) = oneshot::channel();
         // A loop that has ended drops the sender, and the answer is a failure.
         let _ = self.messages.send(Message::Request(id, Box::new(ask), Instant::now(), sender));
         let answer = answer.await;
         waiting.answered = true;
-        answer.unwrap_or(Answer::Failed)
+        Some(answer.unwrap_or(Answer::Failed))
+    }
+
+    /// Discovery is at this address from now on.
+    pub fn move_discovery(&self, address: SocketAddr) {
+        let _ = self.messages.send(Message::Moved(address));
     }
 
     /// Has all that is still open fail now: the process is about to end.
@@ -168,7 +182,7 @@
     open: FxHashMap<RequestId, Open>,
     servers: FxHashMap<ServerId, Known>,
     ids: FxHashMap<String, ServerId>,
-    discovery: std::net::SocketAddr,
+    discovery: SocketAddr,
     pushed: bool,
     seq: u64,
     watch: Option<(u64, AbortHandle)>,
@@ -292,6 +306,14 @@
                 }
             }
             Message::WatchEnded(watch, error) => self.on_watch_ended(watch, &error),
+            Message::Moved(address) => {
+                if address != self.discovery {
+                    self.discovery = address;
+                    // Another service's versions mean nothing to this one: the whole list is asked for.
+                    self.seq = 0;
+                    self.subscribe();
+                }
+            }
             Message::GiveUp => {
                 let open: Vec<_> = self.open.keys().copied().collect();
                 for id in open {
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -36,15 +36,28 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// Longest that a closed connection is read on, so that its last answer arrives.
 const LINGER: Duration = Duration::from_millis(500);
-/// Most of a body that is too long that is read and dropped, and for how long: a client that is still
-/// writing might never read its answer.
-const DROPPED: (usize, Duration) = (1 << 20, Duration::from_secs(2));
-/// Longest that a client may take over a body; one that takes as long over a head may have to make way.
-const PATIENCE: Duration = Duration::from_secs(10);
+/// Longest that a client may take from connecting, or from the first byte of a later request, to the last byte
+/// of its request. Within 3 s it is owed an error or a close; a usual one needs milliseconds.
+const PATIENCE: Duration = Duration::from_millis(2_000);
+/// An idle connection that has been used is closed after this: 2 s is the least, and a new one costs little.
+const KEEP: Duration = Duration::from_secs(15);
+/// How often connections are looked over.
+const LOOK: Duration = Duration::from_millis(100);
+/// Where places are short, a connection makes way that has asked nothing for so long after it came up: clients
+/// connect in order to ask ...
+const SILENT: Duration = Duration::from_millis(60);
+/// ... one that has been idle for so long since its last answer ...
+const RESTED: Duration = Duration::from_millis(20);
+/// ... and one that has begun a request but not ended its head.
+const SLOW: Duration = Duration::from_millis(500);
 /// Longest that a client's word is taken for how long it waits.
 const LONGEST_WAIT: Duration = Duration::from_secs(600);
+/// The last word to a client that began a request and did not go on.
+const TOO_SLOW: &[u8] = b"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
 /// Advice with a refusal that is the node's own.
 const RETRY_AFTER: Nanos = SECOND / 2;
+/// Pause before the next look for a place, where there is none.
+const FULL_PAUSE: Duration = Duration::from_millis(5);
 /// After SIGTERM new connections go on coming for up to 0.4 s: accepting ends after this ...
 const ACCEPT_ON: Duration = Duration::from_millis(500);
 /// ... or once so long has passed without a new one, but at the latest ...
@@ -73,12 +86,19 @@
     Broken,
     #[error("body too slow")]
     Slow,
+    /// It may hide another request in its body.
+    #[error("Content-Length more than once or with Transfer-Encoding")]
+    Framing,
+    #[error("a request with this X-Correlation-Id is open")]
+    Twice,
 }
 
 /// What a class asks of its requests.
 struct ClassRule {
     name: String,
+    method: Method,
     keyed: bool,
+    deadline: Duration,
 }
 
 /// The front's state.
@@ -96,24 +116,73 @@
 /// A client's connection.
 struct Conn {
     link: Link,
-    busy: Cell<bool>,
+    stage: Cell<Stage>,
     /// Has had an answer.
     used: Cell<bool>,
+    /// When it came up, was last answered, or was closed.
     since: Cell<Instant>,
     /// Over the budget: told so and closed.
     extra: bool,
+    /// To be closed after the request that it has, if any.
     close: Notify,
+    /// To be closed at once.
+    cut: Notify,
 }
 
-impl Conn {
-    /// Its last answer, if any, must have arrived by now.
-    fn is_quiet(&self) -> bool {
-        self.since.get().elapsed() > LINGER
-    }
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Stage {
+    /// Waiting for a request, or for the rest of its head.
+    Waiting,
+    /// A request is being read or answered.
+    Busy,
+    /// Closed but for what the client still sends.
+    Lingering,
+    /// About to go.
+    Ending,
+}
 
+impl Conn {
     /// Nothing is asked or half asked, as far as can be seen.
     fn is_idle(&self) -> bool {
-        !self.busy.get() && self.link.unread() != Unread::Bytes
+        self.stage.get() == Stage::Waiting
+            && self.link.begun().is_none()
+            && self.link.unread() != Unread::Bytes
+    }
+
+    /// How willingly it makes way, lower first; `None` where it must not.
+    fn dispensable(&self, now: Instant) -> Option<u8> {
+        let rested = |span| now.saturating_duration_since(self.since.get()) >= span;
+        match (self.stage.get(), self.link.begun()) {
+            (Stage::Lingering, _) => rested(RESTED).then_some(0),
+            (Stage::Waiting, None) if !self.used.get() => rested(SILENT).then_some(1),
+            (Stage::Waiting, None) => rested(RESTED).then_some(2),
+            (Stage::Waiting, Some(begun)) => (now >= begun + SLOW).then_some(3),
+            _ => None,
+        }
+    }
+
+    /// Has taken too long over a request, or has been idle for long.
+    fn is_stale(&self, now: Instant) -> bool {
+        self.stage.get() == Stage::Waiting
+            && match self.link.begun() {
+                _ if !self.used.get() => now >= self.since.get() + PATIENCE,
+                Some(begun) => now >= begun + PATIENCE,
+                None => now >= self.since.get() + KEEP && self.link.unread() == Unread::Nothing,
+            }
+    }
+
+    fn cut(&self) {
+        self.stage.set(Stage::Ending);
+        self.cut.notify_one();
+    }
+}
+
+/// Ends a task with its owner.
+struct AbortOnDrop(task::JoinHandle<()>);
+
+impl Drop for AbortOnDrop {
+    fn drop(&mut self) {
+        self.0.abort();
     }
 }
 
@@ -135,7 +204,12 @@
         let (boot, settings) = (&config.boot, &config.settings);
         let rule = |(index, class): (usize, &BootClass)| ClassRule {
             name: class.name.clone(),
+            method: match settings.classes[index].effect {
+                Effect::Safe => Method::GET,
+                _ => Method::POST,
+            },
             keyed: matches!(settings.classes[index].effect, Effect::Keyed { .. }),
+            deadline: Duration::from_nanos(settings.classes[index].deadline),
         };
         let longest = settings.classes.iter().map(|class| class.deadline).max().unwrap_or_default();
         Rc::new(Self {
@@ -152,6 +226,13 @@
 
     /// Serves until `term`, then ends in order.
     pub async fn run(self: Rc<Self>, listener: TcpListener, term: impl Future<Output = ()>) {
+        let front = self.clone();
+        let _looking = AbortOnDrop(task::spawn_local(async move {
+            loop {
+                sleep(LOOK).await;
+                front.look_over();
+            }
+        }));
         let mut term = pin!(term);
         loop {
             tokio::select! {
@@ -162,12 +243,18 @@
         self.drain(listener).await;
     }
 
-    /// The next connection. Where there is no place for one, idle ones make way, or it waits for an end.
+    /// Closes what has taken too long: a bad client is owed an end, and holds a place that others need.
+    fn look_over(&self) {
+        let now = Instant::now();
+        self.conns.borrow().iter().filter(|conn| conn.is_stale(now)).for_each(|conn| conn.cut());
+    }
+
+    /// The next connection. Where there is no place for one, others make way, or it waits for an end.
     async fn accept(&self, listener: &TcpListener) -> TcpStream {
         loop {
             if self.conns.borrow().len() >= self.places + EXTRA {
                 self.shed();
-                sleep(ACCEPT_PAUSE).await;
+                sleep(FULL_PAUSE).await;
                 continue;
             }
             match listener.accept().await {
@@ -182,28 +269,31 @@
         }
     }
 
-    /// Closes the connection that has been idle longest; tells whether there was one.
+    /// Closes the connection that can best be done without, of its kind the oldest; tells whether there was one.
+    /// Only the chosen one's socket is asked whether a request has just come.
     fn shed(&self) -> bool {
-        let conns = self.conns.borrow();
-        let dull = |conn: &Conn| conn.used.get() || conn.since.get().elapsed() > PATIENCE;
-        let idle = conns.iter().filter(|conn| dull(conn) && conn.is_idle());
-        let oldest = idle.min_by_key(|conn| conn.since.get());
-        if let Some(oldest) = oldest {
-            oldest.busy.set(true);
-            oldest.close.notify_one();
+        let (conns, now) = (self.conns.borrow(), Instant::now());
+        let rank = |conn: &Rc<Conn>| Some((conn.dispensable(now)?, conn.since.get()));
+        let ranked = conns.iter().filter_map(|conn| Some((rank(conn)?, conn)));
+        let Some((_, conn)) = ranked.min_by_key(|(rank, _)| *rank) else { return false };
+        if conn.stage.get() == Stage::Waiting && conn.link.unread() == Unread::Bytes {
+            // It is asking after all: the event loop has not come to it yet.
+            return false;
         }
-        oldest.is_some()
+        conn.cut();
+        true
     }
 
     fn take(self: Rc<Self>, stream: TcpStream) {
         let extra = self.conns.borrow().len() >= self.places && !self.shed();
         let conn = Rc::new(Conn {
-            link: Link::new(stream),
-            busy: Cell::new(false),
+            link: Link::tapped(stream),
+            stage: Cell::new(Stage::Waiting),
             used: Cell::new(false),
             since: Cell::new(Instant::now()),
             extra,
             close: Notify::new(),
+            cut: Notify::new(),
         });
         self.conns.borrow_mut().push(conn.clone());
         task::spawn_local(async move {
@@ -214,71 +304,90 @@
 
     async fn serve(&self, conn: &Conn) {
         let service = service_fn(|request| async {
-            conn.busy.set(true);
+            conn.stage.set(Stage::Busy);
             let response = self.respond(conn, request).await;
             conn.used.set(true);
             conn.since.set(Instant::now());
-            conn.busy.set(false);
+            conn.stage.set(Stage::Waiting);
             Ok::<_, Infallible>(response)
         });
         let mut builder = http1::Builder::new();
         builder.max_buf_size(LONGEST_HEAD);
         let mut served = pin!(builder.serve_connection(TokioIo::new(conn.link.clone()), service));
-        let mut idle = false;
         loop {
             tokio::select! {
                 // However it ends, the client knows as much as can be told.
                 _ = served.as_mut() => break,
-                () = conn.close.notified() => {
-                    idle = conn.is_quiet();
-                    served.as_mut().graceful_shutdown();
+                () = conn.close.notified() => served.as_mut().graceful_shutdown(),
+                () = conn.cut.notified() => {
+                    if conn.link.begun().is_some() {
+                        conn.link.last_word(TOO_SLOW);
+                    }
+                    return;
                 }
             }
         }
-        if !idle {
-            let _ = timeout(LINGER, conn.link.linger()).await;
+        conn.stage.set(Stage::Lingering);
+        conn.since.set(Instant::now());
+        tokio::select! {
+            _ = timeout(LINGER, conn.link.linger()) => {}
+            () = conn.cut.notified() => {}
         }
     }
 
     async fn respond(&self, conn: &Conn, request: Request<Incoming>) -> Response<Full<Bytes>> {
+        let begun = if conn.used.get() { Instant::now() } else { conn.since.get() };
+        let framing = Framing::of(&conn.link.take_head());
+        conn.link.skip(framing.body());
         let mut response = if request.uri().path() == "/healthz" {
             let status = if self.draining.get() { StatusCode::SERVICE_UNAVAILABLE } else { StatusCode::OK };
             plain(status, "")
-        } else if conn.extra || self.core.held() >= self.most_held {
-            if discard(request.into_body()).await.is_err() {
-                conn.close.notify_one();
-            }
-            refusal(Some(RETRY_AFTER))
         } else {
-            match self.read(request).await {
-                Ok(ask) => answer(self.core.ask(ask).await),
-                Err(bad) => {
-                    let mut response = plain(bad.status(), &bad.to_string());
-                    if matches!(bad, Bad::TooLong | Bad::Broken | Bad::Slow) {
-                        close(&mut response);
-                    }
-                    response
-                }
+            match self.read(conn, request, framing, begun + PATIENCE).await {
+                Ok(None) => refusal(Some(RETRY_AFTER)),
+                Ok(Some(ask)) => match self.core.ask(ask).await {
+                    Some(given) => answer(given),
+                    None => Bad::Twice.response(),
+                },
+                Err(bad) => bad.response(),
             }
         };
-        if self.draining.get() || conn.extra {
+        if self.draining.get() || conn.extra || !matches!(framing, Framing::Length(_)) {
             close(&mut response);
         }
         response
     }
 
-    /// Reads and checks a request.
-    async fn read(&self, request: Request<Incoming>) -> Result<Ask, Bad> {
+    /// Reads and checks a request; `None` is a good one for which there is no room.
+    async fn read(
+        &self,
+        conn: &Conn,
+        request: Request<Incoming>,
+        framing: Framing,
+        until: Instant,
+    ) -> Result<Option<Ask>, Bad> {
+        if framing == Framing::Doubtful {
+            return Err(Bad::Framing);
+        }
         let (parts, body) = request.into_parts();
         // The body first, whatever the head says: the answer then meets no client that is still writing.
         let checked = self.check(&parts.method, &parts.uri, &parts.headers);
-        let body = timeout(PATIENCE, collect(body)).await.unwrap_or(Err(Bad::Slow))?;
+        let body = timeout_at(until, collect(body)).await.unwrap_or(Err(Bad::Slow))?;
         let mut ask = checked?;
-        ask.call = Call { method: parts.method, uri: parts.uri, headers: forwarded(parts.headers), body };
-        Ok(ask)
+        if parts.method == Method::GET && !body.is_empty() {
+            return Err(Bad::Method);
+        }
+        if conn.extra || self.core.held() >= self.most_held {
+            return Ok(None);
+        }
+        ask.call = Call { method: parts.method, uri: parts.uri, headers: forwarded(&parts.headers), body };
+        Ok(Some(ask))
     }
 
     fn check(&self, method: &Method, uri: &Uri, headers: &HeaderMap) -> Result<Ask, Bad> {
+        if uri.authority().is_some() {
+            return Err(Bad::Unknown);
+        }
         let mut path = uri.path().strip_prefix('/').ok_or(Bad::Unknown)?.split('/');
         let class = path.next().ok_or(Bad::Unknown)?;
         let class = self.classes.iter().position(|rule| rule.name == class).ok_or(Bad::Unknown)?;
@@ -290,10 +399,10 @@
         if named != rule.name {
             return Err(Bad::Header("x-service-class"));
         }
-        if *method != Method::GET && *method != Method::POST {
+        if *method != rule.method {
             return Err(Bad::Method);
         }
-        required(headers, "x-correlation-id")?;
+        let correlation = required(headers, "x-correlation-id")?;
         if rule.keyed {
             required(headers, "idempotency-key")?;
         }
@@ -313,11 +422,13 @@
             }
         };
         Ok(Ask {
+            correlation: correlation.into(),
             class,
             tenant,
             hint,
             key: path.next_back().filter(|key| !key.is_empty()).map(Into::into),
-            left,
+            // Whatever the client says, nobody waits longer than its class does.
+            left: left.min(rule.deadline),
             call: Call::default(),
         })
     }
@@ -361,8 +472,9 @@
 
     fn close_idle(&self) {
         for conn in self.conns.borrow().iter().filter(|conn| conn.is_idle()) {
-            if conn.used.get() || conn.since.get().elapsed() > FRESH {
-                conn.close.notify_one();
+            // The last answer must have arrived by now.
+            if conn.since.get().elapsed() > if conn.used.get() { RESTED } else { FRESH } {
+                conn.cut();
             }
         }
     }
@@ -371,17 +483,69 @@
 impl Bad {
     fn status(&self) -> StatusCode {
         match self {
-            Self::Header(_) | Self::Broken => StatusCode::BAD_REQUEST,
+            Self::Header(_) | Self::Broken | Self::Framing => StatusCode::BAD_REQUEST,
+            Self::Twice => StatusCode::CONFLICT,
             Self::Slow => StatusCode::REQUEST_TIMEOUT,
             Self::Unknown => StatusCode::NOT_FOUND,
             Self::Method => StatusCode::METHOD_NOT_ALLOWED,
             Self::TooLong => StatusCode::PAYLOAD_TOO_LARGE,
         }
     }
+
+    fn response(&self) -> Response<Full<Bytes>> {
+        let mut response = plain(self.status(), &self.to_string());
+        // Where the request ends is not known, or not worth reading on for.
+        if matches!(self, Self::TooLong | Self::Broken | Self::Slow | Self::Framing) {
+            close(&mut response);
+        }
+        response
+    }
+}
+
+/// How a request's head says where its body ends.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Framing {
+    /// By its length, or there is none.
+    Length(u64),
+    /// In chunks.
+    Chunked,
+    /// In more than one way.
+    Doubtful,
+}
+
+impl Framing {
+    /// Read from the head as it came.
+    fn of(head: &[Vec<u8>]) -> Self {
+        let fields = |name: &str| {
+            let named = head.iter().skip(1).filter_map(move |line| {
+                let colon = line.iter().position(|&byte| byte == b':')?;
+                line[..colon].trim_ascii().eq_ignore_ascii_case(name.as_bytes()).then(|| &line[colon + 1..])
+            });
+            named.collect::<Vec<_>>()
+        };
+        let lengths = fields("content-length");
+        match (lengths.as_slice(), fields("transfer-encoding").is_empty()) {
+            ([], true) => Self::Length(0),
+            ([], false) => Self::Chunked,
+            ([length], true) => {
+                let length = str::from_utf8(length).ok().and_then(|text| text.trim().parse().ok());
+                length.map_or(Self::Doubtful, Self::Length)
+            }
+            _ => Self::Doubtful,
+        }
+    }
+
+    /// Bytes of the body, as far as is known.
+    fn body(self) -> u64 {
+        if let Self::Length(length) = self { length } else { u64::MAX }
+    }
 }
 
 fn required<'a>(headers: &'a HeaderMap, name: &'static str) -> Result<&'a str, Bad> {
-    let value = headers.get(name).and_then(|value| value.to_str().ok()).map(str::trim);
+    let mut values = headers.get_all(name).iter();
+    // A second one is as bad as none: who reads on may take the other.
+    let (Some(value), None) = (values.next(), values.next()) else { return Err(Bad::Header(name)) };
+    let value = value.to_str().ok().map(str::trim);
     value.filter(|text| !text.is_empty()).ok_or(Bad::Header(name))
 }
 
@@ -400,38 +564,33 @@
     Some(span.min(LONGEST_WAIT))
 }
 
-/// Headers that go on: all but those of this connection and those that the node writes itself.
-fn forwarded(mut headers: HeaderMap) -> HeaderMap {
-    let named = headers.get_all(header::CONNECTION).iter().filter_map(|value| value.to_str().ok());
-    let named = named.flat_map(|list| list.split(','));
-    let named: Vec<HeaderName> = named.filter_map(|name| name.trim().parse().ok()).collect();
-    let own = [
-        header::CONNECTION,
-        header::CONTENT_LENGTH,
-        header::EXPECT,
-        header::TE,
-        header::TRAILER,
-        header::TRANSFER_ENCODING,
-        header::UPGRADE,
-        HeaderName::from_static("keep-alive"),
-        HeaderName::from_static("x-time-left"),
-    ];
-    for name in named.iter().chain(&own) {
-        headers.remove(name);
-    }
-    headers
+/// Headers that go on; what else a client sends is for this connection, or for nobody.
+const FORWARDED: [&str; 9] = [
+    "host",
+    "content-type",
+    "x-correlation-id",
+    "idempotency-key",
+    "x-service-class",
+    "x-account",
+    "x-repeat",
+    "x-weight-hint",
+    "x-facts",
+];
+
+fn forwarded(headers: &HeaderMap) -> HeaderMap {
+    let named =
+        FORWARDED.iter().filter_map(|&name| Some((HeaderName::from_static(name), headers.get(name)?)));
+    named.map(|(name, value)| (name, value.clone())).collect()
 }
 
 async fn collect(mut body: Incoming) -> Result<Bytes, Bad> {
     if body.size_hint().lower() > LONGEST_BODY as u64 {
-        let _ = discard(body).await;
         return Err(Bad::TooLong);
     }
     let mut whole = Vec::new();
     while let Some(frame) = body.frame().await {
         let Ok(data) = frame.map_err(|_| Bad::Broken)?.into_data() else { continue };
         if whole.len() + data.len() > LONGEST_BODY {
-            let _ = discard(body).await;
             return Err(Bad::TooLong);
         }
         whole.extend_from_slice(&data);
@@ -439,21 +598,6 @@
     Ok(whole.into())
 }
 
-/// Reads on and drops what comes; an error is a body that did not end.
-async fn discard(mut body: Incoming) -> Result<(), Bad> {
-    let rest = async {
-        let mut dropped = 0;
-        while let Some(frame) = body.frame().await {
-            dropped += frame.map_err(|_| Bad::Broken)?.into_data().map_or(0, |data| data.len());
-            if dropped > DROPPED.0 {
-                return Err(Bad::TooLong);
-            }
-        }
-        Ok(())
-    };
-    timeout(DROPPED.1, rest).await.unwrap_or(Err(Bad::TooLong))
-}
-
 fn plain(status: StatusCode, text: &str) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::new(Bytes::copy_from_slice(text.as_bytes())));
     *response.status_mut() = status;
--- a/src/net/link.rs
+++ b/src/net/link.rs
@@ -1,6 +1,6 @@
 //! A TCP socket that counts what was written to it and can be looked at from beside the HTTP library.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::io;
 use std::mem::MaybeUninit;
 use std::pin::Pin;
@@ -10,6 +10,10 @@
 use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::time::Instant;
+
+/// Most that is read and dropped of what a closed connection's other side still sends.
+const LINGER_BYTES: usize = 1 << 20;
 
 /// A shared socket; the descriptor closes with its last clone.
 #[derive(Clone)]
@@ -18,6 +22,30 @@
 struct Shared {
     stream: TcpStream,
     written: Cell<u64>,
+    tap: Option<RefCell<Tap>>,
+}
+
+/// The head of the next request as it came. The HTTP library drops a `Content-Length` beside a
+/// `Transfer-Encoding` without a word, so its headers can't tell of a request that hides another.
+#[derive(Default)]
+struct Tap {
+    head: Vec<u8>,
+    /// Bytes of the last request's body that are still to come.
+    skip: u64,
+    /// When the first byte of `head` came.
+    since: Option<Instant>,
+}
+
+impl Tap {
+    fn take(&mut self, bytes: &[u8]) {
+        let skipped = bytes.len().min(usize::try_from(self.skip).unwrap_or(usize::MAX));
+        self.skip -= skipped as u64;
+        let rest = &bytes[skipped..];
+        if !rest.is_empty() && self.head.is_empty() {
+            self.since = Some(Instant::now());
+        }
+        self.head.extend_from_slice(rest);
+    }
 }
 
 /// What lies unread in a socket.
@@ -34,10 +62,63 @@
 impl Link {
     /// Takes a connected socket over.
     pub fn new(stream: TcpStream) -> Self {
+        Self::with(stream, None)
+    }
+
+    /// One that requests come in on: their heads can be had as they came.
+    pub fn tapped(stream: TcpStream) -> Self {
+        Self::with(stream, Some(RefCell::default()))
+    }
+
+    fn with(stream: TcpStream, tap: Option<RefCell<Tap>>) -> Self {
         // Small messages must not wait for acknowledgements. A socket that can't be set up is dead, which
         // its first use will tell.
         let _ = stream.set_nodelay(true);
-        Self(Rc::new(Shared { stream, written: Cell::new(0) }))
+        Self(Rc::new(Shared { stream, written: Cell::new(0), tap }))
+    }
+
+    /// The lines of the head that has come in whole, without their ends; what follows is the body.
+    pub fn take_head(&self) -> Vec<Vec<u8>> {
+        let mut lines: Vec<Vec<u8>> = Vec::new();
+        let Some(tap) = &self.0.tap else { return lines };
+        let mut tap = tap.borrow_mut();
+        let mut end = 0;
+        for line in tap.head.split_inclusive(|&byte| byte == b'\n') {
+            end += line.len();
+            match line.trim_ascii_end() {
+                // Empty lines ahead of a request are allowed.
+                [] if lines.is_empty() => {}
+                [] => break,
+                text => lines.push(text.to_vec()),
+            }
+        }
+        tap.head.drain(..end);
+        tap.since = (!tap.head.is_empty()).then(Instant::now);
+        lines
+    }
+
+    /// So many bytes are the body of the request whose head was taken.
+    pub fn skip(&self, body: u64) {
+        let Some(tap) = &self.0.tap else { return };
+        let mut tap = tap.borrow_mut();
+        let mut came = std::mem::take(&mut tap.head);
+        let here = came.len().min(usize::try_from(body).unwrap_or(usize::MAX));
+        tap.skip = body - here as u64;
+        came.drain(..here);
+        tap.head = came;
+        // An idle connection holds no buffer.
+        tap.head.shrink_to_fit();
+        tap.since = (!tap.head.is_empty()).then(Instant::now);
+    }
+
+    /// Since when part of a head has been here.
+    pub fn begun(&self) -> Option<Instant> {
+        self.0.tap.as_ref()?.borrow().since
+    }
+
+    /// Writes what fits at once: a last word on a connection that the HTTP library has no answer on.
+    pub fn last_word(&self, text: &[u8]) {
+        let _ = self.0.stream.try_write(text);
     }
 
     /// Bytes that the kernel has taken so far.
@@ -58,11 +139,11 @@
     /// Reads and drops what the other side still sends until it closes. Closing on unread bytes resets the
     /// connection, and a reset can overtake the answer that was just written.
     pub async fn linger(&self) {
-        let mut scrap = [0; 4096];
-        while self.0.stream.readable().await.is_ok() {
+        let (mut scrap, mut dropped) = ([0; 4096], 0);
+        while dropped < LINGER_BYTES && self.0.stream.readable().await.is_ok() {
             match self.0.stream.try_read(&mut scrap) {
                 Ok(0) => return,
-                Ok(_) => {}
+                Ok(count) => dropped += count,
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                 Err(_) => return,
             }
@@ -76,7 +157,14 @@
             ready!(self.0.stream.poll_read_ready(cx))?;
             match self.0.stream.try_read(buf.initialize_unfilled()) {
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                read => return Poll::Ready(read.map(|count| buf.advance(count))),
+                read => {
+                    let before = buf.filled().len();
+                    let read = read.map(|count| buf.advance(count));
+                    if let Some(tap) = &self.0.tap {
+                        tap.borrow_mut().take(&buf.filled()[before..]);
+                    }
+                    return Poll::Ready(read);
+                }
             }
         }
     }
