A server new to the list starts at the mean limit

A trace of the module showed limits of 1.3 places beside one of 20: each newcomer began at the least place (policy::refresh, start), grew by a quarter a second and was replaced after half a minute, and those with large limits left. Ruled out: descriptors (170 of 256), CPU (3 s of 60), cold ramps (1.0 throughout). Changed: policy::learn gives a server that is new to the list the mean limit of those in use.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -305,7 +305,10 @@
             None if !ready => return,
             None => {
                 let rank = mix(u64::from(info.id.0));
-                self.servers.push(Server::new(info, rank, self.now));
+                // One that is new to the list stands in for others: at the least place, and a life of half a
+                // minute, a fleet that is replaced all day never learned its room back.
+                let limit = self.pools.usual;
+                self.servers.push(Server { limit, ..Server::new(info, rank, self.now) });
                 self.slots.insert(info.id, self.servers.len() - 1);
                 self.servers.len() - 1
             }
@@ -425,7 +428,7 @@
         let first = self.pools.limit_sum == 0.0;
         let nodes = self.nodes_per_server();
         let start = if first { START_PLACES.min(nodes) } else { LEAST_PLACES } / nodes;
-        let (mut bad, mut all) = (0, 0);
+        let (mut bad, mut all) = (0, 0u32);
         for pool in 0..2 {
             self.pools.active[pool].clear();
             let want = self.want(pool);
@@ -448,6 +451,8 @@
                 }
             }
         }
+        let limits = self.pools.active.iter().flatten().map(|&slot| self.servers[slot].limit);
+        self.pools.usual = limits.sum::<f64>() / f64::from(all.max(1));
         // When most are out of order it is not they: the cause lies elsewhere, and all are used.
         let most = bad * 2 > all;
         if most != self.pools.most_aside {
--- a/src/state.rs
+++ b/src/state.rs
@@ -113,6 +113,8 @@
     pub width: usize,
     pub refreshed: Nanos,
     pub limit_sum: f64,
+    /// The mean limit of the servers in use.
+    pub usual: f64,
     pub most_aside: bool,
     pub warm_rate: f64,
 }
