Tell a silent connection from a hung server, and a long way from crowding

Far servers stood at the least limit with one attempt out: learn_limit judged them by the calm latency of the whole class, 35 ms, where the way alone takes 30 to 60 ms. Ruled out: resets (gone with long answers), CPU, descriptors. Changed in policy.rs: an attempt that a later one, sent twice the expected latency after it, has been answered before no longer tells of its server's age; the calm latency is learned by class and zone. Both new tests fail without their change.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -74,6 +74,8 @@
 const MOST_STRETCH: f64 = 10.0;
 /// An outstanding attempt this many times over its expected latency marks its server as suspect.
 const SUSPECT: f64 = 5.0;
+/// One that was answered so many times its expected latency after another had been sent has overtaken it.
+const OVERTAKEN: f64 = 2.0;
 /// First and longest time a failing server is set aside.
 const ASIDE_S: (f64, f64) = (0.5, 8.0);
 /// Failures in a row, none proving health in between, that set a server aside.
@@ -144,6 +146,8 @@
     subscribed: bool,
     ask_fails: u32,
     classes: Vec<ClassState>,
+    /// What is calm, by class and zone: to a far zone the way alone can take longer than the work.
+    calms: Vec<ClassState>,
     tenants: Vec<TenantState>,
     requests: FxHashMap<RequestId, Request>,
     turns: Turns,
@@ -175,6 +179,7 @@
         Self {
             rng: Pcg64Mcg::seed_from_u64(seed),
             classes: settings.classes.iter().map(|c| class(c.aim)).collect(),
+            calms: vec![class(0); settings.classes.len() * usize::from(settings.zones.max(1))],
             tenants: vec![TenantState::default(); settings.tenants.len()],
             settings,
             now: 0,
@@ -558,6 +563,11 @@
             state.mean = base;
         }
         state.mean += (1.0 / f64::from(state.samples)).max(0.03) * (base.min(5.0 * state.mean) - state.mean);
+        let zones = self.settings.zones.max(1);
+        let zone = self.servers[slot].zone.0.min(zones - 1);
+        let (mean, state) =
+            (state.mean, &mut self.calms[usize::from(class.0) * usize::from(zones) + usize::from(zone)]);
+        state.samples += 1;
         if state.samples == 1 {
             (state.calm_at, state.since) = (now, now);
         }
@@ -565,7 +575,7 @@
         // first answers to come are the fast ones. A mark taken from those starved a calm fleet.
         let gap = seconds(now.saturating_sub(state.calm_at));
         let weight = (1.0 / f64::from(state.samples)).max((gap / STEADY_S).min(0.03));
-        state.steady += weight * (base.min(5.0 * state.mean) - state.steady);
+        state.steady += weight * (base.min(5.0 * mean) - state.steady);
         state.calm_at = now;
         let weight = if state.samples < 30 || seconds(now.saturating_sub(state.since)) < STEADY_S / 3.0 {
             1.0
@@ -1090,6 +1100,8 @@
         match ended.outcome {
             Outcome::Ok => {
                 self.flow.served.add(self.now, work);
+                let sent = self.now.saturating_sub(took);
+                self.servers[slot].heard = self.servers[slot].heard.max(sent);
                 self.learn_latency(slot, class, work, took);
                 let server = &mut self.servers[slot];
                 server.failures = 0;
@@ -1240,10 +1252,12 @@
         }
     }
 
-    /// Age of the oldest outstanding attempt over what was expected of it.
+    /// Age of the oldest outstanding attempt over what was expected of it. One that a later attempt has
+    /// overtaken by far tells of a connection that fell silent, not of the server.
     fn age(&self, now: Nanos) -> f64 {
         self.out
-            .front()
+            .iter()
+            .find(|&&(.., sent, expected)| self.heard < sent + nanos(OVERTAKEN * expected))
             .map_or(0.0, |&(.., sent, expected)| seconds(now.saturating_sub(sent)) / expected.max(1e-6))
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -64,6 +64,8 @@
     pub aside_until: Nanos,
     /// Was set aside and has not answered since.
     pub trial: bool,
+    /// When the latest attempt was sent that it has answered.
+    pub heard: Nanos,
     /// Its last outcome was that it took nothing.
     pub turned_away: bool,
     pub rate: Rate,
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -434,3 +434,55 @@
     assert!(2 * new > before, "{new} out after {before}");
     assert!(node.broken.is_empty());
 }
+
+/// Guards against a server left out for one connection that fell silent while it answers on all others.
+#[test]
+fn one_silent_attempt_does_not_mark_its_server_as_hung() {
+    let mut node = Node::with_servers(settings(vec![class(Effect::Unsafe, 1.0)]), 2);
+    let mut silent = None;
+    let mut late = 0;
+    for round in 0..200 {
+        for _ in 0..4 {
+            let id = node.request(0, 100 * SECOND);
+            let Some(server) = node.tries(id).first().map(|first| first.server) else { continue };
+            if round == 50 && silent.is_none() {
+                silent = Some((id, server));
+            }
+            late += usize::from(round > 150 && silent.is_some_and(|(_, at)| at == server));
+        }
+        node.advance(node.now + 20 * MS);
+        for (id, n) in node.out() {
+            if silent.is_none_or(|(silent, _)| silent != id) {
+                node.end(id, n, Outcome::Ok);
+            }
+        }
+    }
+    assert!(late > 20, "{late} to the server with the silent attempt");
+}
+
+/// Guards far servers: the way there is no sign of crowding, and where only they are left they keep their room.
+#[test]
+fn a_long_way_is_not_taken_for_crowding() {
+    let both = Settings { zones: 2, ..two_classes() };
+    let mut node = Node::with_servers(both, 4);
+    let far = |id| ServerInfo { zone: ZoneId(1), ..server(id) };
+    node.members(ListChange::Delta(list((11..15).map(far))));
+    let step = |node: &mut Node, count: usize| {
+        for _ in 0..count {
+            node.request(0, 900 * MS);
+        }
+        node.advance(node.now + 20 * MS);
+        for (id, n) in node.out() {
+            let attempt = &node.tries(id)[n];
+            let takes = if attempt.server.0 >= 11 { 100 } else { 20 };
+            if node.now >= attempt.at + takes * MS {
+                node.end(id, n, Outcome::Ok);
+            }
+        }
+    };
+    (0..500).for_each(|_| step(&mut node, 3));
+    node.members(ListChange::Full(list((11..15).map(far))));
+    (0..250).for_each(|_| step(&mut node, 3));
+    let out = node.out().len();
+    assert!(out >= 12, "{out} out at the far servers");
+}
