A silent connection cuts no limit and teaches no latency

Seen, by a trace: limits rested at 3 a server, where the quick rise ends, though requests were held and the latency stood at 0.65 to 0.75 of its mark: 1 to 3 cuts a server in half a second, 30 to 45 attempts called back and 5 to 13 timed out, on all servers alike. Around seconds 12 and 16 a class's mean latency rose from 0.03 to 0.15 s within 2 s and fell again: each time-out was learned as twice its time. Second copies wait for three times that mean.

Causes, in policy.rs, learn_outcome: a full cut for every attempt called back for a second copy and for every time-out; a time-out's length learned as the server's latency, also where the server had answered later requests long before. Now such overtaken attempts count for nothing, and the others against the share of the other servers, like resets. Being turned away and failed connects cut in full as before.

Tests on sockets: silent connections, the way back of limits that have fallen, far backends; each was seen to fail without its own mend.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -103,8 +103,7 @@
 /// Notes that cost more than this share of a request are dear, and none are sent.
 const DEAR_NOTES: f64 = 0.05;
 /// Least nodes of a group on average, and most: each tells each of the others.
-const GROUP_LEAST: usize = 4;
-const GROUP_MOST: usize = 12;
+const GROUP: (usize, usize) = (4, 12);
 /// What a note tells is believed for this multiple of the mean latency; then it is told again if it still
 /// holds. Ends are told to every other peer only.
 const NOTE_LASTS: f64 = 2.5;
@@ -228,10 +227,6 @@
         (self.rng.next_u64() >> 11) as f64 / (1u64 << 53) as f64
     }
 
-    fn below(&mut self, end: usize) -> usize {
-        ((u64::from(self.rng.next_u32()) * end as u64) >> 32) as usize
-    }
-
     fn told(&self, class: ClassId) -> &Class {
         &self.settings.classes[usize::from(class.0)]
     }
@@ -368,14 +363,14 @@
             return;
         }
         let nodes = self.settings.nodes;
-        let groups = (servers / self.least_width(servers)).max(nodes as usize / GROUP_MOST).clamp(1, servers);
+        let groups = (servers / self.least_width(servers)).max(nodes as usize / GROUP.1).clamp(1, servers);
         let me = self.settings.me;
         self.group = peers::group(me, nodes, groups);
         // Two notes a request, of two servers each.
         let bytes = 2.0 * 12.0 * self.group.len() as f64;
         let dear = self.settings.peer_price * bytes / 256.0 > DEAR_NOTES;
         // A few nodes a group would leave the groups too uneven; such nodes see enough alone.
-        if dear || (nodes as usize) < GROUP_LEAST * groups {
+        if dear || (nodes as usize) < GROUP.0 * groups {
             return self.group.clear();
         }
         // The whole group takes the ring from the same server on.
@@ -522,12 +517,9 @@
 
     fn want(&self, pool: usize) -> usize {
         let near = self.pools.ranked[0].len();
-        if pool == 0 { self.pools.width } else { self.pools.width.saturating_sub(near).max(self.spare_far()) }
-    }
-
-    /// Servers of other zones kept at hand for when the own zone lacks room.
-    fn spare_far(&self) -> usize {
-        if self.pools.ranked[1].is_empty() { 0 } else { (self.pools.width / 2).max(1) }
+        // Some of other zones are kept at hand for when the own zone lacks room.
+        let spare = if self.pools.ranked[1].is_empty() { 0 } else { (self.pools.width / 2).max(1) };
+        if pool == 0 { self.pools.width } else { self.pools.width.saturating_sub(near).max(spare) }
     }
 
     fn nodes_per_server(&self) -> f64 {
@@ -603,8 +595,8 @@
         // How much farther it is than the nearest zone: fewer requests make it no shorter, and servers
         // whose way alone takes most of the aim read as crowded for good, at the least of places.
         let zones = usize::from(self.settings.zones.max(1));
-        let calms = &self.calms[usize::from(class.0) * zones..][..zones];
-        let near = calms.iter().filter(|zone| zone.samples > 0).map(|zone| zone.calm).fold(calm, f64::min);
+        let calms = self.calms.chunks(zones).nth(usize::from(class.0)).into_iter().flatten();
+        let near = calms.filter(|zone| zone.samples > 0).map(|zone| zone.calm).fold(calm, f64::min);
         let server = &mut self.servers[slot];
         let mark = (AIM_SHARE * aim).clamp(CALM.0 * calm, CALM.1 * calm).min(AIM_MOST * aim + calm - near);
         let count = server.rate.get(self.now) * RATE_S;
@@ -966,7 +958,7 @@
             let mut found = 0;
             // A few more looks where the sample meets full servers; never a scan of a large fleet.
             for look in 0..if all { count } else { 4 * SAMPLE } {
-                let at = if all { look } else { self.below(count) };
+                let at = if all { look } else { (self.chance() * count as f64) as usize };
                 let slot = self.pools.active[pool][at];
                 if self.room(slot, id) {
                     let score = self.score(slot);
@@ -1119,36 +1111,38 @@
 
     fn learn_outcome(&mut self, slot: usize, of: (ClassId, f64), ended: &Ended, actions: &mut Vec<Action>) {
         let ((class, work), took) = (of, ended.took);
+        let (sent, expected) = (self.now.saturating_sub(took), self.expected(class, work));
         match ended.outcome {
             Outcome::Ok => {
                 self.flow.served.add(self.now, work);
-                let sent = self.now.saturating_sub(took);
                 self.servers[slot].heard = self.servers[slot].heard.max(sent);
                 self.learn_latency(slot, class, work, took);
                 let server = &mut self.servers[slot];
                 server.broken -= BROKEN * server.broken;
                 server.failures = 0;
-                if server.trial {
-                    server.trial = false;
+                if std::mem::take(&mut server.trial) {
                     let id = server.id.0;
                     self.log(4, &format!("server {id} is back"), actions);
                 } else {
                     server.aside_times = 0;
                 }
             }
+            // A silent connection. Taken for the server's latency, a few made a whole class seem five times
+            // slower, second copies came late, and every limit was cut for what no server had done.
+            Outcome::Cancelled | Outcome::TimedOut if self.servers[slot].overtook(sent, expected) => {}
             // A hung server whose attempts are all called back for a faster copy would never show.
-            Outcome::Cancelled if seconds(took) > HEDGE * self.expected(class, work) => {
-                self.learn_failure(slot, 1, false, actions);
+            Outcome::Cancelled if seconds(took) <= HEDGE * expected => {}
+            Outcome::Error | Outcome::Reset | Outcome::Cancelled => {
+                self.learn_failure(slot, 1, true, actions);
             }
-            Outcome::Cancelled | Outcome::Moot => {}
-            // A server that only turns away may be draining without the list saying so.
-            // It would have taken longer: learning from answers alone, what is sent too late stays unseen.
+            // It would have taken longer; from answers alone, what is sent too late stays unseen.
             Outcome::TimedOut => {
                 self.learn_latency(slot, class, work, 2 * took);
-                self.learn_failure(slot, 1, false, actions);
+                self.learn_failure(slot, 1, true, actions);
             }
+            // A server that only turns away may be draining without the list saying so.
             Outcome::Full => self.learn_failure(slot, 1, false, actions),
-            Outcome::Error | Outcome::Reset => self.learn_failure(slot, 1, true, actions),
+            Outcome::Moot => {}
             Outcome::ConnectFailed => self.learn_failure(slot, 2, false, actions),
         }
     }
@@ -1261,12 +1255,16 @@
 }
 
 impl Server {
-    /// Age of the oldest outstanding attempt over what was expected of it. One that a later attempt has
-    /// overtaken by far tells of a connection that fell silent, not of the server.
+    /// Whether a later attempt has overtaken this one by far: its connection fell silent, not the server.
+    fn overtook(&self, sent: Nanos, expected: f64) -> bool {
+        self.heard >= sent + nanos(OVERTAKEN * expected)
+    }
+
+    /// Age of the oldest outstanding attempt, but for overtaken ones, over what was expected of it.
     fn age(&self, now: Nanos) -> f64 {
         self.out
             .iter()
-            .find(|&&(.., sent, expected)| self.heard < sent + nanos(OVERTAKEN * expected))
+            .find(|&&(.., sent, expected)| !self.overtook(sent, expected))
             .map_or(0.0, |&(.., sent, expected)| seconds(now.saturating_sub(sent)) / expected.max(1e-6))
     }
 
--- a/tests/common/net.rs
+++ b/tests/common/net.rs
@@ -247,7 +247,7 @@
     };
     let classes = [class("read", "pure"), class("submit", "side_effect"), class("put", "token")];
     format!(
-        r#"{{"classes":[{}],"zones":["a"],"kinds":["m"],"membership_mode":"{mode}","quantum_ns":5000000,"unheard":{{}},
+        r#"{{"classes":[{}],"zones":["a","b"],"kinds":["m"],"membership_mode":"{mode}","quantum_ns":5000000,"unheard":{{}},
         "rules":{{"ask_every_ns":200000000}},"ceilings":{{"max_attempts":3,"cancel":true,"parallel_tries":true,
         "retry_after":true,"max_retry_after_ns":2000000000,"conn_idle_ns":60000000000,"dial_timeout_ns":250000000{more}}}}}"#,
         classes.join(",")
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -515,3 +515,64 @@
     let _crowd = Crowd::start(&node, 32, "submit");
     wait_for("places for most of the crowd", || gauge.now() >= 20);
 }
+
+/// Guards the way back of limits that have fallen: each backend takes one at a time for a while, and its answers
+/// take from 5 to 150 ms. Weighed by the time since the last one, slow answers counted most where there was a
+/// place a backend, and a calm fleet seemed too busy for a second one.
+#[test]
+fn places_come_back_whatever_answers_take() {
+    let few = std::sync::Arc::new(std::sync::atomic::AtomicBool::new(true));
+    let gauges = [(); 3].map(|()| Gauge::default());
+    let backends = gauges.each_ref().map(|gauge| {
+        let (gauge, few) = (gauge.clone(), few.clone());
+        let took = |call: usize| Duration::from_millis(if call % 6 < 2 { 150 } else { 5 });
+        Backend::start(move |_| match few.load(std::sync::atomic::Ordering::SeqCst) && gauge.now() > 0 {
+            true => Act::Write(answer("503 Service Unavailable", "X-Unprocessed: 1\r\n", "")),
+            false => gauge.serve(took, |_| ok("done")),
+        })
+    });
+    let node = Setup::of(&backends.each_ref()).start();
+    let _crowd = Crowd::start(&node, 24, "submit");
+    wait_for("what is turned away", || backends.iter().map(Backend::count).sum::<usize>() >= 300);
+    few.store(false, std::sync::atomic::Ordering::SeqCst);
+    wait_for("places for most of the crowd", || gauges.iter().map(Gauge::now).sum::<usize>() >= 18);
+}
+
+/// Guards backends far away: the way there alone takes 70 of the 100 ms in which an answer is due. That is no
+/// crowding, and having fewer requests out there makes it no shorter; they were held to a place each for good.
+/// The near backend takes one at a time.
+#[test]
+fn a_way_that_takes_most_of_the_aim_is_not_crowding() {
+    let (gauge, own) = (Gauge::default(), Gauge::default());
+    let near = Backend::start(move |_| match own.now() {
+        0 => own.serve(|_| Duration::from_millis(5), |_| ok("near")),
+        _ => Act::Write(answer("503 Service Unavailable", "X-Unprocessed: 1\r\n", "")),
+    });
+    let far = [(); 2].map(|()| {
+        let gauge = gauge.clone();
+        Backend::start(move |_| gauge.serve(|_| Duration::from_millis(70), |_| ok("far")))
+    });
+    let place = |n: usize, b: &Backend| host(&format!("s-{n}"), b.address, "active");
+    let far = far.iter().enumerate().map(|(n, b)| place(n, b).replace("\"site\":\"a\"", "\"site\":\"b\""));
+    let hosts: Vec<_> = far.chain([place(9, &near)]).collect();
+    let node = Setup { known: list(1, true, &hosts), aim_ms: 100, ..Setup::of(&[]) }.start();
+    let _crowd = Crowd::start(&node, 32, "submit");
+    wait_for("places at the far ones", || gauge.now() >= 14);
+}
+
+/// Guards a calm fleet from connections that fall silent, one attempt in twelve at each backend: a second copy
+/// serves the client, and the first one tells of its connection alone. Each that was called back cut a limit.
+#[test]
+fn silent_connections_leave_the_places() {
+    let gauge = Gauge::default();
+    let backends = [(); 4].map(|()| {
+        let (all, own) = (gauge.clone(), Gauge::default());
+        let silent = |call: usize| if call % 12 == 11 { Act::Hang } else { ok("done") };
+        Backend::start(move |_| {
+            all.serve(|_| Duration::from_millis(20), |_| own.serve(|_| Duration::ZERO, silent))
+        })
+    });
+    let node = Setup::of(&backends.each_ref()).start();
+    let _crowd = Crowd::start(&node, 48, "read");
+    wait_for("places for most of the crowd", || gauge.now() >= 20);
+}
