Workspace: policy, sim and node become packages of their own

Need: later directions (a configuration language, FastCGI, forwarders) want packages by concern, and the decisions must not be able to reach a socket. The decision module with all that is free of I/O is pumicehead-policy, the simulator's wire and adapter pumicehead-sim, the node pumicehead. The circle between policy and state is broken: RATE_S lives with the records that it sizes.

--- a/src/main.rs
+++ b/crates/node/src/main.rs
@@ -1,7 +1,5 @@
 //! One real node: see `README.md`.
 
-#![forbid(unsafe_code)]
-
 mod net;
 
 use std::error::Error;
--- a/src/net/core.rs
+++ b/crates/node/src/net/core.rs
@@ -10,11 +10,11 @@
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use pumicehead::interface::{
+use pumicehead_policy::interface::{
     Action, AttemptNo, CellId, ClassId, Condition, Discovery, Ended, Event, ListChange, Nanos, NewRequest,
     Outcome, RequestId, SECOND, ServerId, ServerInfo, TenantId, TimerToken, ZoneId,
 };
-use pumicehead::policy::Balancer;
+use pumicehead_policy::policy::Balancer;
 use rustc_hash::{FxHashMap, FxHashSet, FxHasher};
 use thiserror::Error;
 use tokio::sync::{mpsc, oneshot};
--- a/src/net/upstream.rs
+++ b/crates/node/src/net/upstream.rs
@@ -15,7 +15,7 @@
 use hyper::header::{self, HeaderMap, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use hyper_util::rt::TokioIo;
-use pumicehead::interface::Outcome;
+use pumicehead_policy::interface::Outcome;
 use tokio::net::TcpStream;
 use tokio::sync::oneshot;
 use tokio::task::JoinSet;
--- /dev/null
+++ b/crates/policy/src/lib.rs
@@ -0,0 +1,16 @@
+//! The decisions of one node: which server gets a request, whether it is tried again, what is refused.
+//!
+//! Free of I/O and of clocks: a host feeds [`Event`]s with their times to [`Balancer::handle`] and carries out
+//! the [`Action`]s it gets back, in order. `interface` has both, `policy` every decision, `state` the records
+//! that it keeps, and `boot` the settings as a deployment writes them.
+
+pub mod boot;
+pub mod interface;
+pub mod meter;
+pub mod peers;
+pub mod policy;
+mod state;
+pub mod turns;
+
+pub use interface::{Action, Event, Settings};
+pub use policy::Balancer;
--- a/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -27,7 +27,7 @@
 };
 use crate::meter::{mix, nanos, ring, seconds};
 use crate::peers::{self, Peers};
-use crate::state::{Attempt, ClassState, Flow, Pools, Queues, Ran, Request, Server, TenantState};
+use crate::state::{Attempt, ClassState, Flow, Pools, Queues, RATE_S, Ran, Request, Server, TenantState};
 use crate::turns::Turns;
 
 /// Servers compared for one pick: enough to avoid a bad one, few enough for 10 us and against herding.
@@ -109,8 +109,6 @@
 const NOTE_LASTS: f64 = 2.5;
 /// From this share of a request on a crossing of zones is dear: below it costs less than a full own zone.
 const DEAR_CROSSING: f64 = 0.05;
-/// Memory of traffic rates.
-pub(crate) const RATE_S: f64 = 3.0;
 /// Share of a warm server's traffic, times the ramp, that a cold one gets.
 const COLD_SHARE: f64 = 0.8;
 /// Between two looks at limits, suspects and the set of servers in use.
--- a/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -5,8 +5,9 @@
 
 use crate::interface::{CellId, ClassId, Nanos, RequestId, ServerId, ZoneId};
 use crate::meter;
-use crate::policy::RATE_S;
 
+/// Memory of traffic rates, in seconds.
+pub(crate) const RATE_S: f64 = 3.0;
 /// A rate of traffic over the module's memory.
 pub(crate) type Rate = meter::Rate<{ (RATE_S * 1000.0) as u32 }>;
 
--- a/tests/combinations.rs
+++ b/crates/policy/tests/combinations.rs
@@ -4,7 +4,7 @@
 mod common;
 
 use common::*;
-use pumicehead::interface::*;
+use pumicehead_policy::interface::*;
 
 const CALM: Nanos = 40 * MS;
 
--- a/tests/common/mod.rs
+++ b/crates/policy/tests/common/mod.rs
@@ -5,8 +5,8 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 
-use pumicehead::interface::*;
-use pumicehead::policy::Balancer;
+use pumicehead_policy::interface::*;
+use pumicehead_policy::policy::Balancer;
 
 pub const MS: Nanos = 1_000_000;
 
--- a/tests/mechanism.rs
+++ b/crates/policy/tests/mechanism.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::*;
-use pumicehead::interface::*;
+use pumicehead_policy::interface::*;
 
 /// Serves `count` requests one after another, each in `took`.
 fn serve(node: &mut Node, count: usize, took: Nanos) {
--- a/tests/rules.rs
+++ b/crates/policy/tests/rules.rs
@@ -5,7 +5,7 @@
 use common::*;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
-use pumicehead::interface::*;
+use pumicehead_policy::interface::*;
 
 const KEYED_CELL: Effect = Effect::Keyed { group: Group::Cell, window: 300 * MS };
 const KEYED_ALL: Effect = Effect::Keyed { group: Group::All, window: 300 * MS };
--- a/src/bin/pumicehead-adapter.rs
+++ b/crates/sim/src/bin/pumicehead-adapter.rs
@@ -1,12 +1,10 @@
 //! Hosts instances of the module on a binary wire: frames on standard input, replies on standard output.
 
-#![forbid(unsafe_code)]
-
 use std::io::{self, BufReader, Write};
 use std::process::ExitCode;
 
-use pumicehead::policy::Balancer;
-use pumicehead::wire::{Decoder, Input, Instance, Reply, WireError, read_frame};
+use pumicehead_policy::policy::Balancer;
+use pumicehead_sim::{Decoder, Input, Instance, Reply, WireError, read_frame};
 use rustc_hash::FxHashMap;
 
 fn main() -> ExitCode {
--- a/src/wire.rs
+++ b/crates/sim/src/lib.rs
@@ -10,8 +10,8 @@
 use rustc_hash::FxHashMap;
 use thiserror::Error;
 
-use crate::boot::Boot;
-use crate::interface::{
+use pumicehead_policy::boot::Boot;
+use pumicehead_policy::interface::{
     Action, AttemptNo, CellId, ClassId, Condition, Ended, Event, ListChange, Nanos, NewRequest, Outcome,
     RequestId, ServerId, ServerInfo, Settings, SettingsError, TenantId, TimerToken, ZoneId,
 };
--- a/tests/wire.rs
+++ b/crates/sim/tests/wire.rs
@@ -3,8 +3,8 @@
 use std::io::Write;
 use std::process::{Command, Stdio};
 
-use pumicehead::interface::*;
-use pumicehead::wire::{Decoder, Input, Reply, WireError, read_frame};
+use pumicehead_policy::interface::*;
+use pumicehead_sim::{Decoder, Input, Reply, WireError, read_frame};
 
 const NOW: u64 = 8_410_152_848;
 
