A configuration language: syntax, checker, formatter, diff by meaning

Need: routes, pools and class policies are spread over files that several staff edit, and nobody but the platform can start a node. Change: the package pumicehead-lang. Braced blocks with spans for every token (logos), includes with chains and diamonds, times and sizes that always carry a unit, checks of what values mean together, one message a mistake (annotate-snippets), a formatter that keeps comments, a diff by meaning and explanations of which route a request takes. Free of I/O but for one module.

--- /dev/null
+++ b/crates/lang/src/format.rs
@@ -0,0 +1,101 @@
+//! The formatter: four spaces a level, one space between words, at most one empty line. It keeps comments, quotes
+//! and the order of everything, and so the meaning.
+
+use crate::diag::Diagnostic;
+use crate::span::{FileId, Span};
+use crate::syntax::{Block, Statement, Tree, Trivia, parse};
+
+const INDENT: &str = "    ";
+
+/// A text in the one layout. A mark of the byte order goes, and so do carriage returns.
+///
+/// # Errors
+/// Those of [`parse`]: a text that can't be read is not changed.
+pub fn format(text: &str) -> Result<String, Vec<Diagnostic>> {
+    let text = text.strip_prefix('\u{feff}').unwrap_or(text);
+    let tree = parse(FileId(0), text)?;
+    let mut printer = Printer { text, out: String::with_capacity(text.len()) };
+    printer.body(&tree, 0);
+    Ok(printer.out)
+}
+
+struct Printer<'a> {
+    text: &'a str,
+    out: String,
+}
+
+impl Printer<'_> {
+    fn body(&mut self, tree: &Tree, depth: usize) {
+        self.statements(&tree.statements, depth);
+        self.trivia(&tree.after, depth, tree.statements.is_empty(), true);
+    }
+
+    fn raw(&mut self, span: Span) {
+        self.out.push_str(self.text[span.range()].trim_end());
+    }
+
+    fn line(&mut self, depth: usize) {
+        self.out.push_str(&INDENT.repeat(depth));
+    }
+
+    /// Empty lines at the start and the end of a block go.
+    fn trivia(&mut self, trivia: &[Trivia], depth: usize, first: bool, last: bool) {
+        let mut nothing_yet = first;
+        for (place, item) in trivia.iter().enumerate() {
+            match item {
+                Trivia::Comment(span) => {
+                    self.line(depth);
+                    self.raw(*span);
+                    self.out.push('\n');
+                    nothing_yet = false;
+                }
+                Trivia::Blank => {
+                    let at_end = last && place + 1 == trivia.len();
+                    if !nothing_yet && !at_end {
+                        self.out.push('\n');
+                    }
+                }
+            }
+        }
+    }
+
+    fn statements(&mut self, statements: &[Statement], depth: usize) {
+        for (place, statement) in statements.iter().enumerate() {
+            self.trivia(&statement.before, depth, place == 0, false);
+            self.line(depth);
+            for (place, word) in statement.words.iter().enumerate() {
+                if place > 0 {
+                    self.out.push(' ');
+                }
+                self.raw(word.span);
+            }
+            if let Some(block) = &statement.block {
+                self.block(block, depth);
+            }
+            self.comment(statement.comment);
+            self.out.push('\n');
+        }
+    }
+
+    fn comment(&mut self, comment: Option<Span>) {
+        if let Some(span) = comment {
+            self.out.push_str("  ");
+            self.raw(span);
+        }
+    }
+
+    fn block(&mut self, block: &Block, depth: usize) {
+        self.out.push_str(" {");
+        let comments = block.after.iter().any(|item| matches!(item, Trivia::Comment(_)));
+        if block.statements.is_empty() && block.comment.is_none() && !comments {
+            self.out.push('}');
+            return;
+        }
+        self.comment(block.comment);
+        self.out.push('\n');
+        self.statements(&block.statements, depth + 1);
+        self.trivia(&block.after, depth + 1, block.statements.is_empty(), true);
+        self.line(depth);
+        self.out.push('}');
+    }
+}
--- /dev/null
+++ b/crates/lang/src/model.rs
@@ -0,0 +1,332 @@
+//! What a configuration means: checked values, each with its place.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use pumicehead_policy::interface::{
+    Class as PolicyClass, Discovery, Effect, Group, Nanos, Settings, Tenant as PolicyTenant, ZoneId,
+};
+use pumicehead_route::{Matcher, Route as Pattern};
+
+use crate::span::Span;
+
+/// A node's configuration.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Config {
+    /// The node.
+    pub node: Node,
+    /// Where clients connect; at least one.
+    pub listeners: Vec<Listener>,
+    /// Servers; at least one pool.
+    pub pools: Vec<Pool>,
+    /// Classes of requests; at least one.
+    pub classes: Vec<Class>,
+    /// Tenants, possibly none.
+    pub tenants: Vec<Tenant>,
+    /// Routes, the first that fits wins; at least one.
+    pub routes: Vec<Route>,
+    /// Bounds.
+    pub limits: Limits,
+}
+
+/// Places of an entry: of its name, and of each value that is written.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Places {
+    /// Its name.
+    pub name: Span,
+    /// Values, by the names of their settings.
+    pub values: BTreeMap<&'static str, Span>,
+}
+
+/// The node among others.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Node {
+    /// Its name, in logs and in `Via`.
+    pub name: String,
+    /// All zones, by name; one without a name where none are written.
+    pub zones: Vec<String>,
+    /// Its own, among them.
+    pub zone: usize,
+    /// How many nodes send to the same servers.
+    pub nodes: u32,
+    /// Its number among them, from 0.
+    pub number: u32,
+    /// Places.
+    pub at: Places,
+}
+
+/// Where clients connect.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Listener {
+    /// Its name.
+    pub name: String,
+    /// Its address.
+    pub address: SocketAddr,
+    /// Places.
+    pub at: Places,
+}
+
+/// Servers that do the same work.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Pool {
+    /// Its name.
+    pub name: String,
+    /// Which servers.
+    pub members: Members,
+    /// A fresh server is warm after this span.
+    pub warm_up: Nanos,
+    /// Share of its capacity that a fresh server has at least.
+    pub cold_from: f64,
+    /// Multiple of its present capacity that pushes a cold server over ...
+    pub tips_at: f64,
+    /// ... when it lasts so long.
+    pub tips_within: Nanos,
+    /// A connection that is not up by then has failed.
+    pub connect_timeout: Nanos,
+    /// Servers close a connection that has been idle for this long.
+    pub idle: Nanos,
+    /// Attempts that one request may make.
+    pub attempts: u32,
+    /// Whether a second copy of what may be repeated may go out while the first is.
+    pub hedge: bool,
+    /// What an attempt that crosses zones costs, as a share of a request.
+    pub crossing: f64,
+    /// Places.
+    pub at: Places,
+}
+
+/// Where a pool's servers come from.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Members {
+    /// From the file.
+    Static(Vec<Server>),
+    /// From a service that lists them.
+    Discovery {
+        /// Its address.
+        address: SocketAddr,
+        /// How the list arrives.
+        mode: Discovery,
+    },
+}
+
+/// A server that the file names.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Server {
+    /// Its name.
+    pub name: String,
+    /// Its address.
+    pub address: SocketAddr,
+    /// Its zone, among the node's.
+    pub zone: usize,
+    /// Its weight among others.
+    pub weight: f64,
+    /// A small group of servers that know each other's idempotency keys.
+    pub cell: u16,
+    /// Places.
+    pub at: Places,
+}
+
+/// What repeats of a request may do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Repeats {
+    /// Nothing.
+    Safe,
+    /// Servers discard them.
+    Keyed {
+        /// The header that holds the key, in lower case.
+        header: String,
+        /// Which servers do.
+        group: Group,
+        /// For how long.
+        window: Nanos,
+    },
+    /// They may take effect again.
+    Unsafe,
+}
+
+/// A class of requests.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Class {
+    /// Its name.
+    pub name: String,
+    /// Answers within this span earn the full worth.
+    pub aim: Nanos,
+    /// How long a client waits.
+    pub deadline: Nanos,
+    /// Worth of one request.
+    pub worth: f64,
+    /// Share of the worth that an answer after the aim keeps.
+    pub late_worth: f64,
+    /// What repeats may do.
+    pub repeats: Repeats,
+    /// Requests with one key run one at a time, in order.
+    pub ordered: bool,
+    /// Places.
+    pub at: Places,
+}
+
+/// Whose requests count together.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Tenant {
+    /// Its name.
+    pub name: String,
+    /// Its share of the service.
+    pub share: f64,
+    /// Requests a second over all nodes that are within its share.
+    pub rate: f64,
+    /// Places.
+    pub at: Places,
+}
+
+/// How a request's tenant is known.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum TenantOf {
+    /// Not at all.
+    None,
+    /// It is this one, by its place.
+    Fixed(usize),
+    /// A header names it.
+    Header(String),
+}
+
+/// What a request is about.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum KeyOf {
+    /// Not known.
+    None,
+    /// A segment of the path, from 0.
+    Segment(usize),
+    /// The last segment.
+    Last,
+    /// A header, in lower case.
+    Header(String),
+}
+
+/// Where requests go.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Route {
+    /// Its name.
+    pub name: String,
+    /// What it wants of them.
+    pub pattern: Pattern,
+    /// Their class, by its place.
+    pub class: usize,
+    /// Their pool, by its place.
+    pub pool: usize,
+    /// Their tenant.
+    pub tenant: TenantOf,
+    /// Their key.
+    pub key: KeyOf,
+    /// Places.
+    pub at: Places,
+}
+
+/// Bounds of the node.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Limits {
+    /// Memory for bodies and connections, in bytes.
+    pub memory: u64,
+    /// Descriptors that it may hold.
+    pub descriptors: usize,
+    /// Requests without an answer that it may hold.
+    pub held: usize,
+    /// Longest body of a request, in bytes.
+    pub request_body: u64,
+    /// Longest body of an answer, in bytes.
+    pub answer_body: u64,
+    /// Longest that a client may take to send a request.
+    pub request_time: Nanos,
+    /// A client's connection closes when it has been idle for this long.
+    pub idle: Nanos,
+    /// Longest advice when to come back.
+    pub retry_after: Nanos,
+    /// Places.
+    pub at: Places,
+}
+
+impl Config {
+    /// The compiled routes.
+    #[must_use]
+    pub fn matcher(&self) -> Matcher {
+        Matcher::new(self.routes.iter().map(|route| route.pattern.clone()).collect())
+    }
+
+    /// Classes that lead to a pool, in the order of the file: a pool's decisions know of no other.
+    #[must_use]
+    pub fn classes_of(&self, pool: usize) -> Vec<usize> {
+        let used =
+            |class: &usize| self.routes.iter().any(|route| route.pool == pool && route.class == *class);
+        (0..self.classes.len()).filter(used).collect()
+    }
+
+    /// What the decision module of a pool is told; its classes are those of [`classes_of`](Self::classes_of).
+    #[must_use]
+    pub fn settings(&self, pool: usize) -> Settings {
+        let classes = self.classes_of(pool).into_iter().map(|class| self.classes[class].policy()).collect();
+        let pool = &self.pools[pool];
+        Settings {
+            me: self.node.number,
+            nodes: self.node.nodes,
+            zone: ZoneId(self.node.zone as u16),
+            zones: self.node.zones.len() as u16,
+            classes,
+            tenants: self
+                .tenants
+                .iter()
+                .map(|tenant| PolicyTenant { share: tenant.share, allowance_per_s: tenant.rate })
+                .collect(),
+            over_share_worth: OVER_SHARE_WORTH,
+            worth_by_work: false,
+            discovery: match pool.members {
+                Members::Static(_) => Discovery::Push,
+                Members::Discovery { mode, .. } => mode,
+            },
+            tick: TICK,
+            max_attempts: pool.attempts,
+            parallel_tries: pool.hedge,
+            cancel: true,
+            retry_after: true,
+            max_retry_after: self.limits.retry_after,
+            connections_priced: true,
+            crossing_price: pool.crossing,
+            weights_tell_size: true,
+            peers: false,
+            peer_price: 0.0,
+            ask_every: ASK_EVERY,
+            cold_from: pool.cold_from,
+            cold_span: pool.warm_up,
+            fall_multiple: pool.tips_at,
+            fall_span: pool.tips_within,
+            full_unproven: false,
+            order_settle: 0,
+            hang_up_within: Some(HANG_UP),
+        }
+    }
+}
+
+/// What is left of the worth of a request beyond its tenant's share.
+const OVER_SHARE_WORTH: f64 = 0.1;
+/// The node handles events as they come; this is the least time that the module may count on between two.
+const TICK: Nanos = 1_000_000;
+/// A node without a watch asks this often.
+const ASK_EVERY: Nanos = 10_000_000_000;
+/// Idle connections to a draining server are closed within this.
+const HANG_UP: Nanos = 1_000_000_000;
+
+impl Class {
+    fn policy(&self) -> PolicyClass {
+        PolicyClass {
+            aim: self.aim,
+            aim_stretch: 0.0,
+            deadline: self.deadline,
+            worth: self.worth,
+            late_worth: self.late_worth,
+            effect: match self.repeats {
+                Repeats::Safe => Effect::Safe,
+                Repeats::Keyed { group, window, .. } => Effect::Keyed { group, window },
+                Repeats::Unsafe => Effect::Unsafe,
+            },
+            keep_order: self.ordered,
+        }
+    }
+}
--- /dev/null
+++ b/crates/lang/tests/common/mod.rs
@@ -0,0 +1,97 @@
+//! Files in memory, and texts to check.
+
+use std::collections::BTreeMap;
+use std::path::{Component, Path, PathBuf};
+
+use pumicehead_lang::{Checked, Config, Files, ReadFault, check};
+
+/// What a path leads to.
+#[allow(dead_code)]
+#[derive(Clone, Debug)]
+pub enum Entry {
+    Text(Vec<u8>),
+    Fault(ReadFault),
+}
+
+/// Files in memory.
+#[derive(Clone, Debug, Default)]
+pub struct Memory(pub BTreeMap<PathBuf, Entry>);
+
+#[allow(dead_code)]
+impl Memory {
+    pub fn with(mut self, path: &str, text: impl AsRef<[u8]>) -> Self {
+        self.0.insert(path.into(), Entry::Text(text.as_ref().to_vec()));
+        self
+    }
+
+    pub fn faulty(mut self, path: &str, fault: ReadFault) -> Self {
+        self.0.insert(path.into(), Entry::Fault(fault));
+        self
+    }
+}
+
+impl Files for Memory {
+    fn read(&self, path: &Path) -> Result<Vec<u8>, ReadFault> {
+        match self.0.get(&self.identity(path)) {
+            Some(Entry::Text(text)) => Ok(text.clone()),
+            Some(Entry::Fault(fault)) => Err(fault.clone()),
+            None => Err(ReadFault::Missing),
+        }
+    }
+
+    fn list(&self, directory: &Path) -> Result<Vec<String>, ReadFault> {
+        let directory = self.identity(directory);
+        let inside = self.0.keys().filter(|path| path.parent() == Some(&directory));
+        let names: Vec<_> = inside.filter_map(|path| Some(path.file_name()?.to_str()?.to_owned())).collect();
+        // As a disk gives them: in no order.
+        Ok(names.into_iter().rev().collect())
+    }
+
+    fn identity(&self, path: &Path) -> PathBuf {
+        let mut plain = PathBuf::new();
+        for part in path.components() {
+            match part {
+                Component::ParentDir => drop(plain.pop()),
+                Component::CurDir => {}
+                part => plain.push(part),
+            }
+        }
+        plain
+    }
+}
+
+pub fn check_text(text: &str) -> Checked {
+    check(&Memory::default().with("main.conf", text), Path::new("main.conf"))
+}
+
+/// The configuration of a text that is sound.
+#[allow(dead_code)]
+pub fn config(text: &str) -> Config {
+    let checked = check_text(text);
+    let shown: Vec<_> = checked.diagnostics.iter().map(|one| one.message.clone()).collect();
+    checked.config.unwrap_or_else(|| panic!("{shown:?} in\n{text}"))
+}
+
+/// A sound configuration to change.
+#[allow(dead_code)]
+pub const SOUND: &str = r#"
+node { name n1; zones cdmx monterrey; zone cdmx }
+const patience 6s
+listener public { address 127.0.0.1:8080 }
+pool boards {
+    server board-1 { address 127.0.0.1:9001; zone cdmx; weight 2 }
+    server board-2 { address 127.0.0.1:9002; zone monterrey }
+    warm-up 23s from 16%
+    tips-over 4 within 1500ms
+}
+pool archive { discovery watch 127.0.0.1:8500 }
+class board-read { aim 1200ms; deadline $patience; late-worth 30%; repeats safe }
+class run-submit { aim 600ms; deadline 1200ms; worth 10; repeats unsafe }
+class run-edit { aim 600ms; deadline 2s; repeats keyed by Idempotency-Key within zone for 5min; order key }
+tenant acme { share 20%; rate 100/s }
+route edit { path /runs/*; method PUT; class run-edit; pool boards; key segment 2; tenant acme }
+route submit { path /runs/**; class run-submit; pool boards; tenant header X-Account }
+route old { host *.old.example.org; path /**; class board-read; pool archive }
+route read { path /**; class board-read; pool boards; key last-segment }
+limits { memory 128MiB; held 500 }
+"#;
--- /dev/null
+++ b/crates/lang/tests/meaning.rs
@@ -0,0 +1,145 @@
+//! What texts mean: the diff, explanations, units and what the decision module is told.
+
+mod common;
+
+use common::*;
+use pumicehead_lang::diff::{Shown, diff};
+use pumicehead_lang::explain::{Request, explain};
+use pumicehead_lang::units;
+use pumicehead_policy::interface::{Effect, Group, SECOND};
+
+/// What the diff says of a change to the sound text.
+fn changes(from: &str, to: &str) -> Vec<String> {
+    assert!(SOUND.contains(from), "{from}");
+    let new = check_text(&SOUND.replace(from, to));
+    let lines = diff(&config(SOUND), new.config.as_ref().expect("a sound text"));
+    lines.iter().map(|change| Shown { change, sources: &new.sources }.to_string()).collect()
+}
+
+#[test]
+fn the_diff_shows_meaning_with_its_place_and_what_it_affects() {
+    assert_eq!(
+        changes("worth 10", "worth 8"),
+        ["class run-submit: worth 10 -> 8 (main.conf:13); affects route submit"]
+    );
+    assert_eq!(
+        changes("const patience 6s", "const patience 7s"),
+        ["class board-read: deadline 6s -> 7s (main.conf:12); affects route old, route read"]
+    );
+    assert_eq!(
+        changes("    warm-up 23s from 16%\n", ""),
+        [
+            "pool boards: warm-up 23s from 16% -> 30s from 10% (main.conf:5); affects route edit, route submit, route read"
+        ]
+    );
+    assert_eq!(
+        changes("weight 2", "weight 3"),
+        [
+            "server board-1 of pool boards: weight 2 -> 3 (main.conf:6); affects route edit, route submit, route read"
+        ]
+    );
+    assert_eq!(
+        changes("route old {", "route older {"),
+        [
+            "route old: removed (main.conf:18); affects class board-read, pool archive",
+            "route older: added (main.conf:18); affects class board-read, pool archive"
+        ]
+    );
+    assert_eq!(changes("held 500", "held 400"), ["limits: held 500 -> 400 (main.conf:20)"]);
+}
+
+#[test]
+fn the_diff_does_not_show_how_a_text_is_written() {
+    assert!(changes("deadline $patience", "deadline 6000ms").is_empty());
+    assert!(changes("late-worth 30%", "late-worth 30.0%").is_empty());
+    assert!(changes("memory 128MiB", "memory 131072KiB").is_empty());
+    assert!(changes("aim 600ms; deadline 1200ms", "deadline 1.2s # later\n aim 0.6s").is_empty());
+    assert!(changes("limits {", "limits {\n idle 1min\n").is_empty());
+    assert!(changes("host *.old", "host *.OLD").is_empty());
+    let (first, rest) = SOUND.split_once("pool archive").unwrap();
+    let (line, rest) = rest.split_once('\n').unwrap();
+    let moved = format!("pool archive{line}\n{first}{rest}");
+    assert!(diff(&config(SOUND), &config(&moved)).is_empty());
+}
+
+#[test]
+fn the_order_of_routes_shows_only_where_requests_fit_both() {
+    let route = |text: &str| SOUND.lines().find(|line| line.starts_with(text)).unwrap();
+    let lines = |text: &str| {
+        let new = check_text(text);
+        let lines = diff(&config(SOUND), new.config.as_ref().expect("a sound text"));
+        lines.iter().map(|change| Shown { change, sources: &new.sources }.to_string()).collect::<Vec<_>>()
+    };
+    let (edit, old) = (route("route edit"), route("route old"));
+    // `edit` takes PUT only, and `old` what a safe class takes: it overtook both, but meets `submit` alone.
+    let moved = SOUND.replace(&format!("{old}\n"), "").replace(edit, &format!("{old}\n{edit}"));
+    assert_eq!(lines(&moved), ["route old: now before route submit, and requests fit both (main.conf:16)"]);
+    let submit = route("route submit");
+    let apart = submit.replace("route submit", "route away").replace("/runs/**", "/away");
+    let with = |before: &str, after: &str| SOUND.replace(submit, &format!("{before}{submit}{after}"));
+    let (one, other) = (with(&format!("{apart}\n"), ""), with("", &format!("\n{apart}")));
+    assert!(diff(&config(&one), &config(&other)).is_empty());
+}
+
+#[test]
+fn an_explanation_names_route_class_pool_deadline_tenant_key_and_reason() {
+    let checked = check_text(SOUND);
+    let config = checked.config.unwrap();
+    let say = |text: &str, headers: &[&str]| {
+        let headers: Vec<_> = headers.iter().map(|&line| line.to_owned()).collect();
+        Request::parse(text, &headers).map(|request| explain(&config, &checked.sources, &request).unwrap())
+    };
+    let text = say("PUT http://Rankings.example.org/runs/any%25?x=1", &["Idempotency-Key: 1"]).unwrap();
+    for part in [
+        "route edit (main.conf:16)",
+        "class run-edit",
+        "deadline 2s, aim 600ms",
+        "pool boards",
+        "tenant acme",
+        "key any%\n",
+    ] {
+        assert!(text.contains(part), "{part} in {text}");
+    }
+    let text = say("POST /runs/7", &["X-Account: other"]).unwrap();
+    assert!(text.contains("route submit") && text.contains("is no tenant: 400"), "{text}");
+    assert!(text.contains("passed over: route edit (main.conf:16): its methods are others"), "{text}");
+    assert!(say("DELETE /x", &[]).unwrap().starts_with("no route: 405, with Allow: GET, HEAD, OPTIONS"));
+    assert!(say("GET http://a.old.example.org", &[]).unwrap().contains("route old"));
+    for bad in
+        ["", "GET", "GET x y z", "GET http://a/../b", "GET http://a/%2e%2e/b", "GET http://a b/", "G@T /"]
+    {
+        assert!(say(bad, &[]).is_err(), "{bad}");
+    }
+    assert!(say("GET /", &["no header"]).is_err());
+}
+
+#[test]
+fn the_decision_module_is_told_what_the_file_says() {
+    let config = config(SOUND);
+    assert_eq!(config.classes_of(0), [0, 1, 2]);
+    assert_eq!(config.classes_of(1), [0]);
+    let boards = config.settings(0);
+    assert_eq!(boards.check(), Ok(()));
+    assert_eq!((boards.cold_from, boards.cold_span), (0.16, 23 * SECOND));
+    assert_eq!((boards.fall_multiple, boards.fall_span), (4.0, SECOND * 3 / 2));
+    assert_eq!((boards.classes[1].worth, boards.classes[1].effect), (10.0, Effect::Unsafe));
+    assert_eq!(boards.classes[2].effect, Effect::Keyed { group: Group::Zone, window: 300 * SECOND });
+    assert!(boards.classes[2].keep_order && !boards.classes[0].keep_order);
+    assert_eq!((boards.tenants[0].share, boards.tenants[0].allowance_per_s), (0.2, 100.0));
+    assert_eq!((boards.zones, config.settings(1).classes.len()), (2, 1));
+}
+
+#[test]
+fn units_are_exact() {
+    assert_eq!(units::time("1.5s"), Ok(1_500_000_000));
+    assert_eq!(units::time("0.000001ms").map_err(|fault| fault.code), Ok(1));
+    assert_eq!(units::time("2d"), Ok(172_800 * SECOND));
+    assert_eq!(units::size("1.5KiB"), Ok(1_536));
+    assert_eq!(units::size("64KB"), Ok(64_000));
+    assert_eq!(units::share("12.5%"), Ok(0.125));
+    assert_eq!(units::rate("90/min"), Ok(1.5));
+    assert_eq!(units::show_time(90 * SECOND), "90s");
+    assert_eq!(units::show_time(120 * SECOND), "2min");
+    assert_eq!(units::show_size(64 << 10), "64KiB");
+    assert_eq!(units::show_size(64_000), "64KB");
+}
--- a/crates/route/src/host.rs
+++ b/crates/route/src/host.rs
@@ -54,6 +54,13 @@
             (Self::Under(name), Self::Under(other)) => name == other || under(other, name),
         }
     }
+
+    /// Whether some host is taken by both.
+    #[must_use]
+    pub fn overlaps(&self, other: &Self) -> bool {
+        // Of two sets of hosts under a name one lies in the other, or they are apart.
+        self.covers(other) || other.covers(self)
+    }
 }
 
 fn under(host: &str, name: &str) -> bool {
@@ -70,7 +77,7 @@
         }
         let (name, wild) = text.strip_prefix("*.").map_or((text, false), |name| (name, true));
         let host = request_host(name)?;
-        let has_port = !name.starts_with('[') && name.contains(':') || name.ends_with(|c: char| c == ':');
+        let has_port = !name.starts_with('[') && name.contains(':') || name.ends_with(':');
         if host.is_empty() || has_port || name.rsplit_once("]:").is_some() {
             return Err(HostError::Malformed);
         }
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -151,6 +151,17 @@
         (!self.methods.allow(query.method)).then_some(Misfit::Method)
     }
 
+    /// Whether some request may fit both. Header conditions never keep two routes apart: a request may have a
+    /// field twice.
+    #[must_use]
+    pub fn overlaps(&self, other: &Self) -> bool {
+        let methods = match (&self.methods, &other.methods) {
+            (Methods::Only(one), Methods::Only(other)) => one.iter().any(|method| other.contains(method)),
+            _ => true,
+        };
+        methods && self.host.overlaps(&other.host) && self.path.overlaps(&other.path)
+    }
+
     /// Whether every request that fits `other` fits this one, but for the method.
     fn covers_but_method(&self, other: &Self) -> bool {
         self.host.covers(&other.host)
--- a/crates/route/src/matcher.rs
+++ b/crates/route/src/matcher.rs
@@ -20,6 +20,9 @@
     Nothing,
 }
 
+/// Routes in order, by the value that a header must have; `None` is any.
+type ByValue = FxHashMap<Option<Box<[u8]>>, Vec<u32>>;
+
 /// Routes that share host and path.
 #[derive(Debug)]
 struct Leaf {
@@ -29,7 +32,7 @@
     plain: Vec<u32>,
     plain_methods: Methods,
     /// With conditions, by the name and the value of their first.
-    by_header: Vec<(Box<str>, FxHashMap<Option<Box<[u8]>>, Vec<u32>>)>,
+    by_header: Vec<(Box<str>, ByValue)>,
 }
 
 impl Default for Leaf {
--- a/crates/route/src/path.rs
+++ b/crates/route/src/path.rs
@@ -177,6 +177,21 @@
     }
 }
 
+impl PathPattern {
+    /// Whether some path is taken by both.
+    #[must_use]
+    pub fn overlaps(&self, other: &Self) -> bool {
+        let enough = match (self.rest, other.rest) {
+            (true, true) => true,
+            (true, false) => other.segments.len() >= self.segments.len(),
+            (false, true) => self.segments.len() >= other.segments.len(),
+            (false, false) => self.segments.len() == other.segments.len(),
+        };
+        let meet = |(one, other): (&Segment, &Segment)| one.covers(other) || other.covers(one);
+        enough && self.segments.iter().zip(&other.segments).all(meet)
+    }
+}
+
 impl FromStr for PathPattern {
     type Err = PatternError;
 
