Node: two seams in the loop, and the front in its four jobs

Need: a second protocol, on either side, should need no change in the event loop. Change: where requests come from is net/ask and net/admission (a front asks what a head means), how an attempt travels is net/transport; what an answer means is a table without I/O, net/verdict. The list of servers leaves the loop for net/roster. The front is divided into budget, reading, connection and orderly end. The platform's own rules are in platform/.

--- /dev/null
+++ b/crates/node/src/net/admission.rs
@@ -0,0 +1,105 @@
+//! What a request is, from its head: the one question that a front asks about the meaning of requests.
+
+use std::borrow::Cow;
+use std::net::IpAddr;
+
+use hyper::header::HeaderMap;
+use hyper::{Method, StatusCode, Uri, Version};
+use thiserror::Error;
+
+use super::answer::Manner;
+use super::ask::{Ask, Handle};
+
+/// A request's head.
+pub struct Head<'a> {
+    /// Method.
+    pub method: &'a Method,
+    /// Target.
+    pub uri: &'a Uri,
+    /// Version that the client speaks.
+    pub version: Version,
+    /// Fields.
+    pub headers: &'a HeaderMap,
+    /// Where the client is.
+    pub peer: IpAddr,
+}
+
+/// A request that is let in.
+pub struct Admitted {
+    /// The loop that it goes to.
+    pub core: Handle,
+    /// What that loop is told; its body is still to come.
+    pub ask: Ask,
+    /// How it is answered.
+    pub manner: Manner,
+    /// It must have no body.
+    pub bodiless: bool,
+}
+
+/// A request that is not one, or has its answer without a server.
+#[derive(Debug, Error)]
+pub enum Bad {
+    /// A field.
+    #[error("header {0} is missing or malformed")]
+    Header(Cow<'static, str>),
+    /// No class or path of that name.
+    #[error("no such class or path")]
+    Unknown,
+    /// A target that could be read in two ways.
+    #[error("{0}")]
+    Target(String),
+    /// Not this method.
+    #[error("method not allowed")]
+    Method(Vec<Method>),
+    /// A method that is never passed on.
+    #[error("method not implemented")]
+    NotImplemented,
+    /// Too long a body.
+    #[error("body too long")]
+    TooLong,
+    /// The body's end is missing.
+    #[error("body broken off")]
+    Broken,
+    /// The body took too long.
+    #[error("body too slow")]
+    Slow,
+    /// It may hide another request in its body.
+    #[error("Content-Length more than once or with Transfer-Encoding")]
+    Framing,
+    /// Its name is taken.
+    #[error("a request with this X-Correlation-Id is open")]
+    Twice,
+    /// No mistake: the node itself answers, with nothing more to say.
+    #[error("")]
+    Own(StatusCode),
+}
+
+impl Bad {
+    /// The status that tells of it.
+    pub fn status(&self) -> StatusCode {
+        match self {
+            Self::Header(_) | Self::Broken | Self::Framing | Self::Target(_) => StatusCode::BAD_REQUEST,
+            Self::Twice => StatusCode::CONFLICT,
+            Self::Slow => StatusCode::REQUEST_TIMEOUT,
+            Self::Unknown => StatusCode::NOT_FOUND,
+            Self::Method(_) => StatusCode::METHOD_NOT_ALLOWED,
+            Self::NotImplemented => StatusCode::NOT_IMPLEMENTED,
+            Self::TooLong => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::Own(status) => *status,
+        }
+    }
+
+    /// Whether where the request ends is not known, or not worth reading on for.
+    pub fn ends_connection(&self) -> bool {
+        matches!(self, Self::TooLong | Self::Broken | Self::Slow | Self::Framing)
+    }
+}
+
+/// Knows what requests are.
+pub trait Admission {
+    /// What a request is.
+    ///
+    /// # Errors
+    /// What is wrong with it, or the answer that it has already.
+    fn admit(&self, head: &Head<'_>) -> Result<Admitted, Bad>;
+}
--- /dev/null
+++ b/crates/node/src/net/answer.rs
@@ -0,0 +1,89 @@
+//! Final answers as messages to clients.
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::header::{self, HeaderMap, HeaderValue};
+use hyper::{Response, StatusCode};
+use pumicehead_policy::interface::{Nanos, SECOND};
+
+use super::admission::Bad;
+use super::ask::{Answer, Served};
+
+/// How answers are worded.
+#[derive(Clone)]
+pub enum Manner {
+    /// As the platform has it: 200 with body and type, and advice in decimals.
+    Platform,
+    /// As RFC 9110 has it of a gateway: status, end-to-end fields and body of a server's answer, with this `Via`.
+    Gateway(HeaderValue),
+}
+
+/// An answer's message.
+pub fn response(manner: &Manner, answer: Answer) -> Response<Full<Bytes>> {
+    match (answer, manner) {
+        (Answer::Served(served), Manner::Platform) => {
+            let mut response = Response::new(Full::new(served.body));
+            if let Some(content_type) = served.headers.get(header::CONTENT_TYPE) {
+                response.headers_mut().insert(header::CONTENT_TYPE, content_type.clone());
+            }
+            response
+        }
+        (Answer::Served(Served { status, headers, body }), Manner::Gateway(via)) => {
+            let mut response = Response::new(Full::new(body));
+            *response.status_mut() = status;
+            *response.headers_mut() = headers;
+            response.headers_mut().append(header::VIA, via.clone());
+            response
+        }
+        (Answer::Refused(retry_after), _) => refusal(manner, retry_after),
+        (Answer::Failed, _) => plain(StatusCode::BAD_GATEWAY, ""),
+        (Answer::Late, _) => plain(StatusCode::GATEWAY_TIMEOUT, ""),
+    }
+}
+
+/// The answer to what is no request.
+pub fn bad(bad: &Bad) -> Response<Full<Bytes>> {
+    let mut response = plain(bad.status(), &bad.to_string());
+    if let Bad::Method(allowed) = bad
+        && !allowed.is_empty()
+    {
+        let names: Vec<_> = allowed.iter().map(hyper::Method::as_str).collect();
+        insert(response.headers_mut(), header::ALLOW, &names.join(", "));
+    }
+    if bad.ends_connection() {
+        close(&mut response);
+    }
+    response
+}
+
+/// Come back later; nothing happened.
+pub fn refusal(manner: &Manner, retry_after: Option<Nanos>) -> Response<Full<Bytes>> {
+    let mut response = plain(StatusCode::SERVICE_UNAVAILABLE, "");
+    if let Some(span) = retry_after {
+        let seconds = match manner {
+            Manner::Platform => format!("{:.3}", span as f64 / SECOND as f64),
+            // Whole seconds (RFC 9110 section 10.2.3), and not too early.
+            Manner::Gateway(_) => span.div_ceil(SECOND).max(1).to_string(),
+        };
+        insert(response.headers_mut(), header::RETRY_AFTER, &seconds);
+    }
+    response
+}
+
+fn insert(headers: &mut HeaderMap, name: header::HeaderName, value: &str) {
+    if let Ok(value) = HeaderValue::from_str(value) {
+        headers.insert(name, value);
+    }
+}
+
+/// A message of the node's own.
+pub fn plain(status: StatusCode, text: &str) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(Bytes::copy_from_slice(text.as_bytes())));
+    *response.status_mut() = status;
+    response
+}
+
+/// Has the connection end with a message.
+pub fn close(response: &mut Response<Full<Bytes>>) {
+    response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+}
--- a/crates/node/src/net/core.rs
+++ b/crates/node/src/net/core.rs
@@ -1,147 +1,86 @@
 //! The event loop: feeds the module one event at a time and carries out its actions in their order. The only
-//! place that knows both the names of the protocol and the ids of the module.
+//! place that knows both requests and the ids of the module. A node has one loop for each pool of servers.
 
-use std::cell::{Cell, RefCell};
+use std::cell::Cell;
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, VecDeque};
-use std::hash::Hasher;
 use std::net::SocketAddr;
-use std::rc::Rc;
-use std::sync::Arc;
+use std::rc::{Rc, Weak};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use pumicehead_policy::interface::{
-    Action, AttemptNo, CellId, ClassId, Condition, Discovery, Ended, Event, ListChange, Nanos, NewRequest,
-    Outcome, RequestId, SECOND, ServerId, ServerInfo, TenantId, TimerToken, ZoneId,
+    Action, AttemptNo, ClassId, Discovery, Ended, Event, ListChange, Nanos, NewRequest, Outcome, RequestId,
+    SECOND, ServerId, Settings, TenantId, TimerToken,
 };
 use pumicehead_policy::policy::Balancer;
-use rustc_hash::{FxHashMap, FxHashSet, FxHasher};
-use thiserror::Error;
+use rustc_hash::FxHashMap;
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::{self, AbortHandle};
 use tokio::time::{Instant, sleep_until};
 
-use super::config::Config;
-use super::discovery::{self, Health, Host, List, WatchError};
-use super::upstream::{Backend, Call, Served, Upstream};
+use super::ask::{Answer, Ask, Call, Handle, Held, Served};
+use super::discovery::{self, List, WatchError};
+use super::roster::{Roster, UnknownSite, hash};
+use super::transport::{End, Transport};
 
 /// A request that has no final answer this long after its deadline gets one from the event loop: the module
 /// answers earlier, by the time-out of its attempts or its own timers.
 const OVERDUE: Nanos = SECOND / 100;
-/// Long answers may take this part of the memory: the rest of it is for connections and requests.
-const LONG_SHARE: usize = 4;
 /// How often idle connections are looked over.
 const SWEEP: Nanos = SECOND;
 /// Pause before an agent that pushes the list is asked again.
 const AGENT_PAUSE: Nanos = SECOND / 4;
-
-/// A client's request with what the module wants to know of it, by the protocol's names.
-pub struct Ask {
-    /// The client's name for it.
-    pub correlation: Box<str>,
-    /// Class.
-    pub class: usize,
-    /// Tenant, where there are tenants.
-    pub tenant: Option<usize>,
-    /// Expected work.
-    pub hint: Option<Nanos>,
-    /// What it is about.
-    pub key: Option<String>,
-    /// How long the client waits from now on.
-    pub left: Duration,
-    /// What goes on to a backend.
-    pub call: Call,
+/// A pool that is gone from the configuration serves the requests it has for so long; from then on nothing new is
+/// sent, well within the 2 s in which a drain must be kept.
+const GRACE: Nanos = SECOND;
+
+/// Where a loop's list of servers comes from.
+pub enum Source {
+    /// A service is watched, after the list that was known last.
+    Watch {
+        /// Its address.
+        discovery: SocketAddr,
+        /// The list as it was known last; where there is none, the service is asked at once.
+        known: Option<List>,
+    },
+    /// The configuration has it.
+    Fixed(List),
 }
 
-/// A final answer.
-pub enum Answer {
-    /// A backend's.
-    Served(Served),
-    /// Come back later; nothing happened.
-    Refused(Option<Nanos>),
-    /// It failed, with no promise.
-    Failed,
-    /// It failed since its time is up.
-    Late,
+/// What a loop is made of.
+pub struct Setup {
+    /// What the module is told.
+    pub settings: Settings,
+    /// For its random numbers.
+    pub seed: u64,
+    /// The zones, by name.
+    pub zones: Vec<String>,
+    /// Its servers.
+    pub source: Source,
+    /// How attempts travel.
+    pub transport: Rc<dyn Transport>,
 }
 
-enum Message {
+/// What a loop is told.
+pub(super) enum Message {
     Request(RequestId, Box<Ask>, Instant, oneshot::Sender<Answer>),
     ClientGone(RequestId),
-    Ended { id: RequestId, attempt: AttemptNo, server: ServerId, sent: Nanos, end: (Outcome, Option<Served>) },
+    Ended { id: RequestId, attempt: AttemptNo, server: ServerId, sent: Nanos, end: End },
     List(u64, List),
     WatchEnded(u64, WatchError),
     Moved(SocketAddr),
+    Servers(List),
+    Retire { gone: bool },
     GiveUp,
 }
 
-/// The front's way to the event loop.
-#[derive(Clone)]
-pub struct Handle {
-    messages: mpsc::UnboundedSender<Message>,
-    next: Rc<Cell<u32>>,
-    /// Requests without a final answer, by the clients' names.
-    held: Rc<RefCell<FxHashSet<Box<str>>>>,
-}
-
-/// Tells of a client that left before its answer.
-struct Waiting<'a> {
-    handle: &'a Handle,
-    id: RequestId,
-    correlation: Box<str>,
-    answered: bool,
-}
-
-impl Drop for Waiting<'_> {
-    fn drop(&mut self) {
-        self.handle.held.borrow_mut().remove(&self.correlation);
-        if !self.answered {
-            let _ = self.handle.messages.send(Message::ClientGone(self.id));
-        }
-    }
-}
-
-impl Handle {
-    /// Requests without a final answer.
-    pub fn held(&self) -> usize {
-        self.held.borrow().len()
-    }
-
-    /// Waits for the final answer; dropped before, the client is gone. `None`: a request of this name is open,
-    /// and this one goes nowhere.
-    pub async fn ask(&self, ask: Ask) -> Option<Answer> {
-        let correlation = ask.correlation.clone();
-        if !self.held.borrow_mut().insert(correlation.clone()) {
-            return None;
-        }
-        let id = RequestId(self.next.get());
-        self.next.set(id.0.wrapping_add(1));
-        let mut waiting = Waiting { handle: self, id, correlation, answered: false };
-        let (sender, answer) = oneshot::channel();
-        // A loop that has ended drops the sender, and the answer is a failure.
-        let _ = self.messages.send(Message::Request(id, Box::new(ask), Instant::now(), sender));
-        let answer = answer.await;
-        waiting.answered = true;
-        Some(answer.unwrap_or(Answer::Failed))
-    }
-
-    /// Discovery is at this address from now on.
-    pub fn move_discovery(&self, address: SocketAddr) {
-        let _ = self.messages.send(Message::Moved(address));
-    }
-
-    /// Has all that is still open fail now: the process is about to end.
-    pub fn give_up(&self) {
-        let _ = self.messages.send(Message::GiveUp);
-    }
-}
-
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Due {
     Timer(u64),
     Overdue(u32),
     Sweep,
     Subscribe,
+    Empty,
 }
 
 struct Open {
@@ -149,6 +88,8 @@
     /// Taken by the final answer.
     answer: Option<oneshot::Sender<Answer>>,
     deadline: Nanos,
+    /// A server's own words on how it failed: the client gets them if nothing better comes.
+    error: Option<Served>,
     /// By attempt number, while it is out.
     attempts: Vec<Option<oneshot::Sender<()>>>,
 }
@@ -159,22 +100,10 @@
     }
 }
 
-struct Known {
-    name: String,
-    born_ms: u64,
-    backend: Rc<Backend>,
-}
-
-/// An entry that can't be used.
-#[derive(Debug, Error)]
-#[error("unknown site `{0}`")]
-struct UnknownSite(String);
-
 /// The event loop's state.
 pub struct Core {
     balancer: Balancer,
-    upstream: Rc<Upstream>,
-    zones: Vec<String>,
+    roster: Roster,
     messages: mpsc::UnboundedReceiver<Message>,
     to_self: mpsc::UnboundedSender<Message>,
     start: Instant,
@@ -182,33 +111,30 @@
     timers: BinaryHeap<Reverse<(Nanos, Due)>>,
     events: VecDeque<Event>,
     open: FxHashMap<RequestId, Open>,
-    servers: FxHashMap<ServerId, Known>,
-    ids: FxHashMap<String, ServerId>,
-    discovery: SocketAddr,
+    /// Where the list is watched; `None` where the configuration has it.
+    discovery: Option<SocketAddr>,
     pushed: bool,
-    seq: u64,
     watch: Option<(u64, AbortHandle)>,
     watches: u64,
+    /// Ways to this loop that are left: a request may still be on its way to be asked.
+    handles: Weak<Cell<u32>>,
+    retired: bool,
 }
 
 impl Core {
     /// An event loop that has not begun, and the way to it.
-    pub fn new(config: &Config, places: usize) -> (Self, Handle) {
+    pub fn new(setup: Setup, held: Held) -> (Self, Handle) {
         let (to_self, messages) = mpsc::unbounded_channel();
-        let ceilings = &config.boot.ceilings;
-        let span = Duration::from_nanos;
-        let handle = Handle { messages: to_self.clone(), next: Rc::default(), held: Rc::default() };
+        let (handle, handles) = Handle::new(to_self.clone(), held);
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let (discovery, known, fixed) = match setup.source {
+            Source::Watch { discovery, known } => (Some(discovery), known, None),
+            Source::Fixed(list) => (None, None, Some(list)),
+        };
         let mut core = Self {
-            zones: config.boot.zones.clone(),
-            pushed: config.settings.discovery == Discovery::Push,
-            balancer: Balancer::new(config.settings.clone(), config.seed),
-            upstream: Upstream::new(
-                span(ceilings.dial_timeout_ns),
-                span(ceilings.conn_idle_ns),
-                places,
-                config.memory / LONG_SHARE,
-            ),
+            pushed: setup.settings.discovery == Discovery::Push,
+            balancer: Balancer::new(setup.settings, setup.seed),
+            roster: Roster::new(setup.zones, setup.transport),
             messages,
             to_self,
             start: Instant::now(),
@@ -216,30 +142,39 @@
             timers: BinaryHeap::new(),
             events: VecDeque::new(),
             open: FxHashMap::default(),
-            servers: FxHashMap::default(),
-            ids: FxHashMap::default(),
-            discovery: config.discovery,
-            seq: 0,
+            discovery,
             watch: None,
             watches: 0,
+            handles,
+            retired: false,
         };
         core.timers.push(Reverse((core.now() + SWEEP, Due::Sweep)));
-        if let Err(error) = core.on_list(config.known.clone(), true) {
+        if let Some(list) = fixed {
+            core.set_servers(list);
+            return (core, handle);
+        }
+        let ask_now = core.pushed || known.is_none();
+        if let Some(known) = known
+            && let Err(error) = core.on_list(known, true)
+        {
             eprintln!("the list in the configuration is not used: {error}");
-            core.events.push_back(Event::Members(ListChange::Cached(Arc::from([]))));
-            core.seq = 0;
+            core.events.push_back(Event::Members(ListChange::Cached(std::sync::Arc::from([]))));
+            core.roster.seq = 0;
         }
-        if core.pushed {
+        if ask_now {
             core.subscribe();
         }
         (core, handle)
     }
 
-    /// Runs for as long as the process does.
+    /// Runs for as long as the process does, or until it is retired and has answered all that it has.
     pub async fn run(mut self) {
         loop {
             self.feed();
             self.fire();
+            if self.retired && self.open.is_empty() && self.handles.strong_count() == 0 {
+                return;
+            }
             let next = self.timers.peek().map_or(Nanos::MAX, |Reverse((at, _))| *at);
             let wake = self.instant(next);
             tokio::select! {
@@ -288,10 +223,11 @@
                 Due::Timer(token) => self.events.push_back(Event::Timer(TimerToken(token))),
                 Due::Overdue(id) => self.on_overdue(RequestId(id)),
                 Due::Sweep => {
-                    self.upstream.sweep();
+                    self.roster.transport().sweep();
                     self.timers.push(Reverse((self.now() + SWEEP, Due::Sweep)));
                 }
                 Due::Subscribe => self.subscribe(),
+                Due::Empty => self.set_servers(List { whole: true, ..List::default() }),
             }
             self.feed();
         }
@@ -314,13 +250,26 @@
             }
             Message::WatchEnded(watch, error) => self.on_watch_ended(watch, &error),
             Message::Moved(address) => {
-                if address != self.discovery {
-                    self.discovery = address;
+                if self.discovery.is_some_and(|old| old != address) {
+                    self.discovery = Some(address);
                     // Another service's versions mean nothing to this one: the whole list is asked for.
-                    self.seq = 0;
+                    self.roster.seq = 0;
                     self.subscribe();
                 }
             }
+            Message::Servers(mut list) => {
+                self.roster.date(&mut list, self.now() / 1_000_000);
+                self.set_servers(list);
+            }
+            Message::Retire { gone } => {
+                self.retired = true;
+                if let Some((_, watch)) = self.watch.take() {
+                    watch.abort();
+                }
+                if gone {
+                    self.timers.push(Reverse((self.now() + GRACE, Due::Empty)));
+                }
+            }
             Message::GiveUp => {
                 let open: Vec<_> = self.open.keys().copied().collect();
                 for id in open {
@@ -337,7 +286,13 @@
     fn on_request(&mut self, id: RequestId, ask: Ask, arrived: Instant, answer: oneshot::Sender<Answer>) {
         let deadline = self.at(arrived) + ask.left.as_nanos() as Nanos;
         self.timers.push(Reverse((deadline + OVERDUE, Due::Overdue(id.0))));
-        let open = Open { call: Rc::new(ask.call), answer: Some(answer), deadline, attempts: Vec::new() };
+        let open = Open {
+            call: Rc::new(ask.call),
+            answer: Some(answer),
+            deadline,
+            error: None,
+            attempts: Vec::new(),
+        };
         self.open.insert(id, open);
         self.events.push_back(Event::Request(NewRequest {
             id,
@@ -384,15 +339,31 @@
         attempt: AttemptNo,
         server: ServerId,
         sent: Nanos,
-        (outcome, served): (Outcome, Option<Served>),
+        End { outcome, answer, refused }: End,
     ) {
         if let Some(open) = self.open.get_mut(&id)
             && let Some(out) = open.attempts.get_mut(usize::from(attempt.0))
         {
             *out = None;
         }
-        if let Some(served) = served {
-            self.answer(id, Answer::Served(served));
+        match answer {
+            Some(served) if outcome == Outcome::Ok => {
+                self.answer(id, Answer::Served(served));
+            }
+            Some(error) => {
+                if let Some(open) = self.open.get_mut(&id) {
+                    open.error = Some(error);
+                }
+            }
+            None => {}
+        }
+        if self.discovery.is_none() {
+            let connected =
+                matches!(outcome, Outcome::Ok | Outcome::Error | Outcome::Full | Outcome::TimedOut);
+            let now_ms = self.now() / 1_000_000;
+            if let Some(change) = self.roster.heard(server, refused, connected, now_ms) {
+                self.events.push_back(Event::Members(change));
+            }
         }
         let complete = self.open.get(&id).is_none_or(|open| open.answer.is_none());
         let took = self.now().saturating_sub(sent);
@@ -410,8 +381,10 @@
             }
             Action::Fail(id) => {
                 let now = self.now();
-                let late = self.open.get(&id).is_some_and(|open| now >= open.deadline);
-                self.answer(id, if late { Answer::Late } else { Answer::Failed });
+                let Some(open) = self.open.get_mut(&id) else { return };
+                let late = now >= open.deadline;
+                let error = open.error.take().map(Answer::Served);
+                self.answer(id, error.unwrap_or(if late { Answer::Late } else { Answer::Failed }));
             }
             Action::Cancel { id, attempt } => {
                 let open = self.open.get_mut(&id);
@@ -424,8 +397,8 @@
             }
             Action::Timer { at, token } => self.timers.push(Reverse((at, Due::Timer(token.0)))),
             Action::FreeLinks(server) => {
-                if let Some(known) = self.servers.get(&server) {
-                    known.backend.hang_up();
+                if let Some(server) = self.roster.server(server) {
+                    server.hang_up();
                 }
             }
             Action::Subscribe => self.subscribe(),
@@ -440,8 +413,8 @@
         let Some(open) = self.open.get_mut(&id) else { return };
         let attempt = AttemptNo(open.attempts.len() as u8);
         let end = timeout.map_or(open.deadline, |timeout| open.deadline.min(now + timeout));
-        let known = self.servers.get(&server).filter(|_| open.answer.is_some() && now < end);
-        let Some(known) = known else {
+        let known = self.roster.server(server).filter(|_| open.answer.is_some() && now < end);
+        let Some(known) = known.cloned() else {
             open.attempts.push(None);
             return self.events.push_back(Event::Ended(Ended {
                 id,
@@ -454,10 +427,10 @@
         };
         let (cancel, cancelled) = oneshot::channel();
         open.attempts.push(Some(cancel));
-        let (backend, call) = (known.backend.clone(), open.call.clone());
-        let (upstream, messages, end) = (self.upstream.clone(), self.to_self.clone(), self.instant(end));
+        let call = open.call.clone();
+        let (messages, end) = (self.to_self.clone(), self.instant(end));
         task::spawn_local(async move {
-            let end = upstream.attempt(backend, call, end, cancelled).await;
+            let end = known.attempt(call, end, cancelled).await;
             let _ = messages.send(Message::Ended { id, attempt, server, sent: now, end });
         });
     }
@@ -468,9 +441,10 @@
         if let Some((_, old)) = self.watch.take() {
             old.abort();
         }
+        let Some(address) = self.discovery.filter(|_| !self.retired) else { return };
         self.watches += 1;
         let number = self.watches;
-        let (messages, address, after) = (self.to_self.clone(), self.discovery, self.seq);
+        let (messages, after) = (self.to_self.clone(), self.roster.seq);
         let watch = task::spawn_local(async move {
             let take = |list| drop(messages.send(Message::List(number, list)));
             let error = discovery::watch(address, after, take).await;
@@ -491,85 +465,15 @@
     }
 
     fn on_list(&mut self, list: List, cached: bool) -> Result<(), UnknownSite> {
-        let zone = |host: &Host| {
-            let place = self.zones.iter().position(|zone| *zone == host.site);
-            place.map(|place| ZoneId(place as u16)).ok_or_else(|| UnknownSite(host.site.clone()))
-        };
-        // All or nothing: a list that is half understood must not be half believed.
-        let zones = list.hosts.iter().map(zone).collect::<Result<Vec<_>, _>>()?;
-        let whole = list.whole || cached;
-        if whole {
-            let named: FxHashSet<_> = list.hosts.iter().map(|host| host.host.as_str()).collect();
-            let missing = self.ids.keys().filter(|name| !named.contains(name.as_str()));
-            let missing: Vec<_> = missing.cloned().collect();
-            missing.iter().for_each(|name| self.forget(name));
-        }
-        let infos: Arc<[ServerInfo]> =
-            list.hosts.into_iter().zip(zones).map(|(host, zone)| self.learn(host, zone)).collect();
-        self.seq = list.seq;
-        self.events.push_back(Event::Members(match (cached, whole) {
-            (true, _) => ListChange::Cached(infos),
-            (_, true) => ListChange::Full(infos),
-            _ => ListChange::Delta(infos),
-        }));
+        let change = self.roster.apply(list, cached)?;
+        self.events.push_back(Event::Members(change));
         Ok(())
     }
 
-    fn learn(&mut self, host: Host, zone: ZoneId) -> ServerInfo {
-        let id = self.id(&host.host);
-        let fresh =
-            || Known { name: host.host.clone(), born_ms: host.born_ms, backend: Backend::new(host.dial) };
-        let known = self.servers.entry(id).or_insert_with(fresh);
-        if known.born_ms != host.born_ms || known.backend.dial() != host.dial || !known.backend.is_usable() {
-            // Another process: what is still on its way to the old one must not reach the cold new one.
-            known.backend.retire();
-            *known = fresh();
-        }
-        self.ids.insert(host.host.clone(), id);
-        if host.health != Health::Active {
-            known.backend.retire();
-        }
-        if host.health == Health::Left {
-            self.forget(&host.host);
-        }
-        ServerInfo {
-            id,
-            zone,
-            cell: CellId(host.block),
-            condition: match host.health {
-                Health::Active => Condition::Ready,
-                Health::Leaving => Condition::Draining,
-                Health::Left => Condition::Gone,
-            },
-            weight: host.share,
-            started_at: host.born_ms.saturating_mul(1_000_000),
-        }
-    }
-
-    fn forget(&mut self, name: &str) {
-        if let Some(id) = self.ids.remove(name)
-            && let Some(known) = self.servers.remove(&id)
-        {
-            known.backend.retire();
+    /// Takes the servers of the configuration, whose zones are known.
+    fn set_servers(&mut self, list: List) {
+        if let Err(error) = self.on_list(list, false) {
+            eprintln!("the servers of the configuration are not used: {error}");
         }
     }
-
-    /// The same at every node, since nodes order backends by id on a ring that they share.
-    fn id(&self, name: &str) -> ServerId {
-        if let Some(&id) = self.ids.get(name) {
-            return id;
-        }
-        let mut id = ServerId(hash(name) as u32);
-        while self.servers.get(&id).is_some_and(|known| known.name != name) {
-            id.0 = id.0.wrapping_add(1);
-        }
-        id
-    }
-}
-
-/// A hash without a seed.
-fn hash(text: &str) -> u64 {
-    let mut hasher = FxHasher::default();
-    hasher.write(text.as_bytes());
-    hasher.finish()
 }
--- /dev/null
+++ b/crates/node/src/net/front/budget.rs
@@ -0,0 +1,85 @@
+//! The connections of all clients, of which a node may hold so many.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+
+use tokio::time::Instant;
+
+use super::conn::{Conn, Stage};
+use crate::net::link::Unread;
+
+/// From this part of all descriptors on, connections that ask are crowded: each closes with its next answer.
+/// Clients may hold a third at a node, and clients that ask once and stay for some seconds took all of it:
+/// hardly a request came through, while the node was idle. Should also help where anything before the node
+/// bounds its connections. Does harm where so many clients ask again at once: they connect each time.
+const CROWDED: usize = 4;
+
+/// Connections of clients, over all fronts.
+pub struct Budget {
+    conns: RefCell<Vec<Rc<Conn>>>,
+    places: usize,
+    crowded: usize,
+}
+
+impl Budget {
+    /// At most `places`, of a node that may hold so many descriptors.
+    pub fn new(places: usize, descriptors: usize) -> Rc<Self> {
+        Rc::new(Self { conns: RefCell::default(), places, crowded: descriptors / CROWDED })
+    }
+
+    /// How many there are.
+    pub fn count(&self) -> usize {
+        self.conns.borrow().len()
+    }
+
+    /// Whether one more is over the budget.
+    pub fn is_full(&self) -> bool {
+        self.count() >= self.places
+    }
+
+    /// Whether so many are over it that they can't be told so any more.
+    pub fn is_overfull(&self) -> bool {
+        self.count() >= self.places + super::EXTRA
+    }
+
+    /// Takes one in.
+    pub fn add(&self, conn: &Rc<Conn>) {
+        self.conns.borrow_mut().push(conn.clone());
+    }
+
+    /// One has ended.
+    pub fn remove(&self, conn: &Rc<Conn>) {
+        self.conns.borrow_mut().retain(|other| !Rc::ptr_eq(other, conn));
+    }
+
+    /// Those of one front.
+    pub fn each_of(&self, owner: &super::Front, mut take: impl FnMut(&Conn)) {
+        let conns = self.conns.borrow();
+        conns.iter().filter(|conn| owner.owns(conn)).for_each(|conn| take(conn));
+    }
+
+    /// Closes the connection that can best be done without, of its kind the oldest; tells whether there was one.
+    /// Only the chosen one's socket is asked whether a request has just come.
+    pub fn shed(&self) -> bool {
+        let (conns, now) = (self.conns.borrow(), Instant::now());
+        let rank = |conn: &Rc<Conn>| Some((conn.dispensable(now)?, conn.since.get()));
+        let ranked = conns.iter().filter_map(|conn| Some((rank(conn)?, conn)));
+        let Some((_, conn)) = ranked.min_by_key(|(rank, _)| *rank) else { return false };
+        if conn.stage.get() == Stage::Waiting && conn.link.unread() == Unread::Bytes {
+            // It is asking after all: the event loop has not come to it yet.
+            return false;
+        }
+        conn.cut();
+        true
+    }
+
+    /// Whether those who ask leave each other few connections.
+    pub fn is_crowded(&self) -> bool {
+        let asks = |conn: &&Rc<Conn>| match conn.stage.get() {
+            Stage::Busy => true,
+            Stage::Waiting => conn.used.get(),
+            Stage::Lingering | Stage::Ending => false,
+        };
+        self.conns.borrow().iter().filter(asks).count() >= self.crowded
+    }
+}
--- /dev/null
+++ b/crates/node/src/net/front/mod.rs
@@ -0,0 +1,296 @@
+//! Client connections over HTTP/1.1: requests in, exactly one answer out for each.
+
+pub mod budget;
+mod conn;
+mod drain;
+mod read;
+
+use std::cell::Cell;
+use std::convert::Infallible;
+use std::io;
+use std::net::{IpAddr, SocketAddr};
+use std::pin::pin;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::header;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use pumicehead_policy::interface::{Nanos, SECOND};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::task;
+use tokio::time::{Instant, sleep, timeout, timeout_at};
+
+use super::admission::{Admission, Admitted, Bad, Head};
+use super::answer;
+use super::ask::Held;
+use super::http::upstream::LONGEST_HEAD;
+use super::link::Link;
+use budget::Budget;
+use conn::{Conn, Stage};
+pub use drain::Ending;
+use read::{Framing, collect};
+
+/// Connections that wait in the kernel are already taken, so it should never have to turn one away.
+const BACKLOG: u32 = 4096;
+/// Connections beyond the budget that are told so in an answer, not left in the kernel's queue.
+pub const EXTRA: usize = 32;
+/// Pause after an accept that failed for lack of descriptors: without it the loop would spin.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// Longest that a closed connection is read on, so that its last answer arrives.
+const LINGER: Duration = Duration::from_millis(500);
+/// How often connections are looked over.
+const LOOK: Duration = Duration::from_millis(100);
+/// The last word to a client that began a request and did not go on.
+const TOO_SLOW: &[u8] = b"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+/// Advice with a refusal that is the node's own.
+const RETRY_AFTER: Nanos = SECOND / 2;
+/// Pause before the next look for a place, where there is none.
+const FULL_PAUSE: Duration = Duration::from_millis(5);
+
+/// Bounds on what clients may do.
+#[derive(Clone, Copy, Debug)]
+pub struct Options {
+    /// Longest that a client may take from connecting, or from the first byte of a later request, to the last byte
+    /// of its request.
+    pub patience: Duration,
+    /// An idle connection that has been used is closed after this.
+    pub keep: Duration,
+    /// Longest body of a request.
+    pub longest_body: usize,
+    /// Requests without an answer that the node may hold.
+    pub most_held: usize,
+    /// At the process's end, what has no answer after this fails.
+    pub last_deadline: Duration,
+    /// Where `GET /healthz` is the node's own.
+    pub healthz: bool,
+}
+
+/// The front's state.
+pub struct Front {
+    admission: Rc<dyn Admission>,
+    held: Held,
+    options: Rc<Cell<Options>>,
+    budget: Rc<Budget>,
+    draining: Cell<bool>,
+    /// Has all that is open in the node fail.
+    give_up: Box<dyn Fn()>,
+}
+
+/// Ends a task with its owner.
+struct AbortOnDrop(task::JoinHandle<()>);
+
+impl Drop for AbortOnDrop {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+/// Binds an address that clients connect to.
+///
+/// # Errors
+/// Those of the system.
+pub fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
+    // A node that starts again binds while connections of its last life still fade.
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
+impl Front {
+    /// A front that shares a budget with others.
+    pub fn new(
+        admission: Rc<dyn Admission>,
+        held: Held,
+        options: Options,
+        budget: Rc<Budget>,
+        give_up: impl Fn() + 'static,
+    ) -> Rc<Self> {
+        Rc::new(Self {
+            admission,
+            held,
+            options: Rc::new(Cell::new(options)),
+            budget,
+            draining: Cell::new(false),
+            give_up: Box::new(give_up),
+        })
+    }
+
+    /// Other bounds from now on.
+    pub fn set_options(&self, options: Options) {
+        self.options.set(options);
+    }
+
+    fn owns(&self, conn: &Conn) -> bool {
+        Rc::ptr_eq(&self.options, &conn.options)
+    }
+
+    /// Serves until `stop`, then ends in order.
+    pub async fn run(self: Rc<Self>, listener: TcpListener, stop: impl Future<Output = Ending>) {
+        let front = self.clone();
+        let _looking = AbortOnDrop(task::spawn_local(async move {
+            loop {
+                sleep(LOOK).await;
+                front.look_over();
+            }
+        }));
+        let mut stop = pin!(stop);
+        let ending = loop {
+            tokio::select! {
+                ending = stop.as_mut() => break ending,
+                (stream, peer) = self.accept(&listener) => self.clone().take(stream, peer),
+            }
+        };
+        self.drain(listener, ending).await;
+    }
+
+    /// Closes what has taken too long: a bad client is owed an end, and holds a place that others need.
+    fn look_over(&self) {
+        let now = Instant::now();
+        self.budget.each_of(self, |conn| {
+            if conn.is_stale(now) {
+                conn.cut();
+            }
+        });
+    }
+
+    /// The next connection. Where there is no place for one, others make way, or it waits for an end.
+    async fn accept(&self, listener: &TcpListener) -> (TcpStream, IpAddr) {
+        loop {
+            if self.budget.is_overfull() {
+                self.budget.shed();
+                sleep(FULL_PAUSE).await;
+                continue;
+            }
+            match listener.accept().await {
+                Ok((stream, peer)) => return (stream, peer.ip()),
+                Err(error) if error.kind() == io::ErrorKind::ConnectionAborted => {}
+                Err(error) => {
+                    eprintln!("accept: {error}");
+                    self.budget.shed();
+                    sleep(ACCEPT_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    fn take(self: Rc<Self>, stream: TcpStream, peer: IpAddr) {
+        let extra = self.budget.is_full() && !self.budget.shed();
+        let conn = Conn::new(Link::tapped(stream), extra, self.options.clone());
+        self.budget.add(&conn);
+        task::spawn_local(async move {
+            self.serve(&conn, peer).await;
+            self.budget.remove(&conn);
+        });
+    }
+
+    async fn serve(&self, conn: &Conn, peer: IpAddr) {
+        let service = service_fn(|request| async {
+            conn.stage.set(Stage::Busy);
+            let response = self.respond(conn, peer, request).await;
+            conn.used.set(true);
+            conn.since.set(Instant::now());
+            conn.stage.set(Stage::Waiting);
+            Ok::<_, Infallible>(response)
+        });
+        let mut builder = http1::Builder::new();
+        builder.max_buf_size(LONGEST_HEAD);
+        let mut served = pin!(builder.serve_connection(TokioIo::new(conn.link.clone()), service));
+        loop {
+            tokio::select! {
+                // However it ends, the client knows as much as can be told.
+                _ = served.as_mut() => break,
+                () = conn.close.notified() => served.as_mut().graceful_shutdown(),
+                () = conn.cut.notified() => {
+                    if conn.link.begun().is_some() {
+                        conn.link.last_word(TOO_SLOW);
+                    }
+                    return;
+                }
+            }
+        }
+        conn.stage.set(Stage::Lingering);
+        conn.since.set(Instant::now());
+        tokio::select! {
+            _ = timeout(LINGER, conn.link.linger()) => {}
+            () = conn.cut.notified() => {}
+        }
+    }
+
+    async fn respond(&self, conn: &Conn, peer: IpAddr, request: Request<Incoming>) -> Response<Full<Bytes>> {
+        let begun = if conn.used.get() { Instant::now() } else { conn.since.get() };
+        let framing = Framing::of(&conn.link.take_head());
+        conn.link.skip(framing.body());
+        let expects = request.headers().contains_key(header::EXPECT);
+        let mut response = if self.options.get().healthz && request.uri().path() == "/healthz" {
+            let draining = self.draining.get();
+            let status =
+                if draining { hyper::StatusCode::SERVICE_UNAVAILABLE } else { hyper::StatusCode::OK };
+            answer::plain(status, "")
+        } else {
+            let until = begun + self.options.get().patience;
+            match self.read(request, peer, framing, until).await {
+                Err(bad) => answer::bad(&bad),
+                Ok(Admitted { manner, .. }) if conn.extra || self.is_full() => {
+                    answer::refusal(&manner, Some(RETRY_AFTER))
+                }
+                Ok(Admitted { core, ask, manner, .. }) => match core.ask(ask).await {
+                    Some(given) => answer::response(&manner, given),
+                    None => answer::bad(&Bad::Twice),
+                },
+            }
+        };
+        let crowded = conn.extra || self.budget.is_crowded();
+        // A client that was told before it wrote its body may write it all the same, or the next request.
+        let unread = expects && response.status().as_u16() >= 400;
+        if self.draining.get() || crowded || unread || !matches!(framing, Framing::Length(_)) {
+            answer::close(&mut response);
+        }
+        response
+    }
+
+    fn is_full(&self) -> bool {
+        self.held.count() >= self.options.get().most_held
+    }
+
+    /// Reads and checks a request.
+    async fn read(
+        &self,
+        request: Request<Incoming>,
+        peer: IpAddr,
+        framing: Framing,
+        until: Instant,
+    ) -> Result<Admitted, Bad> {
+        if framing == Framing::Doubtful {
+            return Err(Bad::Framing);
+        }
+        let (parts, body) = request.into_parts();
+        let head = Head {
+            method: &parts.method,
+            uri: &parts.uri,
+            version: parts.version,
+            headers: &parts.headers,
+            peer,
+        };
+        let admitted = self.admission.admit(&head);
+        if admitted.is_err() && parts.headers.contains_key(header::EXPECT) {
+            // The client has not begun to write its body, and now needs not (RFC 9110 section 10.1.1).
+            return admitted;
+        }
+        // The body first, whatever the head says: the answer then meets no client that is still writing.
+        let body = collect(body, self.options.get().longest_body);
+        let body = timeout_at(until, body).await.unwrap_or(Err(Bad::Slow))?;
+        let mut admitted = admitted?;
+        if admitted.bodiless && !body.is_empty() {
+            return Err(Bad::Method(Vec::new()));
+        }
+        admitted.ask.call.body = body;
+        Ok(admitted)
+    }
+}
--- /dev/null
+++ b/crates/node/src/net/http/mod.rs
@@ -0,0 +1,4 @@
+//! Servers that speak HTTP/1.1.
+
+pub mod answer;
+pub mod upstream;
--- /dev/null
+++ b/crates/node/src/net/http/upstream.rs
@@ -0,0 +1,286 @@
+//! Connections to servers: one request at a time on each, kept while idle, never a silent resend.
+
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::Request;
+use hyper::client::conn::http1;
+use hyper::header::HeaderValue;
+use hyper_util::rt::TokioIo;
+use pumicehead_policy::interface::Outcome;
+use tokio::net::TcpStream;
+use tokio::sync::oneshot;
+use tokio::task::JoinSet;
+use tokio::time::{Instant, sleep_until, timeout};
+
+use super::answer::Reader;
+use crate::net::ask::Call;
+use crate::net::link::{Link, Unread};
+use crate::net::transport::{Attempt, End, Server, Transport};
+
+/// Longest head of a message.
+pub const LONGEST_HEAD: usize = 32 << 10;
+/// Idle connections close at this share of the time after which servers close them: one that closes while a
+/// request is on its way there ends as a reset.
+const IDLE_SHARE: f64 = 0.8;
+/// How long a connection may take to settle after its answer before it is not worth keeping.
+const SETTLE: Duration = Duration::from_millis(5);
+
+/// The life of one server process.
+struct Backend {
+    dial: SocketAddr,
+    usable: Cell<bool>,
+    idle: RefCell<VecDeque<(Instant, Conn)>>,
+    /// Idle connections are kept for so long.
+    idle_for: Duration,
+}
+
+/// A connection; dropping it closes the socket.
+struct Conn {
+    sender: http1::SendRequest<Full<Bytes>>,
+    link: Link,
+    /// Holds the one task that drives the connection.
+    _driver: JoinSet<hyper::Result<()>>,
+    _place: Place,
+}
+
+/// One of the descriptors that servers may use.
+struct Place(Rc<Cell<usize>>);
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+/// Connections of all pools: they share the node's descriptors.
+pub struct Connections {
+    places: usize,
+    used: Rc<Cell<usize>>,
+    /// Those with idle connections.
+    backends: RefCell<Vec<Rc<Backend>>>,
+}
+
+impl Connections {
+    /// At most so many.
+    pub fn new(places: usize) -> Rc<Self> {
+        Rc::new(Self { places, used: Rc::default(), backends: RefCell::default() })
+    }
+
+    fn place(&self) -> Option<Place> {
+        if self.used.get() >= self.places {
+            // The longest idle one makes way.
+            let backends = self.backends.borrow();
+            let longest = |b: &&Rc<Backend>| b.idle.borrow().front().map(|(since, _)| *since);
+            let oldest = backends.iter().filter(|b| longest(b).is_some()).min_by_key(longest);
+            drop(oldest?.idle.borrow_mut().pop_front());
+        }
+        self.used.set(self.used.get() + 1);
+        Some(Place(self.used.clone()))
+    }
+
+    fn keep(&self, backend: &Rc<Backend>, conn: Conn) {
+        if backend.usable.get() && conn.is_open() {
+            backend.idle.borrow_mut().push_back((Instant::now(), conn));
+            let mut backends = self.backends.borrow_mut();
+            if !backends.iter().any(|other| Rc::ptr_eq(other, backend)) {
+                backends.push(backend.clone());
+            }
+        }
+    }
+
+    /// Closes what has been idle for too long or has ended, and forgets servers without connections.
+    fn sweep(&self) {
+        let now = Instant::now();
+        self.backends.borrow_mut().retain(|backend| {
+            let mut idle = backend.idle.borrow_mut();
+            idle.retain(|(since, conn)| now < *since + backend.idle_for && conn.is_open());
+            !idle.is_empty()
+        });
+    }
+}
+
+/// What the servers of a pool share.
+struct Shared {
+    connections: Rc<Connections>,
+    dial_timeout: Duration,
+    idle_for: Duration,
+    reader: Reader,
+}
+
+/// A pool's way to its servers.
+pub struct Upstream(Rc<Shared>);
+
+impl Upstream {
+    /// With the times of a pool: a connection that is not up by `dial_timeout` has failed, and servers close idle
+    /// ones after `conn_idle`.
+    pub fn new(
+        connections: Rc<Connections>,
+        dial_timeout: Duration,
+        conn_idle: Duration,
+        reader: Reader,
+    ) -> Rc<Self> {
+        let idle_for = conn_idle.mul_f64(IDLE_SHARE);
+        Rc::new(Self(Rc::new(Shared { connections, dial_timeout, idle_for, reader })))
+    }
+}
+
+impl Transport for Upstream {
+    fn server(&self, dial: SocketAddr) -> Rc<dyn Server> {
+        let shared = self.0.clone();
+        let backend =
+            Backend { dial, usable: Cell::new(true), idle: RefCell::default(), idle_for: shared.idle_for };
+        Rc::new(HttpServer { shared, backend: Rc::new(backend) })
+    }
+
+    fn sweep(&self) {
+        self.0.connections.sweep();
+    }
+}
+
+struct HttpServer {
+    shared: Rc<Shared>,
+    backend: Rc<Backend>,
+}
+
+impl Server for HttpServer {
+    fn dial(&self) -> SocketAddr {
+        self.backend.dial
+    }
+
+    fn is_usable(&self) -> bool {
+        self.backend.usable.get()
+    }
+
+    fn retire(&self) {
+        self.backend.usable.set(false);
+        self.hang_up();
+    }
+
+    fn hang_up(&self) {
+        self.backend.idle.borrow_mut().clear();
+    }
+
+    fn attempt(self: Rc<Self>, call: Rc<Call>, deadline: Instant, cancel: oneshot::Receiver<()>) -> Attempt {
+        Box::pin(async move {
+            let begun = Cell::new(false);
+            tokio::select! {
+                biased;
+                done = self.shared.exchange(&self.backend, &call, deadline, &begun) => done,
+                // The sender is kept as long as the attempt is out; were it lost, nobody would wait.
+                _ = cancel => End::of(Outcome::Cancelled),
+                // A time-out before anything was written proves that nothing ran.
+                () = sleep_until(deadline) => {
+                    End::of(if begun.get() { Outcome::TimedOut } else { Outcome::Moot })
+                }
+            }
+        })
+    }
+}
+
+impl Shared {
+    /// The most recently used idle connection that is still open.
+    fn kept(&self, backend: &Backend) -> Option<Conn> {
+        let mut idle = backend.idle.borrow_mut();
+        while let Some((since, conn)) = idle.pop_back() {
+            if since.elapsed() < self.idle_for && conn.is_open() {
+                return Some(conn);
+            }
+        }
+        None
+    }
+
+    /// A new connection, or why there is none.
+    async fn dial(&self, backend: &Backend) -> Result<Conn, End> {
+        // The node's own lack of descriptors is no fault of the server's.
+        let place = self.connections.place().ok_or_else(|| End::of(Outcome::Moot))?;
+        let failed = |refused| End { refused, ..End::of(Outcome::ConnectFailed) };
+        let stream = match timeout(self.dial_timeout, TcpStream::connect(backend.dial)).await {
+            Ok(Ok(stream)) => stream,
+            Ok(Err(error)) => return Err(failed(error.kind() == io::ErrorKind::ConnectionRefused)),
+            Err(_) => return Err(failed(false)),
+        };
+        let link = Link::new(stream);
+        let mut builder = http1::Builder::new();
+        builder.max_buf_size(LONGEST_HEAD);
+        let handshake = builder.handshake(TokioIo::new(link.clone())).await;
+        let (sender, connection) = handshake.map_err(|_| failed(false))?;
+        let mut driver = JoinSet::new();
+        driver.spawn_local(connection);
+        Ok(Conn { sender, link, _driver: driver, _place: place })
+    }
+
+    async fn exchange(
+        &self,
+        backend: &Rc<Backend>,
+        call: &Call,
+        deadline: Instant,
+        begun: &Cell<bool>,
+    ) -> End {
+        let kept = self.kept(backend);
+        let ready = match kept {
+            Some(conn) => Ok(conn),
+            None => self.dial(backend).await,
+        };
+        let mut conn = match ready {
+            Ok(conn) => conn,
+            Err(end) => return end,
+        };
+        // Dialling takes time: what was true when the attempt was decided need not be so now.
+        let left = deadline.saturating_duration_since(Instant::now());
+        if left.is_zero() || !backend.usable.get() {
+            return End::of(Outcome::Moot);
+        }
+        if conn.sender.ready().await.is_err() {
+            return End::of(Outcome::ConnectFailed);
+        }
+        let (request, size) = call.request(left);
+        let before = conn.link.written();
+        begun.set(true);
+        let answer = conn.sender.send_request(request).await;
+        let response = match answer {
+            Ok(response) => response,
+            // `size` is never above the true size: less than that was surely not the whole request.
+            Err(_) if conn.link.written() - before < size => return End::of(Outcome::ConnectFailed),
+            Err(_) => return End::of(Outcome::Reset),
+        };
+        let end = self.reader.read(response, &call.method).await;
+        if end.outcome != Outcome::Reset {
+            // Kept before the outcome is told, so that what is sent next finds it.
+            if conn.sender.is_ready() || matches!(timeout(SETTLE, conn.sender.ready()).await, Ok(Ok(()))) {
+                self.connections.keep(backend, conn);
+            }
+        }
+        end
+    }
+}
+
+impl Conn {
+    fn is_open(&self) -> bool {
+        !self.sender.is_closed() && self.link.unread() == Unread::Nothing
+    }
+}
+
+impl Call {
+    /// The request to write, and a size that its bytes on the wire don't fall short of.
+    fn request(&self, left: Duration) -> (Request<Full<Bytes>>, u64) {
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = self.uri.clone();
+        *request.headers_mut() = self.headers.clone();
+        let left = format!("{}u", left.as_micros());
+        if let Ok(left) = HeaderValue::from_str(&left) {
+            request.headers_mut().insert("x-time-left", left);
+        }
+        let line = self.method.as_str().len() + self.uri.path().len() + " HTTP/1.1\r\n".len();
+        let fields = request.headers().iter().map(|(name, value)| name.as_str().len() + value.len() + 4);
+        let size = line + fields.sum::<usize>() + self.body.len();
+        (request, size as u64)
+    }
+}
--- a/crates/node/src/net/mod.rs
+++ b/crates/node/src/net/mod.rs
@@ -1,8 +1,18 @@
-//! The real node: sockets in, sockets out. Decides nothing; every decision is the module's.
+//! Sockets in, sockets out. Decides nothing; every decision is the module's.
+//!
+//! Two seams let a protocol in without a change to the loop. *Where requests come from*: a front reads them, asks
+//! its [`admission::Admission`] what they are, and hands an [`ask::Ask`] to a loop by its [`ask::Handle`]. *How an
+//! attempt travels*: the loop sends by [`transport::Transport`], whatever servers speak.
 
-pub mod config;
+pub mod admission;
+pub mod answer;
+pub mod ask;
 pub mod core;
 pub mod discovery;
+pub mod fields;
 pub mod front;
+pub mod http;
 pub mod link;
-pub mod upstream;
+pub mod roster;
+pub mod transport;
+pub mod verdict;
--- /dev/null
+++ b/crates/node/src/net/transport.rs
@@ -0,0 +1,61 @@
+//! How an attempt travels: one implementation for each protocol that servers speak.
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::Rc;
+
+use pumicehead_policy::interface::Outcome;
+use tokio::sync::oneshot;
+use tokio::time::Instant;
+
+use super::ask::{Call, Served};
+
+/// How an attempt ended.
+pub struct End {
+    /// For the module.
+    pub outcome: Outcome,
+    /// The whole answer, where it may be passed on: with [`Outcome::Ok`] it is the final one, with
+    /// [`Outcome::Error`] it is what the client gets if nothing better comes.
+    pub answer: Option<Served>,
+    /// The address refused the connection: no process listens there.
+    pub refused: bool,
+}
+
+impl End {
+    /// Without an answer.
+    pub fn of(outcome: Outcome) -> Self {
+        Self { outcome, answer: None, refused: false }
+    }
+}
+
+/// An attempt under way.
+pub type Attempt = Pin<Box<dyn Future<Output = End>>>;
+
+/// Makes servers of addresses.
+pub trait Transport {
+    /// The life of one server process: a restart, another address or its end needs another one.
+    fn server(&self, dial: SocketAddr) -> Rc<dyn Server>;
+
+    /// Closes what has been idle for too long. Called about once a second.
+    fn sweep(&self);
+}
+
+/// The life of one server process.
+pub trait Server {
+    /// Its address.
+    fn dial(&self) -> SocketAddr;
+
+    /// Whether requests may be written to it.
+    fn is_usable(&self) -> bool;
+
+    /// Nothing new is written to it from now on: it drains, is gone or has restarted. Attempts still without a
+    /// connection will find it so.
+    fn retire(&self);
+
+    /// Closes its idle connections.
+    fn hang_up(&self);
+
+    /// One attempt, until `deadline` or a word on `cancel`. It is never sent a second time from here.
+    fn attempt(self: Rc<Self>, call: Rc<Call>, deadline: Instant, cancel: oneshot::Receiver<()>) -> Attempt;
+}
--- a/crates/node/src/net/config.rs
+++ b/crates/node/src/platform/config.rs
@@ -10,7 +10,7 @@
 use serde::Deserialize;
 use thiserror::Error;
 
-use super::discovery::List;
+use crate::net::discovery::List;
 
 /// Descriptors that a node must have at the least to serve anything.
 const LEAST_SOCKETS: usize = 128;
