Standalone node: run, check, fmt, diff and explain on one file

Need: the node starts only inside the platform. Change: pumicehead run FILE serves listeners, pools and routes of the configuration language to plain HTTP clients, with one loop for each pool; answers pass as RFC 9110 wants of a gateway. SIGHUP reads the file again, all or nothing: pools whose settings stay the same keep what they learned. The other commands check, format, compare and explain. With no arguments and EDGE_CONFIG it is the platform's node.

--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -1,28 +1,36 @@
-//! The node.
-
-#![allow(dead_code, reason = "the standalone node, which comes next, uses the seams that are made here")]
+//! The node. Started with no arguments and with `EDGE_CONFIG` it is the platform's, otherwise what the command line
+//! says.
 
+mod cli;
 mod net;
 mod places;
 mod platform;
+mod standalone;
 
+use std::env;
 use std::error::Error;
 use std::process::ExitCode;
 
+use clap::Parser;
 use tokio::runtime::Builder;
 use tokio::task::LocalSet;
 
 fn main() -> ExitCode {
-    match run() {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            eprintln!("pumicehead: {error}");
-            ExitCode::FAILURE
-        }
-    }
+    // The platform starts it with no arguments; what is wrong there is told by the missing variable, not by usage.
+    let on_platform = env::args_os().len() <= 1 && env::var_os("EDGE_CONFIG").is_some();
+    let done = if on_platform {
+        block_on(platform::serve()).map(|()| ExitCode::SUCCESS)
+    } else {
+        cli::carry_out(cli::Arguments::parse().command)
+    };
+    done.unwrap_or_else(|error| {
+        eprintln!("pumicehead: {error}");
+        if on_platform { ExitCode::FAILURE } else { cli::failed() }
+    })
 }
 
-fn run() -> Result<(), Box<dyn Error>> {
+/// Runs on the one loop of this process, which ends with it.
+fn block_on(serve: impl Future<Output = Result<(), Box<dyn Error>>>) -> Result<(), Box<dyn Error>> {
     let runtime = Builder::new_current_thread().enable_all().build()?;
-    LocalSet::new().block_on(&runtime, platform::serve())
+    LocalSet::new().block_on(&runtime, serve)
 }
--- /dev/null
+++ b/crates/node/src/standalone/admission.rs
@@ -0,0 +1,210 @@
+//! Requests of plain HTTP clients: the routes say what they are.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+
+use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
+use hyper::{Method, StatusCode, Uri};
+use pumicehead_lang::explain::key_of;
+use pumicehead_lang::model::{Config, KeyOf, Repeats, TenantOf};
+use pumicehead_route::{Found, Matcher, Query, RequestPath, request_host};
+
+use crate::net::admission::{Admission, Admitted, Bad, Head};
+use crate::net::answer::Manner;
+use crate::net::ask::{Ask, Call, Handle};
+use crate::net::fields;
+
+/// A name that servers may log a request by.
+const CORRELATION: HeaderName = HeaderName::from_static("x-correlation-id");
+
+/// A configuration as requests meet it. Requests keep the one that they began with.
+pub struct Live {
+    matcher: Matcher,
+    routes: Vec<LiveRoute>,
+    tenants: Vec<String>,
+    name: String,
+}
+
+/// A route with the loop of its pool.
+struct LiveRoute {
+    core: Handle,
+    /// Among the classes of its pool.
+    class: usize,
+    deadline: Duration,
+    /// The header that holds an idempotency key, where the class needs one.
+    keyed: Option<HeaderName>,
+    tenant: TenantOf,
+    key: KeyOf,
+}
+
+impl Live {
+    /// `cores` has the loop of each pool.
+    pub fn new(config: &Config, cores: &[Handle]) -> Self {
+        let by_pool: Vec<_> = (0..config.pools.len()).map(|pool| config.classes_of(pool)).collect();
+        let routes = config.routes.iter().map(|route| {
+            let class = &config.classes[route.class];
+            let keyed = match &class.repeats {
+                Repeats::Keyed { header, .. } => HeaderName::from_bytes(header.as_bytes()).ok(),
+                Repeats::Safe | Repeats::Unsafe => None,
+            };
+            LiveRoute {
+                core: cores[route.pool].clone(),
+                class: by_pool[route.pool].iter().position(|&other| other == route.class).unwrap_or_default(),
+                deadline: Duration::from_nanos(class.deadline),
+                keyed,
+                tenant: route.tenant.clone(),
+                key: route.key.clone(),
+            }
+        });
+        Self {
+            matcher: config.matcher(),
+            routes: routes.collect(),
+            tenants: config.tenants.iter().map(|tenant| tenant.name.clone()).collect(),
+            name: config.node.name.clone(),
+        }
+    }
+}
+
+/// Knows requests by the routes that are in force.
+pub struct Gateway {
+    live: RefCell<Rc<Live>>,
+    /// Names of requests: one part for the life of the node, one for the request.
+    seed: u64,
+    next: Cell<u64>,
+}
+
+impl Gateway {
+    /// With the first configuration.
+    pub fn new(live: Live, seed: u64) -> Rc<Self> {
+        Rc::new(Self { live: RefCell::new(Rc::new(live)), seed, next: Cell::new(0) })
+    }
+
+    /// Requests from now on meet this one.
+    pub fn set_live(&self, live: Live) {
+        *self.live.borrow_mut() = Rc::new(live);
+    }
+
+    fn correlation(&self) -> String {
+        let number = self.next.get();
+        self.next.set(number.wrapping_add(1));
+        format!("{:016x}{number:08x}", self.seed)
+    }
+}
+
+impl Admission for Gateway {
+    fn admit(&self, head: &Head<'_>) -> Result<Admitted, Bad> {
+        let live = self.live.borrow().clone();
+        if matches!(*head.method, Method::TRACE | Method::CONNECT) {
+            // TRACE shows a client what others added; CONNECT is for proxies that clients choose.
+            return Err(Bad::NotImplemented);
+        }
+        let mut headers = head.headers.clone();
+        if *head.method == Method::OPTIONS && ends_here(head, &mut headers)? {
+            return Err(Bad::Own(StatusCode::NO_CONTENT));
+        }
+        let authority = authority(head)?;
+        let target = |text: String| Bad::Target(text);
+        let host = request_host(&authority).map_err(|fault| target(format!("the host is {fault}")))?;
+        let path = RequestPath::parse(head.uri.path()).map_err(|fault| target(fault.to_string()))?;
+        let query = Query { host: &host, path: &path, method: head.method, headers: head.headers };
+        let place = match live.matcher.find(&query) {
+            Found::Route(place) => place,
+            Found::Method(allowed) => return Err(Bad::Method(allowed)),
+            Found::Nothing => return Err(Bad::Unknown),
+        };
+        let route = &live.routes[place];
+        if let Some(name) = &route.keyed {
+            one(head.headers, name)?;
+        }
+        let tenant = match &route.tenant {
+            TenantOf::None => None,
+            TenantOf::Fixed(place) => Some(*place),
+            TenantOf::Header(name) => {
+                let missing = || Bad::Header(name.clone().into());
+                let field = HeaderName::from_bytes(name.as_bytes()).map_err(|_| missing())?;
+                let value = one(head.headers, &field)?;
+                let known = live.tenants.iter().position(|tenant| tenant.as_bytes() == value);
+                Some(known.ok_or_else(missing)?)
+            }
+        };
+        let correlation = self.correlation();
+        headers
+            .insert(header::HOST, HeaderValue::from_str(&authority).map_err(|_| Bad::Header("host".into()))?);
+        fields::strip_hop_by_hop(&mut headers);
+        append(&mut headers, header::VIA, fields::via(head.version, &live.name));
+        append(&mut headers, header::FORWARDED, fields::forwarded(head.peer, Some(&authority)));
+        if !headers.contains_key(&CORRELATION) {
+            append(&mut headers, CORRELATION, HeaderValue::from_str(&correlation).ok());
+        }
+        let call =
+            Call { method: head.method.clone(), uri: origin_form(head.uri)?, headers, ..Call::default() };
+        let ask = Ask {
+            correlation: correlation.into(),
+            class: route.class,
+            tenant,
+            hint: None,
+            key: key_of(&route.key, &query),
+            left: route.deadline,
+            call,
+        };
+        // The server's answer is one of HTTP/1.1 whatever it speaks: the node has taken it whole.
+        let via = fields::via(hyper::Version::HTTP_11, &live.name);
+        let via = via.unwrap_or(HeaderValue::from_static("1.1 pumicehead"));
+        Ok(Admitted { core: route.core.clone(), ask, manner: Manner::Gateway(via), bodiless: false })
+    }
+}
+
+/// The host that a request names, with its port: of an absolute target, or else its one `Host` field (RFC 9112
+/// sections 3.2 and 3.2.2). A client of HTTP/1.0 needs none.
+fn authority(head: &Head<'_>) -> Result<String, Bad> {
+    let mut hosts = head.headers.get_all(header::HOST).iter();
+    let field = match (hosts.next(), hosts.next()) {
+        (Some(host), None) => host.to_str().map_err(|_| Bad::Header("host".into()))?,
+        (None, _) if head.version == hyper::Version::HTTP_10 => "",
+        _ => return Err(Bad::Header("host".into())),
+    };
+    Ok(head.uri.authority().map_or(field, |authority| authority.as_str()).to_owned())
+}
+
+fn origin_form(uri: &Uri) -> Result<Uri, Bad> {
+    if uri.authority().is_none() {
+        return Ok(uri.clone());
+    }
+    let path = uri.path_and_query().cloned();
+    let fault = |_| Bad::Target("the target can't be read".into());
+    path.map_or_else(
+        || Ok(Uri::from_static("/")),
+        |path| Uri::builder().path_and_query(path).build().map_err(fault),
+    )
+}
+
+/// Whether an OPTIONS request is for this node, by its target or since it may go no further (RFC 9110 sections
+/// 9.3.7 and 7.6.2); else its count of hops goes down.
+fn ends_here(head: &Head<'_>, headers: &mut HeaderMap) -> Result<bool, Bad> {
+    if head.uri.path() == "*" {
+        return Ok(true);
+    }
+    let Some(hops) = headers.get(header::MAX_FORWARDS) else { return Ok(false) };
+    let hops: Option<u32> = hops.to_str().ok().and_then(|hops| hops.trim().parse().ok());
+    let hops = hops.ok_or(Bad::Header("max-forwards".into()))?;
+    if let Some(left) = hops.checked_sub(1) {
+        headers.insert(header::MAX_FORWARDS, left.into());
+    }
+    Ok(hops == 0)
+}
+
+/// The one value of a field: who reads on may take another of two.
+fn one<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Result<&'a [u8], Bad> {
+    let mut values = headers.get_all(name).iter();
+    match (values.next(), values.next()) {
+        (Some(value), None) if !value.as_bytes().trim_ascii().is_empty() => Ok(value.as_bytes().trim_ascii()),
+        _ => Err(Bad::Header(name.as_str().to_owned().into())),
+    }
+}
+
+fn append(headers: &mut HeaderMap, name: HeaderName, value: Option<HeaderValue>) {
+    if let Some(value) = value {
+        headers.append(name, value);
+    }
+}
--- /dev/null
+++ b/crates/node/src/standalone/site.rs
@@ -0,0 +1,330 @@
+//! What runs: a loop for each pool, a front for each listener, and how a new file changes them.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::collections::hash_map::RandomState;
+use std::hash::{BuildHasher, Hasher};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use pumicehead_lang::Span;
+use pumicehead_lang::diff::{Change, What, diff};
+use pumicehead_lang::model::{Config, Limits, Members, Pool};
+use pumicehead_policy::interface::{Nanos, Settings};
+use thiserror::Error;
+use tokio::net::TcpListener;
+use tokio::sync::oneshot;
+use tokio::task::{self, JoinHandle};
+
+use super::admission::{Gateway, Live};
+use crate::net::ask::{Handle, Held};
+use crate::net::core::{Core, Setup, Source};
+use crate::net::discovery::{Health, Host, List};
+use crate::net::front::budget::Budget;
+use crate::net::front::{self, Ending, Front, Options};
+use crate::net::http::answer::{Reader, Room};
+use crate::net::http::upstream::{Connections, Upstream};
+use crate::net::verdict::Reading;
+use crate::places::Places;
+
+/// Long answers may take this part of the memory: the rest of it is for connections and requests.
+const LONG_SHARE: u64 = 4;
+
+/// What keeps a configuration from being used.
+#[derive(Debug, Error)]
+pub enum SiteError {
+    /// An address.
+    #[error("listen on {address}: {source}")]
+    Listen {
+        /// Which.
+        address: SocketAddr,
+        /// Why not.
+        source: std::io::Error,
+    },
+    /// Settings that the decision module can't use.
+    #[error("pool {pool}: {source}")]
+    Settings {
+        /// Which.
+        pool: String,
+        /// Why not.
+        source: pumicehead_policy::interface::SettingsError,
+    },
+}
+
+/// What a pool's knowledge rests on: while this stays the same, so does its loop.
+#[derive(Clone, PartialEq)]
+struct Footing {
+    settings: Settings,
+    zones: Vec<String>,
+    fixed: bool,
+    connect_timeout: Nanos,
+    idle: Nanos,
+    answer_body: u64,
+}
+
+struct RunningPool {
+    footing: Footing,
+    handle: Handle,
+}
+
+struct RunningFront {
+    /// As the file has it.
+    address: SocketAddr,
+    front: Rc<Front>,
+    stop: oneshot::Sender<Ending>,
+    done: JoinHandle<()>,
+}
+
+struct Running {
+    config: Config,
+    pools: HashMap<String, RunningPool>,
+    fronts: Vec<RunningFront>,
+}
+
+/// A running node.
+pub struct Site {
+    gateway: Rc<Gateway>,
+    held: Held,
+    budget: Rc<Budget>,
+    connections: Rc<Connections>,
+    room: std::sync::Arc<Room>,
+    seed: u64,
+    running: RefCell<Running>,
+}
+
+impl Site {
+    /// Starts all that a configuration names.
+    ///
+    /// # Errors
+    /// An address that can't be listened on, or settings that can't be used.
+    pub fn start(config: Config) -> Result<Rc<Self>, SiteError> {
+        let listeners = bind(&config, &[])?;
+        let limits = &config.limits;
+        let places = Places::of(limits.descriptors, config.listeners.len());
+        let connections = Connections::new(places.servers);
+        // Hash tables are seeded from the system's source of randomness.
+        let seed = RandomState::new().build_hasher().finish();
+        let held = Held::default();
+        let room = Room::new((limits.memory / LONG_SHARE) as usize);
+        let mut pools = HashMap::new();
+        let mut cores = Vec::new();
+        for place in 0..config.pools.len() {
+            let footing = footing(&config, place)?;
+            let handle = start_pool(&config, place, &footing, &connections, &room, seed, &held);
+            cores.push(handle.clone());
+            pools.insert(config.pools[place].name.clone(), RunningPool { footing, handle });
+        }
+        let gateway = Gateway::new(Live::new(&config, &cores), seed);
+        let budget = Budget::new(places.clients, limits.descriptors);
+        let site = Rc::new(Self {
+            gateway,
+            held,
+            budget,
+            connections,
+            room,
+            seed,
+            running: RefCell::new(Running { config: config.clone(), pools, fronts: Vec::new() }),
+        });
+        site.start_fronts(&config, listeners);
+        Ok(site)
+    }
+
+    /// Goes over to another configuration, or changes nothing. Pools whose settings are the same keep what they have
+    /// learned, and take servers that changed as a list that changed; others begin anew, and their old loops serve
+    /// what they have. Listeners that are gone end in order.
+    ///
+    /// # Errors
+    /// An address that can't be listened on, or settings that can't be used.
+    pub fn reload(self: &Rc<Self>, config: Config) -> Result<Vec<Change>, SiteError> {
+        let mut running = self.running.borrow_mut();
+        let mut changes = diff(&running.config, &config);
+        // What is gone stood in texts that are gone as well.
+        let gone = changes.iter_mut().filter(|change| change.what == What::Removed);
+        gone.for_each(|change| change.place = Span::default());
+        // All that can fail comes first.
+        let footings =
+            (0..config.pools.len()).map(|place| footing(&config, place)).collect::<Result<Vec<_>, _>>()?;
+        let bound: Vec<_> = running.fronts.iter().map(|front| front.address).collect();
+        let listeners = bind(&config, &bound)?;
+        let (old, new) = (&running.config.limits, &config.limits);
+        if (old.memory, old.descriptors) != (new.memory, new.descriptors) {
+            eprintln!("reload: `memory` and `descriptors` wait for the next start");
+        }
+        let mut pools = HashMap::new();
+        let mut cores = Vec::new();
+        for (place, footing) in footings.into_iter().enumerate() {
+            let pool = &config.pools[place];
+            let kept = running.pools.remove(&pool.name);
+            let (kept, replaced) = match kept {
+                Some(kept) if kept.footing == footing => (Some(kept), None),
+                other => (None, other),
+            };
+            let handle = match kept {
+                Some(kept) => {
+                    match &pool.members {
+                        Members::Static(_) => kept.handle.set_servers(servers(&config, pool)),
+                        Members::Discovery { address, .. } => kept.handle.move_discovery(*address),
+                    }
+                    kept.handle
+                }
+                None => {
+                    let (connections, room) = (&self.connections, &self.room);
+                    start_pool(&config, place, &footing, connections, room, self.seed, &self.held)
+                }
+            };
+            if let Some(replaced) = replaced {
+                // Its servers are still there: what it holds may go to them.
+                replaced.handle.retire(false);
+            }
+            cores.push(handle.clone());
+            pools.insert(pool.name.clone(), RunningPool { footing, handle });
+        }
+        for (_, gone) in running.pools.drain() {
+            gone.handle.retire(true);
+        }
+        self.gateway.set_live(Live::new(&config, &cores));
+        running.pools = pools;
+        let stays = |front: &RunningFront| config.listeners.iter().any(|l| l.address == front.address);
+        let (kept, gone): (Vec<_>, Vec<_>) = running.fronts.drain(..).partition(stays);
+        running.fronts = kept;
+        for front in gone {
+            // It goes on by itself until its last answer.
+            let _ = front.stop.send(Ending::Listener);
+        }
+        running.config = config.clone();
+        drop(running);
+        self.start_fronts(&config, listeners);
+        let options = options(&config);
+        self.running.borrow().fronts.iter().for_each(|front| front.front.set_options(options));
+        Ok(changes)
+    }
+
+    fn start_fronts(self: &Rc<Self>, config: &Config, listeners: Vec<(SocketAddr, TcpListener)>) {
+        for (address, listener) in listeners {
+            if let Ok(bound) = listener.local_addr() {
+                eprintln!("{} listens on {bound}", config.node.name);
+            }
+            // The fronts belong to the site: it may not be kept by them.
+            let site = Rc::downgrade(self);
+            let give_up = move || {
+                if let Some(site) = site.upgrade() {
+                    site.running.borrow().pools.values().for_each(|pool| pool.handle.give_up());
+                }
+            };
+            let (gateway, held) = (self.gateway.clone(), self.held.clone());
+            let front = Front::new(gateway, held, options(config), self.budget.clone(), give_up);
+            let (stop, stopped) = oneshot::channel();
+            let stopped = async move { stopped.await.unwrap_or(Ending::Process) };
+            let done = task::spawn_local(front.clone().run(listener, stopped));
+            self.running.borrow_mut().fronts.push(RunningFront { address, front, stop, done });
+        }
+    }
+
+    /// Answers what was taken, and returns when all of it is.
+    pub async fn end(&self) {
+        let fronts = std::mem::take(&mut self.running.borrow_mut().fronts);
+        let mut ending = Vec::new();
+        for front in fronts {
+            let _ = front.stop.send(Ending::Process);
+            ending.push(front.done);
+        }
+        for done in ending {
+            let _ = done.await;
+        }
+    }
+}
+
+/// Binds the listeners whose addresses are not bound yet.
+fn bind(config: &Config, bound: &[SocketAddr]) -> Result<Vec<(SocketAddr, TcpListener)>, SiteError> {
+    let new = config.listeners.iter().map(|listener| listener.address);
+    let new = new.filter(|address| !bound.contains(address));
+    new.map(|address| match front::listen(address) {
+        Ok(listener) => Ok((address, listener)),
+        Err(source) => Err(SiteError::Listen { address, source }),
+    })
+    .collect()
+}
+
+fn options(config: &Config) -> Options {
+    let Limits { request_time, idle, request_body, held, .. } = config.limits;
+    let longest = config.classes.iter().map(|class| class.deadline).max().unwrap_or_default();
+    Options {
+        patience: Duration::from_nanos(request_time),
+        keep: Duration::from_nanos(idle),
+        longest_body: request_body as usize,
+        most_held: held,
+        // A request may come in as slowly as it may, and then wait for its deadline.
+        last_deadline: Duration::from_nanos(longest.saturating_add(request_time)),
+        healthz: false,
+    }
+}
+
+fn footing(config: &Config, place: usize) -> Result<Footing, SiteError> {
+    let pool = &config.pools[place];
+    let settings = config.settings(place);
+    // A pool that no route leads to has no classes, and needs no decisions.
+    if !settings.classes.is_empty() {
+        settings.check().map_err(|source| SiteError::Settings { pool: pool.name.clone(), source })?;
+    }
+    Ok(Footing {
+        settings,
+        zones: config.node.zones.clone(),
+        fixed: matches!(pool.members, Members::Static(_)),
+        connect_timeout: pool.connect_timeout,
+        idle: pool.idle,
+        answer_body: config.limits.answer_body,
+    })
+}
+
+fn start_pool(
+    config: &Config,
+    place: usize,
+    footing: &Footing,
+    connections: &Rc<Connections>,
+    room: &std::sync::Arc<Room>,
+    seed: u64,
+    held: &Held,
+) -> Handle {
+    let pool = &config.pools[place];
+    let reader = Reader {
+        reading: Reading::Gateway,
+        longest: footing.answer_body,
+        longest_unstated: footing.answer_body,
+        room: room.clone(),
+    };
+    let span = Duration::from_nanos;
+    let setup = Setup {
+        settings: footing.settings.clone(),
+        seed: seed.wrapping_add(place as u64),
+        zones: footing.zones.clone(),
+        source: match &pool.members {
+            Members::Static(_) => Source::Fixed(servers(config, pool)),
+            Members::Discovery { address, .. } => Source::Watch { discovery: *address, known: None },
+        },
+        transport: Upstream::new(
+            connections.clone(),
+            span(footing.connect_timeout),
+            span(footing.idle),
+            reader,
+        ),
+    };
+    let (core, handle) = Core::new(setup, held.clone());
+    task::spawn_local(core.run());
+    handle
+}
+
+/// A pool's servers as a list; none where discovery lists them.
+fn servers(config: &Config, pool: &Pool) -> List {
+    let Members::Static(servers) = &pool.members else { return List::default() };
+    let hosts = servers.iter().map(|server| Host {
+        host: server.name.clone(),
+        dial: server.address,
+        site: config.node.zones[server.zone].clone(),
+        block: server.cell,
+        health: Health::Active,
+        share: server.weight as f32,
+        born_ms: 0,
+    });
+    List { seq: 0, whole: true, hosts: hosts.collect() }
+}
