Tests of the command line: what each command prints, and its exit codes

Need: check, fmt, diff, explain and run are used by scripts and editors, which go by codes and JSON. Change: five tests on the built program.

--- /dev/null
+++ b/crates/node/tests/cli.rs
@@ -0,0 +1,120 @@
+//! The command line: what each command prints, and its exit codes.
+
+use std::fs;
+use std::path::PathBuf;
+use std::process::Command;
+
+use pumicehead_rig::program::{built, temporary};
+
+const SOUND: &str = "listener public {\n    address 127.0.0.1:8080\n}\npool boards {\n    server a {\n        address 127.0.0.1:9001\n    }\n}\n\
+    class read {\n    aim 600ms\n    deadline 2s\n    repeats safe\n}\nroute read {\n    path /boards/**\n    class read\n    pool boards\n}\n";
+
+/// A file that goes with this.
+struct File(PathBuf);
+
+impl File {
+    fn with(text: &str) -> Self {
+        let path = temporary(".conf");
+        fs::write(&path, text).unwrap();
+        Self(path)
+    }
+
+    fn name(&self) -> &str {
+        self.0.to_str().unwrap()
+    }
+}
+
+impl Drop for File {
+    fn drop(&mut self) {
+        let _ = fs::remove_file(&self.0);
+    }
+}
+
+/// Exit code, standard output and standard error.
+fn run(arguments: &[&str]) -> (i32, String, String) {
+    let mut command = Command::new(built("pumicehead").unwrap());
+    let done = command.args(arguments).env_remove("EDGE_CONFIG").output().unwrap();
+    let text = |bytes| String::from_utf8(bytes).unwrap();
+    (done.status.code().unwrap(), text(done.stdout), text(done.stderr))
+}
+
+#[test]
+fn check_tells_mistakes_and_warnings_apart() {
+    let sound = File::with(SOUND);
+    assert_eq!(run(&["check", sound.name()]), (0, format!("{}: ok\n", sound.name()), String::new()));
+    let broken = File::with(&SOUND.replace("600ms", "600"));
+    let (code, out, err) = run(&["check", sound.name(), broken.name()]);
+    assert_eq!(code, 1);
+    assert!(out.contains(&format!("{}: 1 mistakes", broken.name())), "{out}");
+    for part in
+        ["error[unit-missing]: the time `600` has no unit", ":10:9", "    aim 600", "write `600ms` or `600s`"]
+    {
+        assert!(err.contains(part), "{part} in {err}");
+    }
+    let warned = File::with(&format!("{SOUND}const spare 1s\n"));
+    assert_eq!(run(&["check", warned.name()]).0, 0);
+    assert_eq!(run(&["check", "--deny-warnings", warned.name()]).0, 1);
+    assert_eq!(run(&["check", "/nowhere/at/all.conf"]).0, 1);
+}
+
+#[test]
+fn messages_for_editors_are_one_object_a_line() {
+    let broken = File::with(&SOUND.replace("600ms", "600").replace("pool boards\n}", "pool bords\n}"));
+    let (code, out, err) = run(&["check", "--format", "json", broken.name()]);
+    assert_eq!((code, err.as_str()), (1, ""));
+    let lines: Vec<serde_json::Value> = out.lines().map(|line| serde_json::from_str(line).unwrap()).collect();
+    assert_eq!(lines.len(), 2);
+    assert_eq!(
+        (&lines[0]["code"], &lines[0]["line"], &lines[0]["column"]),
+        (&"unit-missing".into(), &10.into(), &9.into())
+    );
+    assert_eq!(
+        (&lines[1]["help"], &lines[1]["severity"]),
+        (&"did you mean `boards`?".into(), &"error".into())
+    );
+    assert_eq!(lines[1]["file"], broken.name());
+}
+
+#[test]
+fn fmt_writes_one_layout_and_leaves_what_it_cant_read() {
+    let odd = SOUND.replace("    ", "\t").replace(" {", "   {  # note");
+    let file = File::with(&odd);
+    let (code, out, _) = run(&["fmt", "--check", file.name()]);
+    assert_eq!((code, out), (3, format!("{}\n", file.name())));
+    assert_eq!(fs::read_to_string(&file.0).unwrap(), odd);
+    assert_eq!(run(&["fmt", file.name()]).0, 0);
+    assert_eq!(fs::read_to_string(&file.0).unwrap(), SOUND.replace(" {", " {  # note"));
+    assert_eq!(run(&["fmt", "--check", file.name()]).0, 0);
+    let broken = File::with("pool boards {\n");
+    assert_eq!(run(&["fmt", broken.name()]).0, 1);
+    assert_eq!(fs::read_to_string(&broken.0).unwrap(), "pool boards {\n");
+    assert_eq!(run(&["fmt", "/nowhere/at/all.conf"]).0, 2);
+}
+
+#[test]
+fn diff_and_explain_say_what_they_find() {
+    let (old, new) = (File::with(SOUND), File::with(&SOUND.replace("aim 600ms", "aim 0.7s  # slower")));
+    assert_eq!(run(&["diff", old.name(), old.name()]), (0, String::new(), String::new()));
+    let expected = format!("class read: aim 600ms -> 700ms ({}:10); affects route read\n", new.name());
+    assert_eq!(run(&["diff", old.name(), new.name()]), (3, expected, String::new()));
+    let (code, out, _) = run(&["explain", old.name(), "GET", "http://a.org/boards/any"]);
+    assert_eq!(code, 0);
+    assert!(out.starts_with(&format!("route read ({}:14): the first that fits", old.name())), "{out}");
+    assert_eq!(run(&["explain", old.name(), "GET", "/a/../b"]).0, 2);
+    let broken = File::with("{");
+    assert_eq!(run(&["diff", old.name(), broken.name()]).0, 1);
+    assert_eq!(run(&["explain", broken.name(), "GET", "/"]).0, 1);
+}
+
+#[test]
+fn run_does_not_start_on_a_mistake_or_a_taken_address() {
+    let broken = File::with(&SOUND.replace("2s", "2"));
+    let (code, _, err) = run(&["run", broken.name()]);
+    assert!(code == 1 && err.contains("has no unit"), "{err}");
+    let taken = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = taken.local_addr().unwrap().to_string();
+    let file = File::with(&SOUND.replace("127.0.0.1:8080", &address));
+    let (code, _, err) = run(&["run", file.name()]);
+    assert!(code == 2 && err.contains(&format!("listen on {address}")), "{err}");
+    assert_eq!(run(&[]).0, 2);
+}
--- a/crates/policy/tests/mechanism.rs
+++ b/crates/policy/tests/mechanism.rs
@@ -502,7 +502,7 @@
     for change in [
         |new: &mut Settings| new.classes[0].effect = Effect::Unsafe,
         |new: &mut Settings| new.classes[0].keep_order ^= true,
-        |new: &mut Settings| drop(new.classes.pop()),
+        |new: &mut Settings| new.classes.truncate(1),
         |new: &mut Settings| new.zones += 1,
         |new: &mut Settings| new.cancel ^= true,
         |new: &mut Settings| new.nodes += 1,
