FastCGI 1.0 and CGI/1.1 as state machines over bytes

Need: FastCGI servers behind a node and FastCGI front ends before it pass through the same core. Change: the package pumicehead-fastcgi, free of I/O: records, name-value pairs across their borders, the web server's side, the application's side with several requests on one connection and answers that take turns, variables of a request and back, heads of answers. Every sum over records has a bound with an error of its own.

--- /dev/null
+++ b/crates/fastcgi/tests/properties.rs
@@ -0,0 +1,195 @@
+//! What holds for all bytes: any split gives the same events, nothing panics, and memory keeps its bounds.
+
+use bytes::{Bytes, BytesMut};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use pumicehead_fastcgi::cgi::{Around, HeadReader, request, variables};
+use pumicehead_fastcgi::client::{self, Client};
+use pumicehead_fastcgi::pairs::{self, Pairs};
+use pumicehead_fastcgi::record::{Begin, Decoder, Kind, Record, Role, put};
+use pumicehead_fastcgi::server::{Bounds, Event, Server, ServerError};
+
+const BOUNDS: Bounds = Bounds {
+    connections: 10,
+    requests: 4,
+    params: 2_048,
+    pairs: 64,
+    body: 1_024,
+    coming: 4_096,
+    waiting: 8_192,
+};
+
+fn records() -> impl Strategy<Value = Vec<(u8, u16, Vec<u8>)>> {
+    let kind = prop_oneof![8 => 1u8..12, 1 => any::<u8>()];
+    let content = prop_oneof![
+        2 => Just(vec![]),
+        2 => Just(vec![0, 1, 1, 0, 0, 0, 0, 0]),
+        1 => Just(b"\x04\x03NAMEval".to_vec()),
+        2 => prop::collection::vec(any::<u8>(), 0..60),
+    ];
+    prop::collection::vec((kind, 0u16..4, content), 0..40)
+}
+
+fn wire(records: &[(u8, u16, Vec<u8>)]) -> Vec<u8> {
+    let mut out = BytesMut::new();
+    records.iter().for_each(|(kind, id, content)| put(&mut out, Kind::of(*kind), *id, content));
+    out.to_vec()
+}
+
+/// Splits bytes at drawn places.
+fn split<'a>(bytes: &'a [u8], cuts: &[prop::sample::Index]) -> Vec<&'a [u8]> {
+    let mut places: Vec<_> = cuts.iter().map(|cut| cut.index(bytes.len() + 1)).collect();
+    places.push(bytes.len());
+    places.sort_unstable();
+    let mut start = 0;
+    places.into_iter().map(|end| &bytes[std::mem::replace(&mut start, end)..end]).collect()
+}
+
+fn serve(parts: &[&[u8]]) -> (Vec<Event>, Option<ServerError>, Vec<u8>) {
+    let mut server = Server::new(BOUNDS);
+    let mut events = Vec::new();
+    let error = parts.iter().find_map(|part| server.receive(part, &mut events).err());
+    let most = BOUNDS.requests * (BOUNDS.params + BOUNDS.body) + BOUNDS.params + 65_536;
+    assert!(server.held() <= most, "{}", server.held());
+    let mut out = BytesMut::new();
+    server.output(&mut out, usize::MAX);
+    (events, error, out.to_vec())
+}
+
+fn ask(parts: &[&[u8]]) -> (Vec<client::Event>, bool) {
+    let mut client = Client::default();
+    let mut out = BytesMut::new();
+    for _ in 0..3 {
+        client.begin(&mut out, true).unwrap();
+    }
+    let mut events = Vec::new();
+    let failed = parts.iter().any(|part| client.receive(part, &mut events).is_err());
+    (events, failed)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 1_500, rng_seed: RngSeed::Fixed(5), failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn any_split_gives_the_same_events(
+        records in records(),
+        cuts in prop::collection::vec(any::<prop::sample::Index>(), 0..20),
+    ) {
+        let bytes = wire(&records);
+        let parts = split(&bytes, &cuts);
+        prop_assert_eq!(serve(&parts), serve(&[&bytes]));
+        prop_assert_eq!(ask(&parts), ask(&[&bytes]));
+        let single: Vec<_> = bytes.chunks(1).collect();
+        prop_assert_eq!(serve(&single), serve(&[&bytes]));
+        prop_assert_eq!(ask(&single), ask(&[&bytes]));
+    }
+
+    #[test]
+    fn arbitrary_bytes_neither_panic_nor_pass_the_bounds(mut bytes in prop::collection::vec(any::<u8>(), 0..3_000), version in any::<bool>()) {
+        if version && !bytes.is_empty() {
+            bytes[0] = 1;
+        }
+        serve(&[&bytes]);
+        ask(&[&bytes]);
+        let mut reader = HeadReader::default();
+        let _ = reader.feed(&bytes);
+        let mut list = Pairs::new(500, 20);
+        if list.feed(&bytes).is_ok() && let Ok(list) = list.finish() {
+            let _ = request(&list);
+        }
+    }
+
+    #[test]
+    fn records_come_back_as_they_were_written(records in records()) {
+        let bytes = wire(&records);
+        let mut decoder = Decoder::default();
+        let mut input = &bytes[..];
+        for (kind, id, content) in records {
+            let expected = Record { kind: Kind::of(kind), id, content: Bytes::from(content) };
+            prop_assert_eq!(decoder.next(&mut input).unwrap(), Some(expected));
+            prop_assert_eq!(Kind::of(kind).code(), kind);
+        }
+        prop_assert!(input.is_empty() && decoder.is_between());
+    }
+
+    #[test]
+    fn a_request_comes_through_both_machines(
+        list in prop::collection::vec((prop::collection::vec(any::<u8>(), 0..150), prop::collection::vec(any::<u8>(), 0..150)), 0..6),
+        body in prop::collection::vec(any::<u8>(), 0..1_000),
+        size in 1usize..64,
+    ) {
+        let mut client = Client::default();
+        let mut out = BytesMut::new();
+        let id = client.begin(&mut out, true).unwrap();
+        client.params(&mut out, id, list.iter().map(|(name, value)| (&name[..], &value[..])));
+        client.stdin(&mut out, id, &body);
+        client.stdin_end(&mut out, id);
+        let mut server = Server::new(BOUNDS);
+        let mut events = Vec::new();
+        out.chunks(size).for_each(|part| server.receive(part, &mut events).unwrap());
+        let params: Vec<_> = list.iter().map(|(name, value)| (Bytes::from(name.clone()), Bytes::from(value.clone()))).collect();
+        let whole = Event::Request { id: 1, params, body: Bytes::from(body.clone()) };
+        prop_assert_eq!(events, vec![Event::Began(1), whole]);
+        server.end(1, [Bytes::from(body.clone())], 0);
+        let mut back = BytesMut::new();
+        server.output(&mut back, usize::MAX);
+        let mut events = Vec::new();
+        back.chunks(size).for_each(|part| client.receive(part, &mut events).unwrap());
+        let text: Vec<u8> = events.iter().flat_map(|event| match event {
+            client::Event::Stdout(_, part) => part.to_vec(),
+            _ => Vec::new(),
+        }).collect();
+        prop_assert_eq!(text, body);
+        prop_assert_eq!(client.open(), 0);
+    }
+
+    /// Pairs are the same however the stream is divided into records.
+    #[test]
+    fn pairs_cross_the_borders_of_records(
+        list in prop::collection::vec((prop::collection::vec(any::<u8>(), 0..200), prop::collection::vec(any::<u8>(), 0..200)), 0..8),
+        size in 1usize..50,
+    ) {
+        let mut out = BytesMut::new();
+        list.iter().for_each(|(name, value)| pairs::put(&mut out, name, value));
+        let mut reader = Pairs::new(10_000, 100);
+        out.chunks(size).for_each(|part| reader.feed(part).unwrap());
+        let read: Vec<_> = reader.finish().unwrap().into_iter().map(|(n, v)| (n.to_vec(), v.to_vec())).collect();
+        prop_assert_eq!(read, list);
+    }
+
+    /// What a gateway puts into variables, a front end's reader makes the same request of.
+    #[test]
+    fn variables_and_back_is_the_same_request(
+        path in "(/[a-z0-9.~!$&'()*+,;=:@_-]{0,6}(%[2-7][1-9A-E])?){1,4}",
+        query in prop::option::of("[a-z0-9=&%]{0,10}"),
+        value in "[ -~]{1,20}",
+        root in prop::sample::select(vec!["", "/srv"]),
+    ) {
+        prop_assume!(!path.to_uppercase().contains("%2F"));
+        let target = query.map_or(path.clone(), |query| format!("{path}?{query}"));
+        let Ok(uri) = target.parse::<http::Uri>() else { return Ok(()) };
+        let method = http::Method::POST;
+        let mut headers = http::HeaderMap::new();
+        for (name, text) in [("host", "a.org:81"), ("x-own", value.trim()), ("content-type", "text/plain"), ("proxy", "evil"), ("x_y", "spoof")] {
+            headers.insert(name, text.parse().unwrap());
+        }
+        let peer = "10.0.0.7".parse().ok();
+        let list = variables(&method, &uri, &headers, Around { peer, script: "", root, length: 3 }).unwrap();
+        prop_assert!(list.iter().all(|(name, _)| name != "HTTP_PROXY" && name != "HTTP_X_Y"));
+        let list: Vec<_> = list.into_iter().map(|(n, v)| (Bytes::from(n.into_owned()), Bytes::from(v.into_owned()))).collect();
+        let back = request(&list).unwrap();
+        headers.remove("proxy");
+        headers.remove("x_y");
+        prop_assert_eq!((back.method, back.uri, back.peer, back.length), (method, uri, peer, Some(3)));
+        prop_assert_eq!(back.headers.len(), headers.len());
+        prop_assert!(headers.iter().all(|(name, value)| back.headers.get(name) == Some(value)));
+    }
+}
+
+#[test]
+fn a_beginning_reads_as_it_is_written() {
+    for role in [Role::Responder, Role::Authorizer, Role::Filter, Role::Other(9)] {
+        let begin = Begin { role, keep: true };
+        assert_eq!(Begin::read(&begin.content()), Some(begin));
+    }
+}
