--- a/crates/lang/src/check/blocks.rs
+++ b/crates/lang/src/check/blocks.rs
@@ -7,11 +7,12 @@
 use pumicehead_policy::interface::{Discovery, Group, Nanos};
 use pumicehead_route::{HeaderRule, HostPattern, Methods, Route as Pattern};
 
-use super::reader::{Reader, address, header, small, within};
+use super::reader::{Reader, address, header, server_address, small, within};
 use super::{Check, reference, twice};
 use crate::diag::Diagnostic;
 use crate::model::{
-    Class, KeyOf, Limits, Listener, Members, Node, Places, Pool, Repeats, Route, Server, Tenant, TenantOf,
+    Address, Class, KeyOf, Limits, Listener, Members, Node, Places, Pool, Protocol, Repeats, Route, Server,
+    Tenant, TenantOf,
 };
 use crate::span::Span;
 use crate::syntax::Word;
@@ -151,14 +152,48 @@
     pub(super) fn listener(&mut self, block: &Reader<'_>) -> Option<Listener> {
         // Port 0 is any that is free, which the log names.
         let read = |text: &str| text.parse::<SocketAddr>().or_else(|_| address(text));
-        let address = self.required(block, "address", read)?;
-        Some(Listener { name: block.name.clone(), address, at: block.at.clone() })
+        let address = self.required(block, "address", read);
+        let protocol = self.protocol(block)?;
+        Some(Listener { name: block.name.clone(), address: address?, protocol, at: block.at.clone() })
+    }
+
+    fn protocol(&mut self, block: &Reader<'_>) -> Option<Protocol> {
+        let known = [Protocol::Http, Protocol::FastCgi].map(|protocol| (protocol.name(), protocol));
+        match self.value(block, "protocol") {
+            Ok(Some(word)) => self.choice(&word, "is no protocol", &known),
+            Ok(None) => Some(Protocol::Http),
+            Err(()) => None,
+        }
+    }
+
+    /// A path that is a FastCGI pool's own; empty where it is not written.
+    fn fastcgi_path(&mut self, block: &Reader<'_>, name: &str, protocol: Option<Protocol>) -> Option<String> {
+        let path = self.parsed(block, name, String::new(), |text| {
+            let sound =
+                text.starts_with('/') && !text.ends_with('/') && !text.split('/').any(|part| part == "..");
+            let help = "write `/app`, without a slash at its end and without `..`";
+            let fault = || Fault {
+                code: "bad-path",
+                message: format!("`{text}` is no path for `{name}`"),
+                help: Some(help.into()),
+            };
+            if sound { Ok(text.to_owned()) } else { Err(fault()) }
+        });
+        if let (Some(&span), Some(Protocol::Http)) = (block.at.values.get(name), protocol) {
+            let message = format!("`{name}` is for pools with `protocol fastcgi`");
+            self.say(Diagnostic::error("wrong-protocol", span, message));
+            return None;
+        }
+        path
     }
 
     // ---- Pools ----------------------------------------------------------------------------------
 
     pub(super) fn pool(&mut self, block: &Reader<'_>, node: &Node) -> Option<Pool> {
-        let members = self.members(block, node);
+        let protocol = self.protocol(block);
+        let script = self.fastcgi_path(block, "script", protocol);
+        let root = self.fastcgi_path(block, "root", protocol);
+        let members = self.members(block, node, protocol);
         let warm = match self.phrase(block, "warm-up", "SPAN from SHARE") {
             Ok(Some(words)) => {
                 let span = self.read(&words[0], within(units::time, "0s", "1h"));
@@ -193,6 +228,9 @@
         Some(Pool {
             name: block.name.clone(),
             members: members?,
+            protocol: protocol?,
+            script: script?,
+            root: root?,
             warm_up,
             cold_from,
             tips_at,
@@ -206,7 +244,7 @@
         })
     }
 
-    fn members(&mut self, block: &Reader<'_>, node: &Node) -> Option<Members> {
+    fn members(&mut self, block: &Reader<'_>, node: &Node, protocol: Option<Protocol>) -> Option<Members> {
         let servers = block.blocks("server");
         if block.has("discovery") {
             if let Some(server) = servers.first() {
@@ -229,7 +267,7 @@
             return None;
         }
         let mut names: HashMap<&str, Span> = HashMap::new();
-        let mut addresses: HashMap<SocketAddr, Span> = HashMap::new();
+        let mut addresses: HashMap<Address, Span> = HashMap::new();
         let mut list = Vec::new();
         let mut sound = true;
         for statement in servers {
@@ -259,14 +297,19 @@
                 self.say(Diagnostic::error("same-address", at, message).note(first, "the other is here"));
                 sound = false;
             }
-            addresses.insert(server.address, at);
+            addresses.insert(server.address.clone(), at);
+            if let (Address::Unix(_), Some(Protocol::Http)) = (&server.address, protocol) {
+                let message = "a socket of this machine is for pools with `protocol fastcgi`";
+                self.say(Diagnostic::error("wrong-protocol", at, message));
+                sound = false;
+            }
             list.push(server);
         }
         sound.then_some(Members::Static(list))
     }
 
     fn server(&mut self, block: &Reader<'_>, node: &Node) -> Option<Server> {
-        let address = self.required(block, "address", address);
+        let address = self.required(block, "address", server_address);
         let zone = match self.value(block, "zone") {
             Ok(Some(word)) => self.zone(node, &word),
             // Without a word it is near: nothing is known to speak against it.
--- a/crates/lang/src/check/meaning.rs
+++ b/crates/lang/src/check/meaning.rs
@@ -8,7 +8,9 @@
 use super::Check;
 use super::blocks::SAFE;
 use crate::diag::Diagnostic;
-use crate::model::{Class, KeyOf, Limits, Listener, Members, Pool, Repeats, Route, Tenant, TenantOf};
+use crate::model::{
+    Address, Class, KeyOf, Limits, Listener, Members, Pool, Repeats, Route, Tenant, TenantOf,
+};
 use crate::span::Span;
 use crate::units::{show_size, show_time};
 
@@ -86,7 +88,8 @@
         for pool in pools.iter().flatten() {
             let Members::Static(servers) = &pool.members else { continue };
             for server in servers {
-                let own = listeners.iter().find(|listener| overlap(listener.address, server.address));
+                let Address::Tcp(address) = server.address else { continue };
+                let own = listeners.iter().find(|listener| overlap(listener.address, address));
                 if let Some(listener) = own {
                     let message = format!("the server `{}` is this node's own listener", server.name);
                     let diagnostic = Diagnostic::error("own-address", server.at.values["address"], message);
@@ -97,12 +100,12 @@
     }
 
     fn look_at_pools(&mut self, pools: &[Option<Pool>]) {
-        let mut seen: HashMap<SocketAddr, (&str, Span)> = HashMap::new();
+        let mut seen: HashMap<&Address, (&str, Span)> = HashMap::new();
         for pool in pools.iter().flatten() {
             let Members::Static(servers) = &pool.members else { continue };
             for server in servers {
                 let at = server.at.values["address"];
-                let Some((other, first)) = seen.insert(server.address, (&pool.name, at)) else { continue };
+                let Some((other, first)) = seen.insert(&server.address, (&pool.name, at)) else { continue };
                 let message = format!(
                     "{} is in the pools `{other}` and `{}`, which don't know of each other",
                     server.address, pool.name
--- a/crates/lang/src/check/reader.rs
+++ b/crates/lang/src/check/reader.rs
@@ -5,11 +5,14 @@
 
 use super::{Check, bad_name, is_name};
 use crate::diag::Diagnostic;
-use crate::model::Places;
+use crate::model::{Address, Places};
 use crate::span::Span;
 use crate::syntax::{Statement, Word};
 use crate::units::{self, Fault};
 
+/// Longest path of a socket: what Linux takes, less the byte that ends it.
+const LONGEST_SOCKET_PATH: usize = 107;
+
 /// A setting that a kind of block has.
 pub(super) struct Setting {
     pub name: &'static str,
@@ -56,12 +59,15 @@
 fn settings_of(kind: &str) -> &'static [Setting] {
     match kind {
         "node" => const { &[one("name"), one("zones"), one("zone"), one("nodes"), one("number")] },
-        "listener" => const { &[one("address")] },
+        "listener" => const { &[one("address"), one("protocol")] },
         "pool" => {
             const {
                 &[
                     blocks("server"),
                     one("discovery"),
+                    one("protocol"),
+                    one("script"),
+                    one("root"),
                     one("warm-up"),
                     one("tips-over"),
                     one("connect-timeout"),
@@ -326,6 +332,19 @@
     Ok(address)
 }
 
+/// An address of a server, which may be a socket of this machine: `unix:/run/board.sock`.
+pub(super) fn server_address(text: &str) -> Result<Address, Fault> {
+    let Some(path) = text.strip_prefix("unix:") else { return address(text).map(Address::Tcp) };
+    let message = match path {
+        path if !path.starts_with('/') => format!("the path in `{text}` does not begin with `/`"),
+        path if path.len() > LONGEST_SOCKET_PATH => {
+            format!("`{text}` is too long: a socket's path has at most {LONGEST_SOCKET_PATH} bytes")
+        }
+        path => return Ok(Address::Unix(path.into())),
+    };
+    Err(Fault { code: "bad-address", message, help: None })
+}
+
 /// A header's name, in lower case.
 pub(super) fn header(text: &str) -> Result<String, Fault> {
     http::HeaderName::from_bytes(text.as_bytes()).map(|name| name.as_str().to_owned()).map_err(|_| Fault {
--- a/crates/lang/src/diff.rs
+++ b/crates/lang/src/diff.rs
@@ -85,13 +85,18 @@
         ("number", number.to_string()),
     ];
     add("node", "", at, values);
-    for Listener { name, address, at } in listeners {
-        add("listener", name, at, vec![("address", address.to_string())]);
+    for Listener { name, address, protocol, at } in listeners {
+        let values = vec![("address", address.to_string()), ("protocol", protocol.name().into())];
+        add("listener", name, at, values);
     }
     for pool in pools {
-        let Pool { name, members, warm_up, cold_from, tips_at, tips_within, .. } = pool;
+        let Pool { name, members, protocol, script, root, warm_up, cold_from, tips_at, tips_within, .. } =
+            pool;
         let Pool { connect_timeout, idle, attempts, hedge, crossing, at, .. } = pool;
         let mut values = vec![
+            ("protocol", protocol.name().into()),
+            ("script", script.clone()),
+            ("root", root.clone()),
             ("warm-up", format!("{} from {}", show_time(*warm_up), percent(*cold_from))),
             ("tips-over", format!("{tips_at} within {}", show_time(*tips_within))),
             ("connect-timeout", show_time(*connect_timeout)),
--- a/crates/lang/src/model.rs
+++ b/crates/lang/src/model.rs
@@ -1,7 +1,9 @@
 //! What a configuration means: checked values, each with its place.
 
 use std::collections::BTreeMap;
+use std::fmt;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 
 use pumicehead_policy::interface::{
     Class as PolicyClass, Discovery, Effect, Group, Nanos, Settings, Tenant as PolicyTenant, ZoneId,
@@ -55,6 +57,44 @@
     pub at: Places,
 }
 
+/// What is spoken on a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Protocol {
+    /// HTTP/1.1.
+    Http,
+    /// FastCGI 1.0.
+    FastCgi,
+}
+
+impl Protocol {
+    /// As it is written.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Http => "http",
+            Self::FastCgi => "fastcgi",
+        }
+    }
+}
+
+/// Where a server listens.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum Address {
+    /// Over TCP.
+    Tcp(SocketAddr),
+    /// On a socket of this machine.
+    Unix(PathBuf),
+}
+
+impl fmt::Display for Address {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Tcp(address) => address.fmt(f),
+            Self::Unix(path) => write!(f, "unix:{}", path.display()),
+        }
+    }
+}
+
 /// Where clients connect.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Listener {
@@ -62,6 +102,8 @@
     pub name: String,
     /// Its address.
     pub address: SocketAddr,
+    /// What clients speak.
+    pub protocol: Protocol,
     /// Places.
     pub at: Places,
 }
@@ -73,6 +115,12 @@
     pub name: String,
     /// Which servers.
     pub members: Members,
+    /// What they speak.
+    pub protocol: Protocol,
+    /// The part of paths that names a FastCGI application; without a slash at its end, or empty.
+    pub script: String,
+    /// The folder of a FastCGI application's files; empty where there is none.
+    pub root: String,
     /// A fresh server is warm after this span.
     pub warm_up: Nanos,
     /// Share of its capacity that a fresh server has at least.
@@ -115,7 +163,7 @@
     /// Its name.
     pub name: String,
     /// Its address.
-    pub address: SocketAddr,
+    pub address: Address,
     /// Its zone, among the node's.
     pub zone: usize,
     /// Its weight among others.
--- a/crates/node/src/net/ask.rs
+++ b/crates/node/src/net/ask.rs
@@ -1,7 +1,7 @@
 //! Where requests come from: what a front hands to an event loop, and what it gets back. No protocol here.
 
 use std::cell::{Cell, RefCell};
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::rc::{Rc, Weak};
 use std::time::Duration;
 
@@ -27,6 +27,8 @@
     pub headers: HeaderMap,
     /// Body.
     pub body: Bytes,
+    /// Where the client is, for protocols that tell servers.
+    pub peer: Option<IpAddr>,
 }
 
 /// A client's request with what the module wants to know of it.
--- /dev/null
+++ b/crates/node/src/net/connections.rs
@@ -0,0 +1,72 @@
+//! Connections to servers of all pools and protocols: they share the node's descriptors.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+
+use tokio::time::Instant;
+
+/// Idle connections close at this share of the time after which servers close them: one that closes while a
+/// request is on its way there ends as a reset.
+pub const IDLE_SHARE: f64 = 0.8;
+
+/// One of the descriptors that servers may use.
+pub struct Place(Rc<Cell<usize>>);
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+/// A server's idle connections.
+pub trait Idle {
+    /// Since when the longest idle one is so; `None` where there is none.
+    fn longest(&self) -> Option<Instant>;
+
+    /// Closes that one.
+    fn shed(&self);
+
+    /// Closes what has been idle for too long or has ended; tells whether any are left.
+    fn sweep(&self, now: Instant) -> bool;
+}
+
+/// Connections of all pools.
+pub struct Connections {
+    places: usize,
+    used: Rc<Cell<usize>>,
+    /// Servers with idle connections.
+    servers: RefCell<Vec<Rc<dyn Idle>>>,
+}
+
+impl Connections {
+    /// At most so many.
+    pub fn new(places: usize) -> Rc<Self> {
+        Rc::new(Self { places, used: Rc::default(), servers: RefCell::default() })
+    }
+
+    /// A place for one more. Where there is none, the longest idle one makes way.
+    pub fn place(&self) -> Option<Place> {
+        if self.used.get() >= self.places {
+            let servers = self.servers.borrow();
+            let idle = servers.iter().filter_map(|server| Some((server.longest()?, server)));
+            idle.min_by_key(|(since, _)| *since)?.1.shed();
+        }
+        self.used.set(self.used.get() + 1);
+        Some(Place(self.used.clone()))
+    }
+
+    /// A server has idle connections.
+    pub fn register<T: Idle + 'static>(&self, server: &Rc<T>) {
+        let mut servers = self.servers.borrow_mut();
+        let known = |other: &Rc<dyn Idle>| std::ptr::addr_eq(Rc::as_ptr(other), Rc::as_ptr(server));
+        if !servers.iter().any(known) {
+            servers.push(server.clone());
+        }
+    }
+
+    /// Closes what has been idle for too long or has ended, and forgets servers without idle connections.
+    pub fn sweep(&self) {
+        let now = Instant::now();
+        self.servers.borrow_mut().retain(|server| server.sweep(now));
+    }
+}
--- a/crates/node/src/net/discovery.rs
+++ b/crates/node/src/net/discovery.rs
@@ -8,7 +8,8 @@
 use hyper::client::conn::http1;
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
-use serde::Deserialize;
+use pumicehead_lang::model::Address;
+use serde::{Deserialize, Deserializer};
 use thiserror::Error;
 use tokio::net::TcpStream;
 use tokio::task::{self, JoinError};
@@ -39,7 +40,8 @@
     /// Its name, the same at every node.
     pub host: String,
     /// Its address for this node.
-    pub dial: SocketAddr,
+    #[serde(deserialize_with = "over_tcp")]
+    pub dial: Address,
     /// Its zone.
     pub site: String,
     /// Its cell.
@@ -55,6 +57,11 @@
     pub born_ms: u64,
 }
 
+/// Discovery knows of no other addresses.
+fn over_tcp<'de, D: Deserializer<'de>>(from: D) -> Result<Address, D::Error> {
+    SocketAddr::deserialize(from).map(Address::Tcp)
+}
+
 fn one() -> f32 {
     1.0
 }
--- /dev/null
+++ b/crates/node/src/net/fastcgi/connection.rs
@@ -0,0 +1,439 @@
+//! A connection to a FastCGI application and the task that drives it.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{HashMap, VecDeque};
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::{Buf, Bytes, BytesMut};
+use hyper::{Method, StatusCode, header};
+use pumicehead_fastcgi::cgi::{AnswerHead, HeadReader};
+use pumicehead_fastcgi::client::{Client, Event, RequestId, Values};
+use pumicehead_fastcgi::record::End;
+use pumicehead_policy::interface::Outcome;
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, ReadHalf, WriteHalf, split};
+use tokio::sync::{Notify, mpsc, oneshot};
+use tokio::time::{Instant, sleep_until};
+
+use super::ending::{Ending, Got};
+use crate::net::ask::Served;
+use crate::net::connections::Place;
+use crate::net::fields;
+use crate::net::room::{Part, SHORT};
+use crate::net::transport;
+
+/// Bytes that are read at once.
+const READ: usize = 16 << 10;
+/// How long an application may take to end a request that was aborted, before its connection takes no more.
+const ABORT_GRACE: Duration = Duration::from_secs(5);
+/// Between two lines of the log about errors that applications tell of, over all of them.
+const STDERR_EVERY: Duration = Duration::from_secs(1);
+/// Longest part of such a line.
+const STDERR_SHOWN: usize = 200;
+
+/// A request for a connection.
+pub struct Job {
+    /// Variables.
+    pub params: Vec<(Bytes, Bytes)>,
+    /// Body.
+    pub body: Bytes,
+    /// Method: an answer to HEAD has no body.
+    pub method: Method,
+    /// Longest body of an answer.
+    pub longest: u64,
+    /// Memory for a long one.
+    pub part: Part,
+    /// How it ended.
+    pub end: oneshot::Sender<transport::End>,
+    /// Set once a byte of it may have been written.
+    pub begun: Rc<Cell<bool>>,
+}
+
+enum Order {
+    Request(u64, Job),
+    Abort(u64),
+}
+
+/// What a connection's owner sees of it.
+pub struct Shared {
+    orders: mpsc::UnboundedSender<Order>,
+    /// Requests on it that have not ended.
+    pub open: Cell<usize>,
+    /// It takes no more.
+    pub closed: Cell<bool>,
+    /// Since when it has been idle.
+    pub idle_since: Cell<Instant>,
+    close: Notify,
+    next: Cell<u64>,
+}
+
+/// An attempt on a connection; dropped before its end, it is aborted.
+pub struct Ticket {
+    connection: Rc<Shared>,
+    number: u64,
+    over: bool,
+}
+
+impl Ticket {
+    /// The attempt has ended.
+    pub fn done(mut self) {
+        self.over = true;
+    }
+}
+
+impl Drop for Ticket {
+    fn drop(&mut self) {
+        if !self.over {
+            let _ = self.connection.orders.send(Order::Abort(self.number));
+        }
+    }
+}
+
+impl Shared {
+    /// Sends a request. One that comes to a connection which has just ended is told that it never began.
+    pub fn send(self: &Rc<Self>, job: Job) -> Ticket {
+        let number = self.next.get();
+        self.next.set(number + 1);
+        self.open.set(self.open.get() + 1);
+        // Where the task has ended, dropping the job tells so.
+        let _ = self.orders.send(Order::Request(number, job));
+        Ticket { connection: self.clone(), number, over: false }
+    }
+
+    /// Closes it, now if it is idle, or else after its last request.
+    pub fn retire(&self) {
+        self.closed.set(true);
+        self.close.notify_one();
+    }
+}
+
+/// A request that has been sent, or is being.
+struct Sent {
+    number: u64,
+    job: Job,
+    head: HeadReader,
+    answer: Option<AnswerHead>,
+    body: BytesMut,
+    nothing: bool,
+    spoilt: bool,
+    /// Bytes that the connection will have written once all of this request is.
+    whole_at: u64,
+}
+
+/// The task of a connection.
+pub struct Driver<S> {
+    reader: ReadHalf<S>,
+    writer: WriteHalf<S>,
+    shared: Rc<Shared>,
+    orders: mpsc::UnboundedReceiver<Order>,
+    client: Client,
+    out: VecDeque<Bytes>,
+    /// Bytes that were put out and written.
+    put: u64,
+    written: u64,
+    sent: HashMap<RequestId, Sent>,
+    /// When the first aborted request was, of those that have not ended.
+    aborted: HashMap<RequestId, Instant>,
+    values: Option<oneshot::Sender<Values>>,
+    /// More than one request at a time.
+    multiplexes: Rc<Cell<bool>>,
+    name: Rc<str>,
+    told: Rc<Cell<Option<Instant>>>,
+    _place: Place,
+}
+
+/// What drivers of a server share.
+#[derive(Clone)]
+pub struct Common {
+    /// A connection may carry several requests at once.
+    pub multiplexes: Rc<Cell<bool>>,
+    /// For the log.
+    pub name: Rc<str>,
+    /// When the log last told of errors.
+    pub told: Rc<Cell<Option<Instant>>>,
+}
+
+impl<S: AsyncRead + AsyncWrite + Unpin> Driver<S> {
+    /// A connection that has come up. `values` asks what the application is able to do.
+    pub fn new(
+        stream: S,
+        common: Common,
+        place: Place,
+        values: Option<oneshot::Sender<Values>>,
+    ) -> (Self, Rc<Shared>) {
+        let (to, orders) = mpsc::unbounded_channel();
+        let shared = Rc::new(Shared {
+            orders: to,
+            open: Cell::new(0),
+            closed: Cell::new(false),
+            idle_since: Cell::new(Instant::now()),
+            close: Notify::new(),
+            next: Cell::new(0),
+        });
+        let (reader, writer) = split(stream);
+        let driver = Self {
+            reader,
+            writer,
+            shared: shared.clone(),
+            orders,
+            client: Client::default(),
+            out: VecDeque::new(),
+            put: 0,
+            written: 0,
+            sent: HashMap::new(),
+            aborted: HashMap::new(),
+            values,
+            multiplexes: common.multiplexes,
+            name: common.name,
+            told: common.told,
+            _place: place,
+        };
+        (driver, shared)
+    }
+
+    /// Runs until the connection ends or is of no further use.
+    pub async fn run(mut self) {
+        if self.values.is_some() {
+            let mut out = BytesMut::new();
+            self.client.get_values(&mut out);
+            self.put(out);
+        }
+        let shared = self.shared.clone();
+        let mut input = vec![0; READ];
+        loop {
+            if shared.closed.get() && self.sent.is_empty() && self.orders.is_empty() {
+                break;
+            }
+            // Of requests that nobody waits for, some applications never tell the end.
+            let stuck = self.aborted.values().min().map(|since| *since + ABORT_GRACE);
+            let far = Instant::now() + ABORT_GRACE;
+            tokio::select! {
+                order = self.orders.recv() => match order {
+                    Some(Order::Request(number, job)) => self.request(number, job),
+                    Some(Order::Abort(number)) => if self.abort(number).await { break },
+                    None => break,
+                },
+                read = self.reader.read(&mut input) => match read {
+                    Ok(count) if count > 0 => if !self.receive(&input[..count]) { break },
+                    _ => break,
+                },
+                written = write(&mut self.writer, self.out.front()), if !self.out.is_empty() => match written {
+                    Ok(count) if count > 0 => self.wrote(count),
+                    _ => break,
+                },
+                () = shared.close.notified() => {}
+                () = sleep_until(stuck.unwrap_or(far)), if stuck.is_some() => {
+                    shared.closed.set(true);
+                    self.aborted.clear();
+                }
+            }
+        }
+        self.end();
+    }
+
+    fn put(&mut self, out: BytesMut) {
+        self.put += out.len() as u64;
+        self.out.push_back(out.freeze());
+    }
+
+    fn wrote(&mut self, count: usize) {
+        self.written += count as u64;
+        if let Some(front) = self.out.front_mut() {
+            front.advance(count);
+            if front.is_empty() {
+                self.out.pop_front();
+            }
+        }
+    }
+
+    fn request(&mut self, number: u64, job: Job) {
+        if job.end.is_closed() {
+            return self.less();
+        }
+        let mut out = BytesMut::with_capacity(job.body.len() + 1_024);
+        let Some(id) = self.client.begin(&mut out, true) else {
+            let _ = job.end.send(transport::End::of(Outcome::Full));
+            return self.less();
+        };
+        self.client.params(&mut out, id, job.params.iter().map(|(name, value)| (&name[..], &value[..])));
+        self.client.stdin(&mut out, id, &job.body);
+        self.client.stdin_end(&mut out, id);
+        job.begun.set(true);
+        self.put(out);
+        let sent = Sent {
+            number,
+            job,
+            head: HeadReader::default(),
+            answer: None,
+            body: BytesMut::new(),
+            nothing: true,
+            spoilt: false,
+            whole_at: self.put,
+        };
+        self.sent.insert(id, sent);
+    }
+
+    /// One request fewer.
+    fn less(&self) {
+        let open = self.shared.open.get().saturating_sub(1);
+        self.shared.open.set(open);
+        if open == 0 {
+            self.shared.idle_since.set(Instant::now());
+        }
+    }
+
+    /// Nobody waits for a request any more; tells whether the connection is to end, as it does where it carries no
+    /// other.
+    async fn abort(&mut self, number: u64) -> bool {
+        let found = self.sent.iter().find(|(_, sent)| sent.number == number).map(|(id, _)| *id);
+        let Some(id) = found else { return false };
+        self.sent.remove(&id);
+        self.less();
+        let mut out = BytesMut::new();
+        self.client.abort(&mut out, id);
+        self.put(out);
+        self.aborted.insert(id, Instant::now());
+        if self.multiplexes.get() && !self.shared.closed.get() {
+            return false;
+        }
+        // What fits at once: the application hears of it before the connection ends.
+        if let Some(front) = self.out.front() {
+            let _ = tokio::time::timeout(Duration::ZERO, self.writer.write(front)).await;
+        }
+        self.sent.is_empty()
+    }
+
+    /// Takes what has come; tells whether the connection is still of use.
+    fn receive(&mut self, input: &[u8]) -> bool {
+        let mut events = Vec::new();
+        let sound = self.client.receive(input, &mut events);
+        for event in events {
+            match event {
+                Event::Values(values) => {
+                    if let Some(wanted) = self.values.take() {
+                        let _ = wanted.send(values);
+                    }
+                }
+                Event::Stdout(id, part) => {
+                    if let Some(sent) = self.sent.get_mut(&id) {
+                        sent.take(&part);
+                    }
+                }
+                Event::StdoutEnd(_) => {}
+                Event::Stderr(_, text) => self.tell(&text),
+                Event::Ended(id, end) => {
+                    self.aborted.remove(&id);
+                    if let Some(sent) = self.sent.remove(&id) {
+                        // Told after the connection is free, so that what is sent next finds it.
+                        self.less();
+                        sent.finish(end);
+                    }
+                }
+            }
+        }
+        if let Err(error) = sound {
+            eprintln!("{}: {error}", self.name);
+        }
+        sound.is_ok()
+    }
+
+    /// Errors that an application tells of: some of them, in part, at a bounded rate. Bytes without end cost no memory.
+    fn tell(&self, text: &[u8]) {
+        let now = Instant::now();
+        if self.told.get().is_some_and(|last| now < last + STDERR_EVERY) {
+            return;
+        }
+        self.told.set(Some(now));
+        let shown = String::from_utf8_lossy(&text[..text.len().min(STDERR_SHOWN)]);
+        eprintln!("{}: stderr: {}", self.name, shown.trim_end().escape_debug());
+    }
+
+    /// The connection has ended, and with it all that is open on it.
+    fn end(mut self) {
+        self.shared.closed.set(true);
+        for (_, sent) in std::mem::take(&mut self.sent) {
+            // What was put out and not written never arrived.
+            let broken = Ending::Broken { sent: self.written >= sent.whole_at };
+            self.less();
+            let _ = sent.job.end.send(transport::End::of(broken.verdict().outcome));
+        }
+    }
+}
+
+async fn write<S: AsyncWrite + Unpin>(stream: &mut S, bytes: Option<&Bytes>) -> std::io::Result<usize> {
+    stream.write(bytes.map_or(&[], |bytes| &bytes[..])).await
+}
+
+impl Sent {
+    fn take(&mut self, part: &[u8]) {
+        self.nothing = false;
+        if self.spoilt {
+            return;
+        }
+        if self.answer.is_some() {
+            return self.take_body(part);
+        }
+        match self.head.feed(part) {
+            Ok(None) => {}
+            Ok(Some((head, rest))) => {
+                self.answer = Some(head);
+                self.take_body(&rest);
+            }
+            Err(_) => self.spoilt = true,
+        }
+    }
+
+    /// Whether its answer has no body, whatever comes.
+    fn is_bodiless(&self) -> bool {
+        let status = self.answer.as_ref().map(|head| head.status);
+        self.job.method == Method::HEAD
+            || matches!(status, Some(StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED))
+    }
+
+    fn take_body(&mut self, part: &[u8]) {
+        if part.is_empty() || self.is_bodiless() {
+            return;
+        }
+        let size = self.body.len() + part.len();
+        let room =
+            size <= SHORT.max(self.job.part.size()) || self.job.part.grow(size.next_multiple_of(SHORT));
+        if size as u64 > self.job.longest || !room {
+            self.spoilt = true;
+            self.body = BytesMut::new();
+            return;
+        }
+        self.body.extend_from_slice(part);
+    }
+
+    fn finish(mut self, end: End) {
+        let mut stated = None;
+        let got = match &self.answer {
+            _ if self.nothing => Got::Nothing,
+            None => Got::Spoilt,
+            Some(_) if self.spoilt => Got::Spoilt,
+            Some(head) => {
+                stated = head.headers.get(header::CONTENT_LENGTH).cloned();
+                let length =
+                    stated.as_ref().map(|value| value.to_str().ok().and_then(|text| text.parse().ok()));
+                let fits = self.is_bodiless() || length.is_none_or(|length| length == Some(self.body.len()));
+                let unprocessed = head.headers.get("x-unprocessed").is_some_and(|value| value == "1");
+                let seen = crate::net::verdict::Seen { status: head.status, unprocessed, framed: true };
+                if fits { Got::Whole(seen) } else { Got::Spoilt }
+            }
+        };
+        let verdict = Ending::Ended(end, got).verdict();
+        let bodiless = self.is_bodiless();
+        let answer = self.answer.take().filter(|_| verdict.pass).map(|AnswerHead { status, mut headers }| {
+            fields::strip_hop_by_hop(&mut headers);
+            // Of an answer without a body it tells what there would be.
+            if let Some(length) = stated.filter(|_| bodiless && status != StatusCode::NO_CONTENT) {
+                headers.insert(header::CONTENT_LENGTH, length);
+            }
+            Served { status, headers, body: self.job.part.keep(self.body.freeze()) }
+        });
+        let _ = self.job.end.send(transport::End { outcome: verdict.outcome, answer, refused: false });
+    }
+}
+
+/// Connections of one server.
+pub type Pool = RefCell<Vec<Rc<Shared>>>;
--- /dev/null
+++ b/crates/node/src/net/fastcgi/upstream.rs
@@ -0,0 +1,341 @@
+//! The servers of a pool that speaks FastCGI: kept connections, as many requests on each as the server says.
+
+use std::cell::Cell;
+use std::io;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use pumicehead_fastcgi::cgi::{Around, variables};
+use pumicehead_fastcgi::client::Values;
+use pumicehead_lang::model::Address;
+use pumicehead_policy::interface::Outcome;
+use tokio::net::{TcpStream, UnixStream};
+use tokio::sync::{Semaphore, oneshot};
+use tokio::task;
+use tokio::time::{Instant, sleep_until, timeout};
+
+use super::connection::{Common, Driver, Job, Pool, Shared};
+use super::ending::Ending;
+use crate::net::ask::Call;
+use crate::net::connections::{Connections, IDLE_SHARE, Idle, Place};
+use crate::net::room::Room;
+use crate::net::transport::{Attempt, End, Server, Transport};
+
+/// Longest wait for what a server says of itself; one that says nothing takes one request a connection.
+const VALUES_WAIT: Duration = Duration::from_millis(250);
+/// Most requests that are put on one connection, whatever the server says: they share its fate.
+const MOST_ON_ONE: usize = 64;
+
+/// What a pool's servers share.
+pub struct Settings {
+    /// A connection that is not up by then has failed.
+    pub dial_timeout: Duration,
+    /// Servers close idle connections after this.
+    pub conn_idle: Duration,
+    /// Longest body of an answer.
+    pub longest: u64,
+    /// Memory for long answers.
+    pub room: Arc<Room>,
+    /// The part of paths that names the application.
+    pub script: String,
+    /// The folder of its files.
+    pub root: String,
+}
+
+/// A pool's way to its servers.
+pub struct Upstream {
+    connections: Rc<Connections>,
+    settings: Rc<Settings>,
+}
+
+impl Upstream {
+    /// With the settings of a pool.
+    pub fn new(connections: Rc<Connections>, settings: Settings) -> Rc<Self> {
+        Rc::new(Self { connections, settings: Rc::new(settings) })
+    }
+}
+
+impl Transport for Upstream {
+    fn server(&self, dial: &Address) -> Rc<dyn Server> {
+        Rc::new(FastCgiServer {
+            connections: self.connections.clone(),
+            settings: self.settings.clone(),
+            life: Rc::new(Life {
+                dial: dial.clone(),
+                usable: Cell::new(true),
+                pool: Pool::default(),
+                idle_for: self.settings.conn_idle.mul_f64(IDLE_SHARE),
+            }),
+            said: Cell::new(Said::NotAsked),
+            asking: Semaphore::new(1),
+            common: Common {
+                multiplexes: Rc::new(Cell::new(false)),
+                name: dial.to_string().into(),
+                told: Rc::default(),
+            },
+        })
+    }
+
+    fn sweep(&self) {
+        self.connections.sweep();
+    }
+}
+
+/// What a server says of itself.
+#[derive(Clone, Copy)]
+enum Said {
+    NotAsked,
+    /// It closed or was silent: it is not asked again.
+    Nothing,
+    Values(Values),
+}
+
+/// A server's connections, and whether it may be used.
+struct Life {
+    dial: Address,
+    usable: Cell<bool>,
+    pool: Pool,
+    idle_for: Duration,
+}
+
+struct FastCgiServer {
+    connections: Rc<Connections>,
+    settings: Rc<Settings>,
+    life: Rc<Life>,
+    said: Cell<Said>,
+    /// One connection at a time asks.
+    asking: Semaphore,
+    common: Common,
+}
+
+impl Idle for Life {
+    fn longest(&self) -> Option<Instant> {
+        let pool = self.pool.borrow();
+        pool.iter()
+            .filter(|conn| conn.open.get() == 0 && !conn.closed.get())
+            .map(|conn| conn.idle_since.get())
+            .min()
+    }
+
+    fn shed(&self) {
+        let mut pool = self.pool.borrow_mut();
+        let idle = pool.iter().enumerate().filter(|(_, conn)| conn.open.get() == 0);
+        if let Some((place, _)) = idle.min_by_key(|(_, conn)| conn.idle_since.get()) {
+            pool.remove(place).retire();
+        }
+    }
+
+    fn sweep(&self, now: Instant) -> bool {
+        let mut pool = self.pool.borrow_mut();
+        pool.retain(|conn| {
+            let expired = conn.open.get() == 0 && now >= conn.idle_since.get() + self.idle_for;
+            if expired {
+                conn.retire();
+            }
+            !expired && !conn.closed.get()
+        });
+        !pool.is_empty()
+    }
+}
+
+impl Server for FastCgiServer {
+    fn dial(&self) -> &Address {
+        &self.life.dial
+    }
+
+    fn is_usable(&self) -> bool {
+        self.life.usable.get()
+    }
+
+    fn retire(&self) {
+        self.life.usable.set(false);
+        self.hang_up();
+    }
+
+    fn hang_up(&self) {
+        // Those with requests end with these; the others now.
+        let usable = self.life.usable.get();
+        self.life.pool.borrow_mut().retain(|conn| {
+            let goes = !usable || conn.open.get() == 0;
+            if goes {
+                conn.retire();
+            }
+            !goes
+        });
+    }
+
+    fn attempt(self: Rc<Self>, call: Rc<Call>, deadline: Instant, cancel: oneshot::Receiver<()>) -> Attempt {
+        Box::pin(async move {
+            let begun = Rc::new(Cell::new(false));
+            tokio::select! {
+                biased;
+                done = self.exchange(&call, deadline, begun.clone()) => done,
+                // The sender is kept as long as the attempt is out; were it lost, nobody would wait.
+                _ = cancel => End::of(Outcome::Cancelled),
+                // A time-out before anything was written proves that nothing ran.
+                () = sleep_until(deadline) => {
+                    End::of(if begun.get() { Outcome::TimedOut } else { Outcome::Moot })
+                }
+            }
+        })
+    }
+}
+
+impl FastCgiServer {
+    async fn exchange(&self, call: &Call, deadline: Instant, begun: Rc<Cell<bool>>) -> End {
+        let conn = match self.connection().await {
+            Ok(conn) => conn,
+            Err(end) => return end,
+        };
+        // Dialling takes time: what was true when the attempt was decided need not be so now.
+        let left = deadline.saturating_duration_since(Instant::now());
+        if left.is_zero() || !self.life.usable.get() {
+            return End::of(Outcome::Moot);
+        }
+        let Some(params) = self.params(call, left) else {
+            // Such a path is refused before it is sent here.
+            return End::of(Outcome::Moot);
+        };
+        let (end, ended) = oneshot::channel();
+        let job = Job {
+            params,
+            body: call.body.clone(),
+            method: call.method.clone(),
+            longest: self.settings.longest,
+            part: self.settings.room.part(),
+            end,
+            begun: begun.clone(),
+        };
+        let ticket = conn.send(job);
+        match ended.await {
+            Ok(end) => {
+                ticket.done();
+                end
+            }
+            // The connection ended as the request came to it: nothing of it was written.
+            Err(_) => {
+                ticket.done();
+                End::of(Ending::Broken { sent: false }.verdict().outcome)
+            }
+        }
+    }
+
+    fn params(&self, call: &Call, left: Duration) -> Option<Vec<(Bytes, Bytes)>> {
+        let mut headers = call.headers.clone();
+        headers.insert("x-time-left", format!("{}u", left.as_micros()).parse().ok()?);
+        let around = Around {
+            peer: call.peer,
+            script: &self.settings.script,
+            root: &self.settings.root,
+            length: call.body.len(),
+        };
+        let list = variables(&call.method, &call.uri, &headers, around).ok()?;
+        let owned = |(name, value): (std::borrow::Cow<'static, str>, std::borrow::Cow<'_, [u8]>)| {
+            (Bytes::from(name.into_owned()), Bytes::from(value.into_owned()))
+        };
+        Some(list.into_iter().map(owned).collect())
+    }
+
+    /// Requests that one connection may carry.
+    fn most_on_one(&self) -> usize {
+        match self.said.get() {
+            Said::Values(Values { multiplexes: Some(true), requests, .. }) => {
+                requests.map_or(MOST_ON_ONE, |most| (most as usize).min(MOST_ON_ONE))
+            }
+            _ => 1,
+        }
+    }
+
+    /// A connection with room, or why there is none.
+    async fn connection(&self) -> Result<Rc<Shared>, End> {
+        if matches!(self.said.get(), Said::NotAsked) {
+            // The others wait for the one that asks, or each would.
+            let _asking = self.asking.acquire().await;
+            if matches!(self.said.get(), Said::NotAsked) {
+                return self.ask().await;
+            }
+        }
+        let (most, mut open) = (self.most_on_one(), 0);
+        let found = {
+            let mut pool = self.life.pool.borrow_mut();
+            pool.retain(|conn| !conn.closed.get());
+            open += pool.iter().map(|conn| conn.open.get()).sum::<usize>();
+            // The fullest that has room, so that the others can grow old.
+            let free = pool.iter().filter(|conn| conn.open.get() < most);
+            free.max_by_key(|conn| (conn.open.get(), conn.idle_since.get())).cloned()
+        };
+        if let Said::Values(values) = self.said.get() {
+            let connections = self.life.pool.borrow().len();
+            let over = |bound: Option<u32>, count: usize| bound.is_some_and(|most| count >= most as usize);
+            if over(values.requests, open) || found.is_none() && over(values.connections, connections) {
+                return Err(End::of(Ending::NoRoom.verdict().outcome));
+            }
+        }
+        match found {
+            Some(conn) => Ok(conn),
+            None => self.open(None).await,
+        }
+    }
+
+    /// Opens the first connection and asks on it what the server is able to do. One that closes on the question is
+    /// connected to again without it: nothing has been sent.
+    async fn ask(&self) -> Result<Rc<Shared>, End> {
+        let (wanted, values) = oneshot::channel();
+        let conn = self.open(Some(wanted)).await?;
+        let values = match timeout(VALUES_WAIT, values).await {
+            Ok(Ok(values)) => Some(values),
+            Ok(Err(_)) | Err(_) => None,
+        };
+        let Some(values) = values else {
+            self.said.set(Said::Nothing);
+            if !conn.closed.get() {
+                return Ok(conn);
+            }
+            return self.open(None).await;
+        };
+        self.said.set(Said::Values(values));
+        self.common.multiplexes.set(self.most_on_one() > 1);
+        Ok(conn)
+    }
+
+    async fn open(&self, values: Option<oneshot::Sender<Values>>) -> Result<Rc<Shared>, End> {
+        // The node's own lack of descriptors is no fault of the server's.
+        let place = self.connections.place().ok_or_else(|| End::of(Outcome::Moot))?;
+        let conn = match &self.life.dial {
+            Address::Tcp(address) => {
+                let stream = self.dialled(TcpStream::connect(address)).await?;
+                // Small messages must not wait for acknowledgements.
+                let _ = stream.set_nodelay(true);
+                self.drive(stream, place, values)
+            }
+            Address::Unix(path) => self.drive(self.dialled(UnixStream::connect(path)).await?, place, values),
+        };
+        self.life.pool.borrow_mut().push(conn.clone());
+        self.connections.register(&self.life);
+        Ok(conn)
+    }
+
+    async fn dialled<S>(&self, dial: impl Future<Output = io::Result<S>>) -> Result<S, End> {
+        let failed = |refused| End { refused, ..End::of(Ending::NoConnection.verdict().outcome) };
+        match timeout(self.settings.dial_timeout, dial).await {
+            Ok(Ok(stream)) => Ok(stream),
+            Ok(Err(error)) => {
+                // A socket of this machine that is not there has no process either.
+                let kinds = [io::ErrorKind::ConnectionRefused, io::ErrorKind::NotFound];
+                Err(failed(kinds.contains(&error.kind())))
+            }
+            Err(_) => Err(failed(false)),
+        }
+    }
+
+    fn drive<S>(&self, stream: S, place: Place, values: Option<oneshot::Sender<Values>>) -> Rc<Shared>
+    where
+        S: tokio::io::AsyncRead + tokio::io::AsyncWrite + Unpin + 'static,
+    {
+        let (driver, shared) = Driver::new(stream, self.common.clone(), place, values);
+        task::spawn_local(driver.run());
+        shared
+    }
+}
--- a/crates/node/src/net/front/budget.rs
+++ b/crates/node/src/net/front/budget.rs
@@ -27,6 +27,11 @@
         Rc::new(Self { conns: RefCell::default(), places, crowded: descriptors / CROWDED })
     }
 
+    /// How many there may be.
+    pub fn places(&self) -> usize {
+        self.places
+    }
+
     /// How many there are.
     pub fn count(&self) -> usize {
         self.conns.borrow().len()
--- /dev/null
+++ b/crates/node/src/net/front/fastcgi.rs
@@ -0,0 +1,221 @@
+//! Client connections over FastCGI: front ends with several requests at once on each.
+
+use std::collections::HashMap;
+use std::net::IpAddr;
+use std::rc::Rc;
+
+use bytes::{Buf, Bytes, BytesMut};
+use http_body_util::BodyExt;
+use hyper::header::{self, HeaderValue};
+use hyper::{Method, Response, StatusCode, Version};
+use pumicehead_fastcgi::cgi::{put_head, request};
+use pumicehead_fastcgi::pairs::Pair;
+use pumicehead_fastcgi::server::{BadRequest, Bounds, Event, Server};
+use tokio::io::{AsyncReadExt, AsyncWriteExt, split};
+use tokio::sync::mpsc;
+use tokio::task::{AbortHandle, JoinSet};
+use tokio::time::{Instant, sleep_until};
+
+use super::Front;
+use super::conn::{Conn, Stage};
+use crate::net::admission::{Bad, Head};
+use crate::net::answer;
+
+/// Bytes that are read at once, and that are made ready to be written.
+const CHUNK: usize = 32 << 10;
+/// Requests at once on a connection: a front end that has more opens another.
+const MOST_REQUESTS: usize = 1_000;
+/// Bytes and number of a request's variables: what fits a head over HTTP, and the variables that are none.
+const PARAMS: (usize, usize) = (64 << 10, 512);
+/// Bytes of requests that are coming, and of answers that wait, on one connection.
+const MOST_COMING: usize = 4 << 20;
+const MOST_WAITING: usize = 4 << 20;
+
+/// A connection's state.
+struct Exchange {
+    server: Server,
+    /// Requests that have begun, and until when they must be whole.
+    coming: HashMap<u16, Instant>,
+    /// Requests that are being answered.
+    asking: HashMap<u16, AbortHandle>,
+    /// Dropped with the connection: those who wait are gone then.
+    tasks: JoinSet<()>,
+    answers: mpsc::UnboundedSender<(u16, Vec<Bytes>)>,
+}
+
+impl Front {
+    /// Serves a connection to its end.
+    pub(super) async fn serve_fastcgi(self: &Rc<Self>, conn: &Rc<Conn>, peer: IpAddr) {
+        let options = self.options.get();
+        let mut server = Server::new(Bounds {
+            connections: u32::try_from(self.budget.places()).unwrap_or(u32::MAX),
+            requests: MOST_REQUESTS,
+            params: PARAMS.0,
+            pairs: PARAMS.1,
+            body: options.longest_body,
+            coming: MOST_COMING,
+            waiting: MOST_WAITING,
+        });
+        if conn.extra {
+            server.stop();
+        }
+        let (answers, mut answered) = mpsc::unbounded_channel();
+        let mut exchange = Exchange {
+            server,
+            coming: HashMap::new(),
+            asking: HashMap::new(),
+            tasks: JoinSet::new(),
+            answers,
+        };
+        let (mut reader, mut writer) = split(conn.link.clone());
+        let (mut input, mut out) = (vec![0; CHUNK], BytesMut::new());
+        let mut progress = Instant::now();
+        loop {
+            if out.is_empty() {
+                exchange.server.output(&mut out, CHUNK);
+                progress = Instant::now();
+            }
+            let idle = out.is_empty() && exchange.server.is_idle();
+            if idle != (conn.stage.get() == Stage::Waiting) {
+                conn.used.set(true);
+                conn.since.set(Instant::now());
+                conn.stage.set(if idle { Stage::Waiting } else { Stage::Busy });
+            }
+            if out.is_empty() && exchange.server.is_over()
+                || idle && (self.draining.get() || conn.extra && conn.used.get())
+            {
+                return;
+            }
+            let slow = exchange.coming.values().min().copied();
+            let stalled = progress + options.keep;
+            tokio::select! {
+                read = reader.read(&mut input) => match read {
+                    Ok(count) if count > 0 => if !self.take_records(&mut exchange, conn, peer, &input[..count]) {
+                        return;
+                    },
+                    // Who asked is gone, and with the tasks goes what they wait for.
+                    _ => return,
+                },
+                Some((id, parts)) = answered.recv() => {
+                    exchange.asking.remove(&id);
+                    exchange.server.end(id, parts, 0);
+                }
+                written = writer.write(&out), if !out.is_empty() => match written {
+                    Ok(count) if count > 0 => {
+                        out.advance(count);
+                        progress = Instant::now();
+                    }
+                    _ => return,
+                },
+                () = sleep_until(slow.unwrap_or(stalled)), if slow.is_some() => exchange.end_slow().await,
+                // A front end that reads nothing holds its answers and its place.
+                () = sleep_until(stalled), if !out.is_empty() => return,
+                () = conn.cut.notified() => return,
+            }
+        }
+    }
+
+    /// Takes what has come; tells whether the connection is still of use.
+    fn take_records(
+        self: &Rc<Self>,
+        exchange: &mut Exchange,
+        conn: &Rc<Conn>,
+        peer: IpAddr,
+        input: &[u8],
+    ) -> bool {
+        if self.draining.get() {
+            // What begins now is turned away unseen; what has begun is still answered.
+            exchange.server.stop();
+        }
+        let until = Instant::now() + self.options.get().patience;
+        let mut events = Vec::new();
+        let sound = exchange.server.receive(input, &mut events);
+        for event in events {
+            match event {
+                Event::Began(id) => {
+                    exchange.coming.insert(id, until);
+                }
+                Event::Request { id, params, body } => {
+                    exchange.coming.remove(&id);
+                    let (front, conn, answers) = (self.clone(), conn.clone(), exchange.answers.clone());
+                    let task = exchange.tasks.spawn_local(async move {
+                        let parts = front.answer_fastcgi(&conn, peer, &params, body).await;
+                        let _ = answers.send((id, parts));
+                    });
+                    exchange.asking.insert(id, task);
+                }
+                Event::Bad(id, why) => {
+                    exchange.coming.remove(&id);
+                    let bad = match why {
+                        BadRequest::BodyTooLong(_) => Bad::TooLong,
+                        BadRequest::Params(fault) => Bad::Target(fault.to_string()),
+                    };
+                    // Made on a task as any other, so that there is one way out.
+                    let answers = exchange.answers.clone();
+                    exchange.tasks.spawn_local(async move {
+                        let parts = parts(&Method::POST, answer::bad(&bad)).await;
+                        let _ = answers.send((id, parts));
+                    });
+                }
+                Event::Aborted(id) => {
+                    exchange.coming.remove(&id);
+                    // Dropped, it tells the loop that the client is gone.
+                    if let Some(task) = exchange.asking.remove(&id) {
+                        task.abort();
+                    }
+                    exchange.server.end(id, [], 0);
+                }
+            }
+        }
+        // Tasks that have ended are let go.
+        while exchange.tasks.try_join_next().is_some() {}
+        sound.is_ok()
+    }
+
+    async fn answer_fastcgi(&self, conn: &Conn, peer: IpAddr, params: &[Pair], body: Bytes) -> Vec<Bytes> {
+        let read = match request(params) {
+            Ok(read) => read,
+            Err(fault) => return parts(&Method::GET, answer::bad(&Bad::Target(fault.to_string()))).await,
+        };
+        let head = Head {
+            method: &read.method,
+            uri: &read.uri,
+            version: Version::HTTP_11,
+            headers: &read.headers,
+            peer: read.peer.unwrap_or(peer),
+        };
+        let whole = read.length.is_none_or(|length| length == body.len() as u64);
+        let admitted = self.admission.admit(&head);
+        let admitted = admitted.and_then(|admitted| if whole { Ok(admitted) } else { Err(Bad::Broken) });
+        let response = self.decide(admitted, body, conn.extra).await;
+        parts(&read.method, response).await
+    }
+}
+
+impl Exchange {
+    /// Answers requests that took too long to come.
+    async fn end_slow(&mut self) {
+        let now = Instant::now();
+        let slow: Vec<_> =
+            self.coming.iter().filter(|(_, until)| **until <= now).map(|(id, _)| *id).collect();
+        for id in slow {
+            self.coming.remove(&id);
+            self.server.end(id, parts(&Method::GET, answer::bad(&Bad::Slow)).await, 0);
+        }
+    }
+}
+
+/// An answer as the output of an application.
+async fn parts(method: &Method, response: Response<http_body_util::Full<Bytes>>) -> Vec<Bytes> {
+    let (mut head, body) = response.into_parts();
+    let body = body.collect().await.map(http_body_util::Collected::to_bytes).unwrap_or_default();
+    head.headers.remove(header::CONNECTION);
+    let bodiless =
+        *method == Method::HEAD || matches!(head.status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
+    if !bodiless && !head.headers.contains_key(header::CONTENT_LENGTH) {
+        head.headers.insert(header::CONTENT_LENGTH, HeaderValue::from(body.len()));
+    }
+    let mut out = BytesMut::new();
+    put_head(&mut out, head.status, &head.headers);
+    if bodiless { vec![out.freeze()] } else { vec![out.freeze(), body] }
+}
--- a/crates/node/src/net/front/mod.rs
+++ b/crates/node/src/net/front/mod.rs
@@ -1,8 +1,9 @@
-//! Client connections over HTTP/1.1: requests in, exactly one answer out for each.
+//! Client connections: requests in, exactly one answer out for each.
 
 pub mod budget;
 mod conn;
 mod drain;
+mod fastcgi;
 mod read;
 
 use std::cell::Cell;
@@ -21,6 +22,7 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
+use pumicehead_lang::model::Protocol;
 use pumicehead_policy::interface::{Nanos, SECOND};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::task;
@@ -78,6 +80,8 @@
     options: Rc<Cell<Options>>,
     budget: Rc<Budget>,
     draining: Cell<bool>,
+    /// What new connections speak.
+    protocol: Cell<Protocol>,
     /// Has all that is open in the node fail.
     give_up: Box<dyn Fn()>,
 }
@@ -118,6 +122,7 @@
             options: Rc::new(Cell::new(options)),
             budget,
             draining: Cell::new(false),
+            protocol: Cell::new(Protocol::Http),
             give_up: Box::new(give_up),
         })
     }
@@ -127,6 +132,11 @@
         self.options.set(options);
     }
 
+    /// What connections speak from now on; those that are up go on as they are.
+    pub fn set_protocol(&self, protocol: Protocol) {
+        self.protocol.set(protocol);
+    }
+
     fn owns(&self, conn: &Conn) -> bool {
         Rc::ptr_eq(&self.options, &conn.options)
     }
@@ -182,10 +192,22 @@
 
     fn take(self: Rc<Self>, stream: TcpStream, peer: IpAddr) {
         let extra = self.budget.is_full() && !self.budget.shed();
-        let conn = Conn::new(Link::tapped(stream), extra, self.options.clone());
+        let protocol = self.protocol.get();
+        let link = match protocol {
+            Protocol::Http => Link::tapped(stream),
+            Protocol::FastCgi => Link::new(stream),
+        };
+        let conn = Conn::new(link, extra, self.options.clone());
         self.budget.add(&conn);
         task::spawn_local(async move {
-            self.serve(&conn, peer).await;
+            match protocol {
+                Protocol::Http => self.serve(&conn, peer).await,
+                Protocol::FastCgi => {
+                    self.serve_fastcgi(&conn, peer).await;
+                    conn.link.close_writing();
+                    self.linger(&conn).await;
+                }
+            }
             self.budget.remove(&conn);
         });
     }
@@ -215,6 +237,11 @@
                 }
             }
         }
+        self.linger(conn).await;
+    }
+
+    /// Reads on after the last answer for as long as that may take to arrive.
+    async fn linger(&self, conn: &Conn) {
         conn.stage.set(Stage::Lingering);
         conn.since.set(Instant::now());
         tokio::select! {
@@ -237,13 +264,7 @@
             let until = begun + self.options.get().patience;
             match self.read(request, peer, framing, until).await {
                 Err(bad) => answer::bad(&bad),
-                Ok(Admitted { manner, .. }) if conn.extra || self.is_full() => {
-                    answer::refusal(&manner, Some(RETRY_AFTER))
-                }
-                Ok(Admitted { core, ask, manner, .. }) => match core.ask(ask).await {
-                    Some(given) => answer::response(&manner, given),
-                    None => answer::bad(&Bad::Twice),
-                },
+                Ok((admitted, body)) => self.decide(Ok(admitted), body, conn.extra).await,
             }
         };
         let crowded = conn.extra || self.budget.is_crowded();
@@ -255,6 +276,30 @@
         response
     }
 
+    /// Has what was admitted answered, whatever protocol it came by.
+    async fn decide(
+        &self,
+        admitted: Result<Admitted, Bad>,
+        body: Bytes,
+        extra: bool,
+    ) -> Response<Full<Bytes>> {
+        let Admitted { core, mut ask, manner, bodiless } = match admitted {
+            Ok(admitted) => admitted,
+            Err(bad) => return answer::bad(&bad),
+        };
+        if bodiless && !body.is_empty() {
+            return answer::bad(&Bad::Method(Vec::new()));
+        }
+        if extra || self.is_full() {
+            return answer::refusal(&manner, Some(RETRY_AFTER));
+        }
+        ask.call.body = body;
+        match core.ask(ask).await {
+            Some(given) => answer::response(&manner, given),
+            None => answer::bad(&Bad::Twice),
+        }
+    }
+
     fn is_full(&self) -> bool {
         self.held.count() >= self.options.get().most_held
     }
@@ -266,7 +311,7 @@
         peer: IpAddr,
         framing: Framing,
         until: Instant,
-    ) -> Result<Admitted, Bad> {
+    ) -> Result<(Admitted, Bytes), Bad> {
         if framing == Framing::Doubtful {
             return Err(Bad::Framing);
         }
@@ -281,16 +326,11 @@
         let admitted = self.admission.admit(&head);
         if admitted.is_err() && parts.headers.contains_key(header::EXPECT) {
             // The client has not begun to write its body, and now needs not (RFC 9110 section 10.1.1).
-            return admitted;
+            return admitted.map(|admitted| (admitted, Bytes::new()));
         }
         // The body first, whatever the head says: the answer then meets no client that is still writing.
         let body = collect(body, self.options.get().longest_body);
         let body = timeout_at(until, body).await.unwrap_or(Err(Bad::Slow))?;
-        let mut admitted = admitted?;
-        if admitted.bodiless && !body.is_empty() {
-            return Err(Bad::Method(Vec::new()));
-        }
-        admitted.ask.call.body = body;
-        Ok(admitted)
+        Ok((admitted?, body))
     }
 }
--- a/crates/node/src/net/http/answer.rs
+++ b/crates/node/src/net/http/answer.rs
@@ -1,7 +1,6 @@
 //! Reads a server's answer as a whole, within bounds.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Limited};
@@ -11,62 +10,10 @@
 use pumicehead_policy::interface::Outcome;
 
 use crate::net::ask::Served;
+use crate::net::room::{Room, SHORT};
 use crate::net::transport::End;
 use crate::net::verdict::{Reading, Seen};
 
-/// Answers take memory of the room for long ones from here on, in steps of as much.
-const SHORT: usize = 64 << 10;
-
-/// Memory for the parts of answers that are longer than [`SHORT`], until they are written to their clients. Counted
-/// atomically only since the body of a message must be `Send`.
-pub struct Room(AtomicUsize);
-
-/// A part of the room.
-pub struct Part {
-    room: Arc<Room>,
-    size: usize,
-}
-
-impl Room {
-    /// So many bytes.
-    pub fn new(size: usize) -> Arc<Self> {
-        Arc::new(Self(AtomicUsize::new(size)))
-    }
-
-    fn part(self: &Arc<Self>) -> Part {
-        Part { room: self.clone(), size: 0 }
-    }
-}
-
-impl Part {
-    /// Grows to a size; tells whether there was room.
-    fn grow(&mut self, size: usize) -> bool {
-        let more = size.saturating_sub(self.size);
-        let Some(left) = self.room.0.load(Ordering::Relaxed).checked_sub(more) else { return false };
-        self.room.0.store(left, Ordering::Relaxed);
-        self.size += more;
-        true
-    }
-}
-
-impl Drop for Part {
-    fn drop(&mut self) {
-        self.room.0.fetch_add(self.size, Ordering::Relaxed);
-    }
-}
-
-/// A body that holds its part of the room.
-struct Roomy {
-    body: Bytes,
-    _part: Part,
-}
-
-impl AsRef<[u8]> for Roomy {
-    fn as_ref(&self) -> &[u8] {
-        &self.body
-    }
-}
-
 /// How answers are read.
 #[derive(Clone)]
 pub struct Reader {
@@ -110,7 +57,7 @@
         let answer = verdict.pass.then(|| Served {
             status: parts.status,
             headers: self.fields(parts.headers, parts.status, method),
-            body: if part.size > 0 { Bytes::from_owner(Roomy { body, _part: part }) } else { body },
+            body: part.keep(body),
         });
         End { outcome: verdict.outcome, answer, refused: false }
     }
@@ -130,14 +77,14 @@
 }
 
 /// A body of at most so many bytes; `None` where it is longer, breaks off, or finds no room.
-async fn collect(mut body: Incoming, most: u64, part: &mut Part) -> Option<Bytes> {
+async fn collect(mut body: Incoming, most: u64, part: &mut crate::net::room::Part) -> Option<Bytes> {
     let mut first: Option<Bytes> = None;
     let mut whole = BytesMut::new();
     let mut size = 0;
     while let Some(frame) = body.frame().await {
         let Ok(data) = frame.ok()?.into_data() else { continue };
         size += data.len();
-        if size as u64 > most || size > SHORT.max(part.size) && !part.grow(size.next_multiple_of(SHORT)) {
+        if size as u64 > most || size > SHORT.max(part.size()) && !part.grow(size.next_multiple_of(SHORT)) {
             return None;
         }
         // Most answers come in one piece, which is passed on as it is.
--- a/crates/node/src/net/http/upstream.rs
+++ b/crates/node/src/net/http/upstream.rs
@@ -3,7 +3,6 @@
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::io;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -13,6 +12,7 @@
 use hyper::client::conn::http1;
 use hyper::header::HeaderValue;
 use hyper_util::rt::TokioIo;
+use pumicehead_lang::model::Address;
 use pumicehead_policy::interface::Outcome;
 use tokio::net::TcpStream;
 use tokio::sync::oneshot;
@@ -21,20 +21,18 @@
 
 use super::answer::Reader;
 use crate::net::ask::Call;
+use crate::net::connections::{Connections, IDLE_SHARE, Idle, Place};
 use crate::net::link::{Link, Unread};
 use crate::net::transport::{Attempt, End, Server, Transport};
 
 /// Longest head of a message.
 pub const LONGEST_HEAD: usize = 32 << 10;
-/// Idle connections close at this share of the time after which servers close them: one that closes while a
-/// request is on its way there ends as a reset.
-const IDLE_SHARE: f64 = 0.8;
 /// How long a connection may take to settle after its answer before it is not worth keeping.
 const SETTLE: Duration = Duration::from_millis(5);
 
 /// The life of one server process.
 struct Backend {
-    dial: SocketAddr,
+    dial: Address,
     usable: Cell<bool>,
     idle: RefCell<VecDeque<(Instant, Conn)>>,
     /// Idle connections are kept for so long.
@@ -50,62 +48,6 @@
     _place: Place,
 }
 
-/// One of the descriptors that servers may use.
-struct Place(Rc<Cell<usize>>);
-
-impl Drop for Place {
-    fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
-    }
-}
-
-/// Connections of all pools: they share the node's descriptors.
-pub struct Connections {
-    places: usize,
-    used: Rc<Cell<usize>>,
-    /// Those with idle connections.
-    backends: RefCell<Vec<Rc<Backend>>>,
-}
-
-impl Connections {
-    /// At most so many.
-    pub fn new(places: usize) -> Rc<Self> {
-        Rc::new(Self { places, used: Rc::default(), backends: RefCell::default() })
-    }
-
-    fn place(&self) -> Option<Place> {
-        if self.used.get() >= self.places {
-            // The longest idle one makes way.
-            let backends = self.backends.borrow();
-            let longest = |b: &&Rc<Backend>| b.idle.borrow().front().map(|(since, _)| *since);
-            let oldest = backends.iter().filter(|b| longest(b).is_some()).min_by_key(longest);
-            drop(oldest?.idle.borrow_mut().pop_front());
-        }
-        self.used.set(self.used.get() + 1);
-        Some(Place(self.used.clone()))
-    }
-
-    fn keep(&self, backend: &Rc<Backend>, conn: Conn) {
-        if backend.usable.get() && conn.is_open() {
-            backend.idle.borrow_mut().push_back((Instant::now(), conn));
-            let mut backends = self.backends.borrow_mut();
-            if !backends.iter().any(|other| Rc::ptr_eq(other, backend)) {
-                backends.push(backend.clone());
-            }
-        }
-    }
-
-    /// Closes what has been idle for too long or has ended, and forgets servers without connections.
-    fn sweep(&self) {
-        let now = Instant::now();
-        self.backends.borrow_mut().retain(|backend| {
-            let mut idle = backend.idle.borrow_mut();
-            idle.retain(|(since, conn)| now < *since + backend.idle_for && conn.is_open());
-            !idle.is_empty()
-        });
-    }
-}
-
 /// What the servers of a pool share.
 struct Shared {
     connections: Rc<Connections>,
@@ -132,10 +74,14 @@
 }
 
 impl Transport for Upstream {
-    fn server(&self, dial: SocketAddr) -> Rc<dyn Server> {
+    fn server(&self, dial: &Address) -> Rc<dyn Server> {
         let shared = self.0.clone();
-        let backend =
-            Backend { dial, usable: Cell::new(true), idle: RefCell::default(), idle_for: shared.idle_for };
+        let backend = Backend {
+            dial: dial.clone(),
+            usable: Cell::new(true),
+            idle: RefCell::default(),
+            idle_for: shared.idle_for,
+        };
         Rc::new(HttpServer { shared, backend: Rc::new(backend) })
     }
 
@@ -144,14 +90,39 @@
     }
 }
 
+impl Backend {
+    fn keep(self: &Rc<Self>, connections: &Connections, conn: Conn) {
+        if self.usable.get() && conn.is_open() {
+            self.idle.borrow_mut().push_back((Instant::now(), conn));
+            connections.register(self);
+        }
+    }
+}
+
+impl Idle for Backend {
+    fn longest(&self) -> Option<Instant> {
+        self.idle.borrow().front().map(|(since, _)| *since)
+    }
+
+    fn shed(&self) {
+        drop(self.idle.borrow_mut().pop_front());
+    }
+
+    fn sweep(&self, now: Instant) -> bool {
+        let mut idle = self.idle.borrow_mut();
+        idle.retain(|(since, conn)| now < *since + self.idle_for && conn.is_open());
+        !idle.is_empty()
+    }
+}
+
 struct HttpServer {
     shared: Rc<Shared>,
     backend: Rc<Backend>,
 }
 
 impl Server for HttpServer {
-    fn dial(&self) -> SocketAddr {
-        self.backend.dial
+    fn dial(&self) -> &Address {
+        &self.backend.dial
     }
 
     fn is_usable(&self) -> bool {
@@ -201,7 +172,11 @@
         // The node's own lack of descriptors is no fault of the server's.
         let place = self.connections.place().ok_or_else(|| End::of(Outcome::Moot))?;
         let failed = |refused| End { refused, ..End::of(Outcome::ConnectFailed) };
-        let stream = match timeout(self.dial_timeout, TcpStream::connect(backend.dial)).await {
+        let Address::Tcp(address) = backend.dial else {
+            // The checker lets no such address through to this protocol.
+            return Err(failed(false));
+        };
+        let stream = match timeout(self.dial_timeout, TcpStream::connect(address)).await {
             Ok(Ok(stream)) => stream,
             Ok(Err(error)) => return Err(failed(error.kind() == io::ErrorKind::ConnectionRefused)),
             Err(_) => return Err(failed(false)),
@@ -254,7 +229,7 @@
         if end.outcome != Outcome::Reset {
             // Kept before the outcome is told, so that what is sent next finds it.
             if conn.sender.is_ready() || matches!(timeout(SETTLE, conn.sender.ready()).await, Ok(Ok(()))) {
-                self.connections.keep(backend, conn);
+                backend.keep(&self.connections, conn);
             }
         }
         end
--- a/crates/node/src/net/link.rs
+++ b/crates/node/src/net/link.rs
@@ -136,6 +136,11 @@
         }
     }
 
+    /// Tells the other side that nothing more comes.
+    pub fn close_writing(&self) {
+        let _ = SockRef::from(&self.0.stream).shutdown(std::net::Shutdown::Write);
+    }
+
     /// Reads and drops what the other side still sends until it closes. Closing on unread bytes resets the
     /// connection, and a reset can overtake the answer that was just written.
     pub async fn linger(&self) {
--- a/crates/node/src/net/mod.rs
+++ b/crates/node/src/net/mod.rs
@@ -7,12 +7,15 @@
 pub mod admission;
 pub mod answer;
 pub mod ask;
+pub mod connections;
 pub mod core;
 pub mod discovery;
+pub mod fastcgi;
 pub mod fields;
 pub mod front;
 pub mod http;
 pub mod link;
+pub mod room;
 pub mod roster;
 pub mod transport;
 pub mod verdict;
--- a/crates/node/src/net/roster.rs
+++ b/crates/node/src/net/roster.rs
@@ -85,7 +85,7 @@
     pub fn date(&self, list: &mut List, now_ms: u64) {
         for host in &mut list.hosts {
             let known = self.ids.get(&host.host).and_then(|id| self.servers.get(id));
-            let known = known.filter(|known| known.server.dial() == host.dial);
+            let known = known.filter(|known| *known.server.dial() == host.dial);
             host.born_ms = known.map_or(now_ms, |known| known.born_ms);
         }
     }
@@ -124,12 +124,12 @@
         let fresh = || Known {
             name: host.host.clone(),
             born_ms: host.born_ms,
-            server: transport.server(host.dial),
+            server: transport.server(&host.dial),
             info: info.clone(),
             down: false,
         };
         let known = self.servers.entry(id).or_insert_with(fresh);
-        if known.born_ms != host.born_ms || known.server.dial() != host.dial || !known.server.is_usable() {
+        if known.born_ms != host.born_ms || *known.server.dial() != host.dial || !known.server.is_usable() {
             // Another process: what is still on its way to the old one must not reach the cold new one.
             known.server.retire();
             *known = fresh();
--- a/crates/node/src/net/transport.rs
+++ b/crates/node/src/net/transport.rs
@@ -1,10 +1,10 @@
 //! How an attempt travels: one implementation for each protocol that servers speak.
 
 use std::future::Future;
-use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
 
+use pumicehead_lang::model::Address;
 use pumicehead_policy::interface::Outcome;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
@@ -35,7 +35,7 @@
 /// Makes servers of addresses.
 pub trait Transport {
     /// The life of one server process: a restart, another address or its end needs another one.
-    fn server(&self, dial: SocketAddr) -> Rc<dyn Server>;
+    fn server(&self, dial: &Address) -> Rc<dyn Server>;
 
     /// Closes what has been idle for too long. Called about once a second.
     fn sweep(&self);
@@ -44,7 +44,7 @@
 /// The life of one server process.
 pub trait Server {
     /// Its address.
-    fn dial(&self) -> SocketAddr;
+    fn dial(&self) -> &Address;
 
     /// Whether requests may be written to it.
     fn is_usable(&self) -> bool;
--- a/crates/node/src/platform/mod.rs
+++ b/crates/node/src/platform/mod.rs
@@ -12,11 +12,13 @@
 use tokio::task;
 
 use crate::net::ask::Held;
+use crate::net::connections::Connections;
 use crate::net::core::{Core, Setup, Source};
 use crate::net::front::budget::Budget;
 use crate::net::front::{self, Ending, Front, Options};
-use crate::net::http::answer::{Reader, Room};
-use crate::net::http::upstream::{Connections, Upstream};
+use crate::net::http::answer::Reader;
+use crate::net::http::upstream::Upstream;
+use crate::net::room::Room;
 use crate::net::verdict::Reading;
 use crate::places::Places;
 use admission::Platform;
--- a/crates/node/src/standalone/admission.rs
+++ b/crates/node/src/standalone/admission.rs
@@ -7,7 +7,7 @@
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
 use hyper::{Method, StatusCode, Uri};
 use pumicehead_lang::explain::key_of;
-use pumicehead_lang::model::{Config, KeyOf, Repeats, TenantOf};
+use pumicehead_lang::model::{Config, KeyOf, Protocol, Repeats, TenantOf};
 use pumicehead_route::{Found, Matcher, Query, RequestPath, request_host};
 
 use crate::net::admission::{Admission, Admitted, Bad, Head};
@@ -36,6 +36,8 @@
     keyed: Option<HeaderName>,
     tenant: TenantOf,
     key: KeyOf,
+    /// Its servers are told a decoded path, in which an encoded slash would divide.
+    decoded: bool,
 }
 
 impl Live {
@@ -56,6 +58,7 @@
                 keyed,
                 tenant: route.tenant.clone(),
                 key: route.key.clone(),
+                decoded: config.pools[route.pool].protocol == Protocol::FastCgi,
             }
         });
         Self {
@@ -115,6 +118,9 @@
             Found::Nothing => return Err(Bad::Unknown),
         };
         let route = &live.routes[place];
+        if route.decoded && path.holds_slash() {
+            return Err(Bad::Unknown);
+        }
         if let Some(name) = &route.keyed {
             one(head.headers, name)?;
         }
--- a/crates/node/src/standalone/site.rs
+++ b/crates/node/src/standalone/site.rs
@@ -10,7 +10,7 @@
 
 use pumicehead_lang::Span;
 use pumicehead_lang::diff::{Change, What, diff};
-use pumicehead_lang::model::{Config, Limits, Members, Pool};
+use pumicehead_lang::model::{Config, Limits, Members, Pool, Protocol};
 use pumicehead_policy::interface::{Nanos, Settings};
 use thiserror::Error;
 use tokio::net::TcpListener;
@@ -19,13 +19,16 @@
 
 use super::admission::{Gateway, Live};
 use crate::net::ask::{Handle, Held};
+use crate::net::connections::Connections;
 use crate::net::core::{Core, Setup, Source};
 use crate::net::discovery::{Health, Host, List};
 use crate::net::front::budget::Budget;
 use crate::net::front::{self, Ending, Front, Options};
-use crate::net::http::answer::{Reader, Room};
-use crate::net::http::upstream::{Connections, Upstream};
+use crate::net::http::answer::Reader;
+use crate::net::room::Room;
+use crate::net::transport::Transport;
 use crate::net::verdict::Reading;
+use crate::net::{fastcgi, http};
 use crate::places::Places;
 
 /// Long answers may take this part of the memory: the rest of it is for connections and requests.
@@ -67,6 +70,9 @@
     connect_timeout: Nanos,
     idle: Nanos,
     answer_body: u64,
+    protocol: Protocol,
+    script: String,
+    root: String,
 }
 
 impl Footing {
@@ -166,9 +172,17 @@
             running: RefCell::new(Running { config: config.clone(), pools, fronts: Vec::new() }),
         });
         site.start_fronts(&config, listeners);
+        site.set_protocols(&config);
         Ok(site)
     }
 
+    fn set_protocols(&self, config: &Config) {
+        for front in &self.running.borrow().fronts {
+            let listener = config.listeners.iter().find(|listener| listener.address == front.address);
+            front.front.set_protocol(listener.map_or(Protocol::Http, |listener| listener.protocol));
+        }
+    }
+
     /// Goes over to another configuration, or changes nothing. Pools keep what they have learned, and take servers that
     /// changed as a list that changed. Where the rules for repeats or what knowledge rests on are others, they begin
     /// anew, and the old loops serve what they have. Listeners that are gone end in order.
@@ -240,6 +254,7 @@
         self.start_fronts(&config, listeners);
         let options = options(&config);
         self.running.borrow().fronts.iter().for_each(|front| front.front.set_options(options));
+        self.set_protocols(&config);
         Ok(changes)
     }
 
@@ -322,6 +337,9 @@
         connect_timeout: pool.connect_timeout,
         idle: pool.idle,
         answer_body: config.limits.answer_body,
+        protocol: pool.protocol,
+        script: pool.script.clone(),
+        root: pool.root.clone(),
     })
 }
 
@@ -335,13 +353,29 @@
     held: &Held,
 ) -> Handle {
     let pool = &config.pools[place];
-    let reader = Reader {
-        reading: Reading::Gateway,
-        longest: footing.answer_body,
-        longest_unstated: footing.answer_body,
-        room: room.clone(),
+    let (dial, idle) = (Duration::from_nanos(footing.connect_timeout), Duration::from_nanos(footing.idle));
+    let transport: Rc<dyn Transport> = match footing.protocol {
+        Protocol::Http => {
+            let reader = Reader {
+                reading: Reading::Gateway,
+                longest: footing.answer_body,
+                longest_unstated: footing.answer_body,
+                room: room.clone(),
+            };
+            http::upstream::Upstream::new(connections.clone(), dial, idle, reader)
+        }
+        Protocol::FastCgi => {
+            let settings = fastcgi::upstream::Settings {
+                dial_timeout: dial,
+                conn_idle: idle,
+                longest: footing.answer_body,
+                room: room.clone(),
+                script: footing.script.clone(),
+                root: footing.root.clone(),
+            };
+            fastcgi::upstream::Upstream::new(connections.clone(), settings)
+        }
     };
-    let span = Duration::from_nanos;
     let setup = Setup {
         settings: footing.settings.clone(),
         seed: seed.wrapping_add(place as u64),
@@ -350,12 +384,7 @@
             Members::Static(_) => Source::Fixed(servers(config, pool)),
             Members::Discovery { address, .. } => Source::Watch { discovery: *address, known: None },
         },
-        transport: Upstream::new(
-            connections.clone(),
-            span(footing.connect_timeout),
-            span(footing.idle),
-            reader,
-        ),
+        transport,
     };
     let (core, handle) = Core::new(setup, held.clone());
     task::spawn_local(core.run());
@@ -367,7 +396,7 @@
     let Members::Static(servers) = &pool.members else { return List::default() };
     let hosts = servers.iter().map(|server| Host {
         host: server.name.clone(),
-        dial: server.address,
+        dial: server.address.clone(),
         site: config.node.zones[server.zone].clone(),
         block: server.cell,
         health: Health::Active,
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -1,6 +1,7 @@
 //! Stand-in servers, scripted peers, faults and measurements. Everything stays on loopback, and the node never
 //! depends on it.
 
+pub mod board;
 pub mod client;
 pub mod measure;
 pub mod program;
--- a/crates/route/src/path.rs
+++ b/crates/route/src/path.rs
@@ -62,6 +62,12 @@
         self.segments.get(place).map(AsRef::as_ref).filter(|segment| !segment.is_empty())
     }
 
+    /// Whether a segment holds an encoded slash: decoded as a whole, this would be another path.
+    #[must_use]
+    pub fn holds_slash(&self) -> bool {
+        self.segments.iter().any(|segment| segment.contains(&b'/'))
+    }
+
     /// The last segment; `None` where it is empty.
     #[must_use]
     pub fn last(&self) -> Option<&[u8]> {
