FastCGI: the hard cases of servers and front ends on sockets

Need: what only FastCGI has can break rules of its own. A connection is asked by the kernel before a request is put on it.

--- a/crates/node/src/net/fastcgi/connection.rs
+++ b/crates/node/src/net/fastcgi/connection.rs
@@ -11,7 +11,7 @@
 use pumicehead_fastcgi::client::{Client, Event, RequestId, Values};
 use pumicehead_fastcgi::record::End;
 use pumicehead_policy::interface::Outcome;
-use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, ReadHalf, WriteHalf, split};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::sync::{Notify, mpsc, oneshot};
 use tokio::time::{Instant, sleep_until};
 
@@ -19,6 +19,7 @@
 use crate::net::ask::Served;
 use crate::net::connections::Place;
 use crate::net::fields;
+use crate::net::link::{Link, Unread};
 use crate::net::room::{Part, SHORT};
 use crate::net::transport;
 
@@ -65,6 +66,8 @@
     pub idle_since: Cell<Instant>,
     close: Notify,
     next: Cell<u64>,
+    /// To ask the kernel by, while it is open.
+    link: RefCell<Option<Link>>,
 }
 
 /// An attempt on a connection; dropped before its end, it is aborted.
@@ -100,6 +103,11 @@
         Ticket { connection: self.clone(), number, over: false }
     }
 
+    /// Whether a request may be sent on it. The kernel is asked, not the loop, which may not have seen the latest yet.
+    pub fn is_open(&self) -> bool {
+        !self.closed.get() && self.link.borrow().as_ref().is_some_and(|link| link.unread() != Unread::End)
+    }
+
     /// Closes it, now if it is idle, or else after its last request.
     pub fn retire(&self) {
         self.closed.set(true);
@@ -121,9 +129,10 @@
 }
 
 /// The task of a connection.
-pub struct Driver<S> {
-    reader: ReadHalf<S>,
-    writer: WriteHalf<S>,
+pub struct Driver {
+    /// One socket; clones of it read, write and look.
+    reader: Link,
+    writer: Link,
     shared: Rc<Shared>,
     orders: mpsc::UnboundedReceiver<Order>,
     client: Client,
@@ -153,10 +162,10 @@
     pub told: Rc<Cell<Option<Instant>>>,
 }
 
-impl<S: AsyncRead + AsyncWrite + Unpin> Driver<S> {
+impl Driver {
     /// A connection that has come up. `values` asks what the application is able to do.
     pub fn new(
-        stream: S,
+        link: Link,
         common: Common,
         place: Place,
         values: Option<oneshot::Sender<Values>>,
@@ -169,11 +178,11 @@
             idle_since: Cell::new(Instant::now()),
             close: Notify::new(),
             next: Cell::new(0),
+            link: RefCell::new(Some(link.clone())),
         });
-        let (reader, writer) = split(stream);
         let driver = Self {
-            reader,
-            writer,
+            reader: link.clone(),
+            writer: link,
             shared: shared.clone(),
             orders,
             client: Client::default(),
@@ -209,7 +218,14 @@
             let far = Instant::now() + ABORT_GRACE;
             tokio::select! {
                 order = self.orders.recv() => match order {
-                    Some(Order::Request(number, job)) => self.request(number, job),
+                    Some(Order::Request(number, job)) => {
+                        // A request that is written behind the end of a kept connection may have run, for all
+                        // that can be known.
+                        if self.sent.is_empty() && self.reader.unread() == Unread::End {
+                            break;
+                        }
+                        self.request(number, job);
+                    }
                     Some(Order::Abort(number)) => if self.abort(number).await { break },
                     None => break,
                 },
@@ -351,6 +367,7 @@
     /// The connection has ended, and with it all that is open on it.
     fn end(mut self) {
         self.shared.closed.set(true);
+        self.shared.link.take();
         for (_, sent) in std::mem::take(&mut self.sent) {
             // What was put out and not written never arrived.
             let broken = Ending::Broken { sent: self.written >= sent.whole_at };
@@ -360,8 +377,8 @@
     }
 }
 
-async fn write<S: AsyncWrite + Unpin>(stream: &mut S, bytes: Option<&Bytes>) -> std::io::Result<usize> {
-    stream.write(bytes.map_or(&[], |bytes| &bytes[..])).await
+async fn write(link: &mut Link, bytes: Option<&Bytes>) -> std::io::Result<usize> {
+    link.write(bytes.map_or(&[], |bytes| &bytes[..])).await
 }
 
 impl Sent {
--- a/crates/node/src/net/fastcgi/upstream.rs
+++ b/crates/node/src/net/fastcgi/upstream.rs
@@ -20,6 +20,7 @@
 use super::ending::Ending;
 use crate::net::ask::Call;
 use crate::net::connections::{Connections, IDLE_SHARE, Idle, Place};
+use crate::net::link::Link;
 use crate::net::room::Room;
 use crate::net::transport::{Attempt, End, Server, Transport};
 
@@ -260,7 +261,7 @@
         let (most, mut open) = (self.most_on_one(), 0);
         let found = {
             let mut pool = self.life.pool.borrow_mut();
-            pool.retain(|conn| !conn.closed.get());
+            pool.retain(|conn| conn.open.get() > 0 && !conn.closed.get() || conn.is_open());
             open += pool.iter().map(|conn| conn.open.get()).sum::<usize>();
             // The fullest that has room, so that the others can grow old.
             let free = pool.iter().filter(|conn| conn.open.get() < most);
@@ -306,11 +307,12 @@
         let conn = match &self.life.dial {
             Address::Tcp(address) => {
                 let stream = self.dialled(TcpStream::connect(address)).await?;
-                // Small messages must not wait for acknowledgements.
-                let _ = stream.set_nodelay(true);
-                self.drive(stream, place, values)
+                self.drive(Link::new(stream), place, values)
+            }
+            Address::Unix(path) => {
+                let stream = self.dialled(UnixStream::connect(path)).await?;
+                self.drive(Link::unix(stream), place, values)
             }
-            Address::Unix(path) => self.drive(self.dialled(UnixStream::connect(path)).await?, place, values),
         };
         self.life.pool.borrow_mut().push(conn.clone());
         self.connections.register(&self.life);
@@ -330,11 +332,8 @@
         }
     }
 
-    fn drive<S>(&self, stream: S, place: Place, values: Option<oneshot::Sender<Values>>) -> Rc<Shared>
-    where
-        S: tokio::io::AsyncRead + tokio::io::AsyncWrite + Unpin + 'static,
-    {
-        let (driver, shared) = Driver::new(stream, self.common.clone(), place, values);
+    fn drive(&self, link: Link, place: Place, values: Option<oneshot::Sender<Values>>) -> Rc<Shared> {
+        let (driver, shared) = Driver::new(link, self.common.clone(), place, values);
         task::spawn_local(driver.run());
         shared
     }
--- a/crates/node/src/net/link.rs
+++ b/crates/node/src/net/link.rs
@@ -1,4 +1,4 @@
-//! A TCP socket that counts what was written to it and can be looked at from beside the HTTP library.
+//! A socket that counts what was written to it and can be looked at from beside the library that uses it.
 
 use std::cell::{Cell, RefCell};
 use std::io;
@@ -9,7 +9,7 @@
 
 use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
+use tokio::net::{TcpStream, UnixStream};
 use tokio::time::Instant;
 
 /// Most that is read and dropped of what a closed connection's other side still sends.
@@ -19,8 +19,54 @@
 #[derive(Clone)]
 pub struct Link(Rc<Shared>);
 
+/// Either kind of stream.
+enum Socket {
+    Tcp(TcpStream),
+    Unix(UnixStream),
+}
+
+/// Does the same with either.
+macro_rules! either {
+    ($socket:expr, $stream:ident => $do:expr) => {
+        match $socket {
+            Socket::Tcp($stream) => $do,
+            Socket::Unix($stream) => $do,
+        }
+    };
+}
+
+impl Socket {
+    fn poll_read_ready(&self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        either!(self, stream => stream.poll_read_ready(cx))
+    }
+
+    fn poll_write_ready(&self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        either!(self, stream => stream.poll_write_ready(cx))
+    }
+
+    async fn readable(&self) -> io::Result<()> {
+        either!(self, stream => stream.readable().await)
+    }
+
+    fn try_read(&self, buffer: &mut [u8]) -> io::Result<usize> {
+        either!(self, stream => stream.try_read(buffer))
+    }
+
+    fn try_write(&self, buffer: &[u8]) -> io::Result<usize> {
+        either!(self, stream => stream.try_write(buffer))
+    }
+
+    fn try_write_vectored(&self, buffers: &[io::IoSlice<'_>]) -> io::Result<usize> {
+        either!(self, stream => stream.try_write_vectored(buffers))
+    }
+
+    fn as_ref(&self) -> SockRef<'_> {
+        either!(self, stream => SockRef::from(stream))
+    }
+}
+
 struct Shared {
-    stream: TcpStream,
+    stream: Socket,
     written: Cell<u64>,
     tap: Option<RefCell<Tap>>,
 }
@@ -65,6 +111,11 @@
         Self::with(stream, None)
     }
 
+    /// The same of this machine's own kind.
+    pub fn unix(stream: UnixStream) -> Self {
+        Self(Rc::new(Shared { stream: Socket::Unix(stream), written: Cell::new(0), tap: None }))
+    }
+
     /// One that requests come in on: their heads can be had as they came.
     pub fn tapped(stream: TcpStream) -> Self {
         Self::with(stream, Some(RefCell::default()))
@@ -74,7 +125,7 @@
         // Small messages must not wait for acknowledgements. A socket that can't be set up is dead, which
         // its first use will tell.
         let _ = stream.set_nodelay(true);
-        Self(Rc::new(Shared { stream, written: Cell::new(0), tap }))
+        Self(Rc::new(Shared { stream: Socket::Tcp(stream), written: Cell::new(0), tap }))
     }
 
     /// The lines of the head that has come in whole, without their ends; what follows is the body.
@@ -128,7 +179,7 @@
 
     /// Asks the kernel, not the event loop, which may not have seen the latest yet.
     pub fn unread(&self) -> Unread {
-        match SockRef::from(&self.0.stream).peek(&mut [MaybeUninit::uninit()]) {
+        match self.0.stream.as_ref().peek(&mut [MaybeUninit::uninit()]) {
             Ok(0) => Unread::End,
             Ok(_) => Unread::Bytes,
             Err(error) if error.kind() == io::ErrorKind::WouldBlock => Unread::Nothing,
@@ -138,7 +189,7 @@
 
     /// Tells the other side that nothing more comes.
     pub fn close_writing(&self) {
-        let _ = SockRef::from(&self.0.stream).shutdown(std::net::Shutdown::Write);
+        let _ = self.0.stream.as_ref().shutdown(std::net::Shutdown::Write);
     }
 
     /// Reads and drops what the other side still sends until it closes. Closing on unread bytes resets the
@@ -179,7 +230,7 @@
     fn poll_try(
         &self,
         cx: &mut Context<'_>,
-        mut write: impl FnMut(&TcpStream) -> io::Result<usize>,
+        mut write: impl FnMut(&Socket) -> io::Result<usize>,
     ) -> Poll<io::Result<usize>> {
         loop {
             ready!(self.0.stream.poll_write_ready(cx))?;
@@ -217,6 +268,6 @@
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(SockRef::from(&self.0.stream).shutdown(std::net::Shutdown::Write))
+        Poll::Ready(self.0.stream.as_ref().shutdown(std::net::Shutdown::Write))
     }
 }
--- a/crates/rig/src/board.rs
+++ b/crates/rig/src/board.rs
@@ -407,6 +407,8 @@
     speaks: Speaks,
     stream: TcpStream,
     machine: Machine,
+    /// For records that are read as they are.
+    decoder: Decoder,
 }
 
 impl Asker {
@@ -418,7 +420,7 @@
         let stream = TcpStream::connect(address)?;
         stream.set_nodelay(true)?;
         stream.set_read_timeout(Some(LIMIT))?;
-        Ok(Self { speaks, stream, machine: Machine::default() })
+        Ok(Self { speaks, stream, machine: Machine::default(), decoder: Decoder::default() })
     }
 
     /// Sends a request; fields are lines with their ends.
@@ -540,12 +542,12 @@
     /// The records that come until the other side closes, or so many.
     #[must_use]
     pub fn records(&mut self, most: usize) -> Vec<(Kind, u16, Bytes)> {
-        let (mut decoder, mut list) = (Decoder::default(), Vec::new());
+        let mut list = Vec::new();
         let mut input = vec![0; 16 << 10];
         while list.len() < most {
             let count = self.stream.read(&mut input).unwrap_or(0);
             let mut part = &input[..count];
-            while let Ok(Some(record)) = decoder.next(&mut part) {
+            while let Ok(Some(record)) = self.decoder.next(&mut part) {
                 list.push((record.kind, record.id, record.content));
             }
             if count == 0 {
