--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod board;
 pub mod client;
 pub mod measure;
+pub mod parity;
 pub mod program;
 pub mod report;
 pub mod scripted;
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -30,6 +30,8 @@
     },
     /// The configuration: checks, matches, reloads.
     Config(Options),
+    /// FastCGI beside HTTP: the parity table, costs, memory.
+    Fastcgi(Options),
 }
 
 #[derive(clap::Args)]
@@ -49,6 +51,7 @@
     let done = match Arguments::parse().command {
         Command::StandIn { addresses, takes_ms } => stand_in(&addresses, takes_ms),
         Command::Config(options) => measure("config", &options),
+        Command::Fastcgi(options) => measure("fastcgi", &options),
     };
     done.unwrap_or_else(|error| {
         eprintln!("pumicehead-rig: {error}");
--- a/crates/rig/src/measure/mod.rs
+++ b/crates/rig/src/measure/mod.rs
@@ -1,6 +1,7 @@
 //! Measurements that anyone can run, each in a module of its own.
 
 pub mod config;
+pub mod fastcgi;
 
 use std::io;
 
@@ -19,4 +20,4 @@
 pub type Measurement = fn(Plan) -> io::Result<Report>;
 
 /// All measurements.
-pub const ALL: [(&str, Measurement); 1] = [("config", config::measure)];
+pub const ALL: [(&str, Measurement); 2] = [("config", config::measure), ("fastcgi", fastcgi::measure)];
