An open-loop load generator: pumicehead-load

Need: no claim at thousands of requests a second holds while the generator slows down whenever the node does. Change: a package and program. Schedules are placed by inverting the integral of their rate, drawn from a seed, and never wait for answers; latencies count from the intended time; ends are named, also of what could not be sent; the generator measures its own lateness and calls a run invalid past 1%. Shapes, mixes, traces, FastCGI, the platform's form, JSON, tables, a page, compare, a stand-in with a known service time, a relay. Measured: in virtual time a stall of 2 s shows at every quantile within 4 ms of its closed form, and the closed loop hides it at p99.9; on sockets the same.

--- /dev/null
+++ b/crates/load/src/compare.rs
@@ -0,0 +1,110 @@
+//! Two sets of runs beside each other, with the noise that repeats show.
+
+use std::fmt::Write;
+
+use thiserror::Error;
+
+use crate::outcome::End;
+use crate::report::Summary;
+
+/// Runs that can't be compared.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum CompareError {
+    /// A side without runs.
+    #[error("each side needs a run")]
+    NoRuns,
+    /// A run that says nothing.
+    #[error("`{0}` is invalid: its generator did not keep its times")]
+    Invalid(String),
+}
+
+/// A figure's least, median and most over runs.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Range {
+    /// Least.
+    pub least: f64,
+    /// Median.
+    pub median: f64,
+    /// Most.
+    pub most: f64,
+}
+
+impl Range {
+    fn of(mut list: Vec<f64>) -> Self {
+        list.sort_by(f64::total_cmp);
+        let at = |place: usize| list.get(place).copied().unwrap_or_default();
+        let (middle, last) = (list.len() / 2, list.len().saturating_sub(1));
+        let median = if list.len().is_multiple_of(2) {
+            at(middle.saturating_sub(1)).midpoint(at(middle))
+        } else {
+            at(middle)
+        };
+        Self { least: at(0), median, most: at(last) }
+    }
+}
+
+/// A figure of both sides.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Row {
+    /// Its name.
+    pub name: &'static str,
+    /// Of the one side.
+    pub a: Range,
+    /// Of the other.
+    pub b: Range,
+    /// The sides' ranges don't touch: the difference is more than the noise that was seen.
+    pub apart: bool,
+}
+
+type Figure = (&'static str, fn(&Summary) -> f64);
+
+/// Compares two sides.
+///
+/// # Errors
+/// A side without runs, or an invalid one.
+pub fn compare(a: &[Summary], b: &[Summary]) -> Result<Vec<Row>, CompareError> {
+    if a.is_empty() || b.is_empty() {
+        return Err(CompareError::NoRuns);
+    }
+    if let Some(bad) = a.iter().chain(b).find(|run| !run.valid) {
+        return Err(CompareError::Invalid(bad.title.clone()));
+    }
+    let figures: [Figure; 7] = [
+        ("served, %", |run| percent(run, run.of_end(End::Served))),
+        ("refused, %", |run| percent(run, run.of_end(End::Refused))),
+        ("late, %", |run| percent(run, run.classes.first().map_or(0, |class| class.late))),
+        ("p50, ms", |run| run.served_us(0.5) as f64 / 1e3),
+        ("p99, ms", |run| run.served_us(0.99) as f64 / 1e3),
+        ("p99.9, ms", |run| run.served_us(0.999) as f64 / 1e3),
+        ("most, ms", |run| run.served_us(1.0) as f64 / 1e3),
+    ];
+    let rows = figures.map(|(name, figure)| {
+        let (a, b) = (Range::of(a.iter().map(figure).collect()), Range::of(b.iter().map(figure).collect()));
+        Row { name, a, b, apart: a.most < b.least || b.most < a.least }
+    });
+    Ok(rows.into())
+}
+
+fn percent(run: &Summary, count: u64) -> f64 {
+    100.0 * count as f64 / run.classes.first().map_or(1, |class| class.requests.max(1)) as f64
+}
+
+/// As a table; `runs` is how many each side has.
+#[must_use]
+pub fn table(rows: &[Row], runs: (usize, usize)) -> String {
+    let mut out = format!(
+        "{:<12}{:>30}{:>30}{:>9}\n",
+        "", "A: median (least to most)", "B: median (least to most)", "B / A"
+    );
+    let show = |range: &Range| format!("{:.2} ({:.2} to {:.2})", range.median, range.least, range.most);
+    for row in rows {
+        let ratio =
+            if row.a.median == 0.0 { "-".into() } else { format!("{:.2}", row.b.median / row.a.median) };
+        let noise = if row.apart { "" } else { "  within the noise" };
+        let _ = writeln!(out, "{:<12}{:>30}{:>30}{ratio:>9}{noise}", row.name, show(&row.a), show(&row.b));
+    }
+    if runs.0 < 3 || runs.1 < 3 {
+        out.push_str("with fewer than three runs a side the noise is hardly known\n");
+    }
+    out
+}
--- /dev/null
+++ b/crates/load/src/engine/connection.rs
@@ -0,0 +1,157 @@
+//! A connection: one request at a time, by either protocol.
+
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use http_body_util::{BodyExt, Full};
+use hyper::Request;
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use pumicehead_fastcgi::cgi::HeadReader;
+use pumicehead_fastcgi::client::{Client, Event};
+use pumicehead_fastcgi::record::ProtocolStatus;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::task::JoinSet;
+
+use super::Protocol;
+
+/// Bytes that are read at once.
+const READ: usize = 16 << 10;
+
+/// A request.
+pub struct Message {
+    pub method: String,
+    pub path: String,
+    pub fields: Vec<(&'static str, String)>,
+    pub body: usize,
+}
+
+/// An answer.
+pub struct Answer {
+    pub status: u16,
+    /// When to come back.
+    pub retry_after: Option<Duration>,
+    /// The connection stays.
+    pub keep: bool,
+}
+
+/// Why there is no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    Broken,
+    Malformed,
+}
+
+/// An open connection.
+pub enum Connection {
+    Http { sender: http1::SendRequest<Full<Bytes>>, _driver: JoinSet<hyper::Result<()>> },
+    FastCgi { stream: TcpStream, machine: Client },
+}
+
+impl Connection {
+    pub async fn open(target: SocketAddr, protocol: Protocol) -> io::Result<Self> {
+        let stream = TcpStream::connect(target).await?;
+        stream.set_nodelay(true)?;
+        if protocol == Protocol::FastCgi {
+            return Ok(Self::FastCgi { stream, machine: Client::default() });
+        }
+        let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.map_err(io::Error::other)?;
+        let mut driver = JoinSet::new();
+        driver.spawn_local(connection);
+        Ok(Self::Http { sender, _driver: driver })
+    }
+
+    pub fn is_open(&self) -> bool {
+        match self {
+            Self::Http { sender, .. } => !sender.is_closed(),
+            // Nothing may come between requests but the end.
+            Self::FastCgi { stream, .. } => {
+                matches!(stream.try_read(&mut [0; 1]), Err(error) if error.kind() == io::ErrorKind::WouldBlock)
+            }
+        }
+    }
+
+    pub async fn ask(&mut self, message: Message) -> Result<Answer, Fault> {
+        match self {
+            Self::Http { sender, .. } => ask_http(sender, message).await,
+            Self::FastCgi { stream, machine } => ask_fastcgi(stream, machine, message).await,
+        }
+    }
+}
+
+fn retry_after(value: Option<&hyper::header::HeaderValue>) -> Option<Duration> {
+    let seconds: f64 = value?.to_str().ok()?.parse().ok()?;
+    Duration::try_from_secs_f64(seconds).ok()
+}
+
+async fn ask_http(sender: &mut http1::SendRequest<Full<Bytes>>, message: Message) -> Result<Answer, Fault> {
+    sender.ready().await.map_err(|_| Fault::Broken)?;
+    let mut request = Request::builder().method(message.method.as_str()).uri(message.path);
+    for (name, value) in message.fields {
+        request = request.header(name, value);
+    }
+    let body = Bytes::from(vec![b'x'; message.body]);
+    let request = request.body(Full::new(body)).map_err(|_| Fault::Malformed)?;
+    let fault = |error: hyper::Error| if error.is_parse() { Fault::Malformed } else { Fault::Broken };
+    let response = sender.send_request(request).await.map_err(fault)?;
+    let (parts, mut body) = response.into_parts();
+    while let Some(frame) = body.frame().await {
+        frame.map_err(fault)?;
+    }
+    let keep = parts.headers.get("connection").is_none_or(|value| value != "close");
+    Ok(Answer {
+        status: parts.status.as_u16(),
+        retry_after: retry_after(parts.headers.get("retry-after")),
+        keep,
+    })
+}
+
+async fn ask_fastcgi(
+    stream: &mut TcpStream,
+    machine: &mut Client,
+    message: Message,
+) -> Result<Answer, Fault> {
+    let mut out = BytesMut::new();
+    let id = machine.begin(&mut out, true).ok_or(Fault::Broken)?;
+    let length = message.body.to_string();
+    let mut list = vec![
+        ("REQUEST_METHOD".to_owned(), message.method),
+        ("REQUEST_URI".to_owned(), message.path),
+        ("CONTENT_LENGTH".to_owned(), length),
+    ];
+    let named =
+        |(name, value): (&str, String)| (format!("HTTP_{}", name.to_uppercase().replace('-', "_")), value);
+    list.extend(message.fields.into_iter().map(named));
+    machine.params(&mut out, id, list.iter().map(|(name, value)| (name.as_bytes(), value.as_bytes())));
+    machine.stdin(&mut out, id, &vec![b'x'; message.body]);
+    machine.stdin_end(&mut out, id);
+    stream.write_all(&out).await.map_err(|_| Fault::Broken)?;
+    let (mut input, mut events) = (vec![0; READ], Vec::new());
+    let (mut reader, mut head) = (HeadReader::default(), None);
+    loop {
+        let count = stream.read(&mut input).await.unwrap_or(0);
+        if count == 0 {
+            return Err(Fault::Broken);
+        }
+        machine.receive(&input[..count], &mut events).map_err(|_| Fault::Malformed)?;
+        for event in events.drain(..) {
+            match event {
+                Event::Stdout(_, part) if head.is_none() => {
+                    head = reader.feed(&part).map_err(|_| Fault::Malformed)?.map(|(head, _)| head);
+                }
+                Event::Ended(_, end) if end.protocol == ProtocolStatus::Overloaded => {
+                    return Ok(Answer { status: 503, retry_after: None, keep: true });
+                }
+                Event::Ended(..) => {
+                    let head = head.ok_or(Fault::Malformed)?;
+                    let retry_after = retry_after(head.headers.get("retry-after"));
+                    return Ok(Answer { status: head.status.as_u16(), retry_after, keep: true });
+                }
+                _ => {}
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/load/src/report.rs
@@ -0,0 +1,169 @@
+//! Results: as one JSON object, and as tables for people.
+
+use std::fmt::Write;
+
+use hdrhistogram::Histogram;
+use serde::{Deserialize, Serialize};
+
+use crate::engine::MOST_LATE;
+use crate::outcome::{ENDS, End, Second, Tally};
+use crate::{Nanos, SECOND};
+
+/// Shares that are shown.
+const SHARES: [f64; 9] = [0.5, 0.75, 0.9, 0.95, 0.99, 0.995, 0.999, 0.9999, 1.0];
+
+/// A run's results.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Summary {
+    /// What was run, for people.
+    pub title: String,
+    /// Its span, in seconds.
+    pub seconds: f64,
+    /// Whether the generator kept its times; where not, nothing here says anything of the server.
+    pub valid: bool,
+    /// Share of requests to which the generator came more than 5 ms late.
+    pub late_share: f64,
+    /// The generator's own lateness, in microseconds: p50, p99, most.
+    pub lateness_us: (u64, u64, u64),
+    /// Connections that it opened.
+    pub connections: u64,
+    /// All classes together, then each.
+    pub classes: Vec<ClassSummary>,
+    /// By second of the intended time.
+    pub by_second: Vec<Second>,
+}
+
+/// A class's results.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ClassSummary {
+    /// Its name; `all` for all together.
+    pub name: String,
+    /// Requests.
+    pub requests: u64,
+    /// By their ends, in the order of [`ENDS`].
+    pub ends: [u64; 9],
+    /// Served after the aim.
+    pub late: u64,
+    /// Asked a second time.
+    pub retried: u64,
+    /// Latencies of what was served: share and microseconds.
+    pub served_us: Vec<(f64, u64)>,
+    /// Latencies of all that ended.
+    pub all_us: Vec<(f64, u64)>,
+}
+
+fn shares(histogram: &Histogram<u64>) -> Vec<(f64, u64)> {
+    SHARES.iter().map(|&share| (share, histogram.value_at_quantile(share))).collect()
+}
+
+impl Summary {
+    /// Of everything that was counted.
+    #[must_use]
+    pub fn of(title: &str, span: Nanos, tally: &Tally) -> Self {
+        let mut all = ClassSummary {
+            name: "all".into(),
+            requests: tally.requests(),
+            ends: [0; 9],
+            late: 0,
+            retried: 0,
+            served_us: shares(&tally.served()),
+            all_us: Vec::new(),
+        };
+        let mut ended = tally.served();
+        ended.reset();
+        let mut classes = Vec::new();
+        for class in &tally.classes {
+            all.ends.iter_mut().zip(&class.ends).for_each(|(count, more)| *count += more);
+            all.late += class.late;
+            all.retried += class.retried;
+            let _ = ended.add(&class.all);
+            classes.push(ClassSummary {
+                name: class.name.clone(),
+                requests: class.ends.iter().sum(),
+                ends: class.ends,
+                late: class.late,
+                retried: class.retried,
+                served_us: shares(&class.served),
+                all_us: shares(&class.all),
+            });
+        }
+        all.all_us = shares(&ended);
+        classes.insert(0, all);
+        let lateness = &tally.lateness;
+        Self {
+            title: title.into(),
+            seconds: span as f64 / SECOND as f64,
+            valid: tally.late_share() <= MOST_LATE,
+            late_share: tally.late_share(),
+            lateness_us: (lateness.value_at_quantile(0.5), lateness.value_at_quantile(0.99), lateness.max()),
+            connections: tally.connections,
+            classes,
+            by_second: tally.seconds.clone(),
+        }
+    }
+
+    /// A latency of what was served, in microseconds, over all classes.
+    #[must_use]
+    pub fn served_us(&self, share: f64) -> u64 {
+        let all = self.classes.first().map_or(&[][..], |class| &class.served_us);
+        all.iter().find(|(known, _)| *known == share).map_or(0, |(_, us)| *us)
+    }
+
+    /// Requests of an end.
+    #[must_use]
+    pub fn of_end(&self, end: End) -> u64 {
+        let place = ENDS.iter().position(|known| *known == end).unwrap_or(0);
+        self.classes.first().map_or(0, |class| class.ends[place])
+    }
+
+    /// As tables.
+    #[must_use]
+    pub fn table(&self) -> String {
+        let mut out = format!("{}\n\n", self.title);
+        let _ = write!(out, "{:<16}{:>10}", "class", "requests");
+        ENDS.iter().for_each(|end| {
+            let _ = write!(out, "{:>14}", end.name());
+        });
+        let _ = writeln!(out, "{:>10}{:>10}", "late", "retried");
+        for class in &self.classes {
+            let _ = write!(out, "{:<16}{:>10}", class.name, class.requests);
+            class.ends.iter().for_each(|count| {
+                let _ = write!(out, "{count:>14}");
+            });
+            let _ = writeln!(out, "{:>10}{:>10}", class.late, class.retried);
+        }
+        let _ = write!(out, "\n{:<16}", "served, ms");
+        SHARES.iter().for_each(|share| {
+            let _ = write!(out, "{:>10}", show_share(*share));
+        });
+        out.push('\n');
+        for class in &self.classes {
+            let _ = write!(out, "{:<16}", class.name);
+            class.served_us.iter().for_each(|(_, us)| {
+                let _ = write!(out, "{:>10.2}", *us as f64 / 1e3);
+            });
+            out.push('\n');
+        }
+        let (p50, p99, most) = self.lateness_us;
+        let _ = writeln!(
+            out,
+            "\ngenerator: p50 {p50} us, p99 {p99} us, most {most} us late; {:.2}% of requests over 5 ms; {} connections",
+            self.late_share * 100.0,
+            self.connections
+        );
+        if !self.valid {
+            out.push_str(
+                "INVALID: the generator did not keep its times; these figures say nothing of the server\n",
+            );
+        }
+        out
+    }
+}
+
+pub(crate) fn show_share(share: f64) -> String {
+    if share >= 1.0 {
+        return "most".into();
+    }
+    let text = format!("{:.3}", share * 100.0);
+    format!("p{}", text.trim_end_matches('0').trim_end_matches('.'))
+}
--- /dev/null
+++ b/crates/load/src/standin.rs
@@ -0,0 +1,88 @@
+//! A server with a known service time, stalls and all, over HTTP/1.1.
+
+use std::convert::Infallible;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use rand_core::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use tokio::net::TcpListener;
+use tokio::sync::Semaphore;
+use tokio::task::spawn_local;
+use tokio::time::{Instant, sleep_until};
+
+use crate::Nanos;
+use crate::model::Model;
+
+struct Shared {
+    model: Model,
+    start: Instant,
+    rng: std::cell::RefCell<Pcg64Mcg>,
+    places: Semaphore,
+    answer: Bytes,
+}
+
+/// Serves a model on an address of loopback until this is dropped; its times count from the start.
+///
+/// # Errors
+/// Those of the system.
+pub async fn serve(
+    address: SocketAddr,
+    model: Model,
+    answer: usize,
+    bound: impl FnOnce(SocketAddr),
+) -> io::Result<()> {
+    let listener = TcpListener::bind(address).await?;
+    bound(listener.local_addr()?);
+    let shared = Rc::new(Shared {
+        rng: Pcg64Mcg::seed_from_u64(model.seed).into(),
+        places: Semaphore::new(model.limit.min(Semaphore::MAX_PERMITS)),
+        model,
+        start: Instant::now(),
+        answer: Bytes::from(vec![b'r'; answer]),
+    });
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            // Descriptors have run out: some connection ends.
+            Err(_) => {
+                tokio::time::sleep(Duration::from_millis(5)).await;
+                continue;
+            }
+        };
+        let _ = stream.set_nodelay(true);
+        let shared = shared.clone();
+        spawn_local(async move {
+            let service = service_fn(move |request| answer_one(shared.clone(), request));
+            // However it ends, the client counts it.
+            let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+        });
+    }
+}
+
+async fn answer_one(
+    shared: Rc<Shared>,
+    request: Request<Incoming>,
+) -> Result<Response<Full<Bytes>>, Infallible> {
+    let mut body = request.into_body();
+    while let Some(Ok(_)) = body.frame().await {}
+    let Shared { model, start, rng, places, answer } = &*shared;
+    // Closed only with the server.
+    let _place = places.acquire().await.ok();
+    let service = model.service.draw(&mut rng.borrow_mut());
+    let ready = start.elapsed().as_nanos() as Nanos + service;
+    let out = model.stalls.out(ready) + model.delay;
+    if out > start.elapsed().as_nanos() as Nanos {
+        sleep_until(*start + Duration::from_nanos(out)).await;
+    }
+    Ok(Response::new(Full::new(answer.clone())))
+}
--- /dev/null
+++ b/crates/load/src/trace.rs
@@ -0,0 +1,268 @@
+//! Recorded days: access logs in the Common and Combined Log Format, and a form of our own as CSV or JSON lines.
+//!
+//! Our own form has a line for each request: seconds since the start, method, path, bytes of the body.
+//!
+//! ```text
+//! 0.000000,GET,/boards/any,0
+//! {"at":0.25,"method":"POST","path":"/runs/7","body":120}
+//! ```
+
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+use crate::{Nanos, SECOND};
+
+/// Longest line.
+const LONGEST_LINE: usize = 64 << 10;
+/// Most requests of a trace: some 10 GB of memory.
+const MOST_ENTRIES: usize = 50_000_000;
+/// Times may run backwards by so much, as logs are written when requests end; such entries are put in order.
+const MOST_BACK: f64 = 60.0;
+/// A jump ahead of more is a mistake, or a gap that is meant: it must be asked for.
+const MOST_GAP: f64 = 6.0 * 3_600.0;
+
+/// A recorded request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Entry {
+    /// Since the first one.
+    pub at: Nanos,
+    /// Method.
+    pub method: String,
+    /// Target.
+    pub path: String,
+    /// Bytes of its body; logs don't tell.
+    pub body: usize,
+}
+
+/// How a trace is written.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Format {
+    /// Common or Combined Log Format.
+    Log,
+    /// Ours, with commas.
+    Csv,
+    /// Ours, as JSON lines.
+    Json,
+}
+
+/// How a trace is played.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Replay {
+    /// Time passes so many times as fast.
+    pub speed: f64,
+    /// Each request comes so many times, spread over the time to the next.
+    pub copies: u32,
+    /// Jumps of hours are kept; otherwise they are mistakes.
+    pub gaps: bool,
+}
+
+/// A trace that can't be read. Lines count from 1.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum TraceError {
+    /// A line of no known form.
+    #[error("line {line}: {fault}")]
+    Line {
+        /// Which.
+        line: usize,
+        /// What is wrong.
+        fault: &'static str,
+    },
+    /// Time runs backwards.
+    #[error("line {line}: {back} s before the latest line; logs may be out of order by {MOST_BACK} s")]
+    Backwards {
+        /// Which line.
+        line: usize,
+        /// By how much, in whole seconds.
+        back: u64,
+    },
+    /// Time jumps ahead.
+    #[error("line {line}: {gap} s after the line before; ask for gaps if it is meant")]
+    Gap {
+        /// Which line.
+        line: usize,
+        /// By how much, in whole seconds.
+        gap: u64,
+    },
+    /// Too many.
+    #[error("more than {MOST_ENTRIES} requests")]
+    TooMany,
+    /// None.
+    #[error("no requests")]
+    Empty,
+    /// A speed that is none.
+    #[error("a speed is over 0 and at most 1,000, copies are 1 to 1,000")]
+    Speed,
+}
+
+/// A line of our own form.
+#[derive(Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Line {
+    at: f64,
+    method: String,
+    path: String,
+    #[serde(default)]
+    body: usize,
+}
+
+/// The form of a trace, by its first line that is not empty.
+#[must_use]
+pub fn format_of(text: &str) -> Format {
+    let first = text.lines().find(|line| !line.trim().is_empty()).unwrap_or_default().trim_start();
+    if first.starts_with('{') {
+        Format::Json
+    } else if first.contains('[') && first.contains('"') {
+        Format::Log
+    } else {
+        Format::Csv
+    }
+}
+
+/// Reads a trace.
+///
+/// # Errors
+/// The first line that can't be read, or whose time makes no sense.
+pub fn parse(text: &str, replay: Replay) -> Result<Vec<Entry>, TraceError> {
+    let sound = replay.speed > 0.0 && replay.speed <= 1_000.0 && (1..=1_000).contains(&replay.copies);
+    if !sound {
+        return Err(TraceError::Speed);
+    }
+    let format = format_of(text);
+    let mut list: Vec<(f64, String, String, usize)> = Vec::new();
+    let mut latest: Option<f64> = None;
+    for (place, line) in text.lines().enumerate() {
+        let number = place + 1;
+        let fault = |fault| TraceError::Line { line: number, fault };
+        if line.len() > LONGEST_LINE {
+            return Err(fault("longer than 64 KiB"));
+        }
+        if line.trim().is_empty() {
+            continue;
+        }
+        let (at, method, path, body) = match format {
+            Format::Log => log_line(line).map_err(fault)?,
+            Format::Csv if place == 0 && line.starts_with("at,") => continue,
+            Format::Csv => csv_line(line).map_err(fault)?,
+            Format::Json => {
+                let line: Line = serde_json::from_str(line)
+                    .map_err(|_| fault("not an object with at, method, path and body"))?;
+                (line.at, line.method, line.path, line.body)
+            }
+        };
+        if !at.is_finite() || at.abs() > 1e12 {
+            return Err(fault("a time that is none"));
+        }
+        if method.is_empty() || method.parse::<hyper::Method>().is_err() {
+            return Err(fault("a method that is none"));
+        }
+        if path.parse::<hyper::Uri>().is_err() || !path.starts_with('/') {
+            return Err(fault("a path that is none"));
+        }
+        if let Some(latest) = latest {
+            if at < latest - MOST_BACK {
+                return Err(TraceError::Backwards { line: number, back: (latest - at) as u64 });
+            }
+            if at > latest + MOST_GAP && !replay.gaps {
+                return Err(TraceError::Gap { line: number, gap: (at - latest) as u64 });
+            }
+        }
+        latest = Some(latest.map_or(at, |latest| latest.max(at)));
+        list.push((at, method, path, body));
+        if list.len() * replay.copies as usize > MOST_ENTRIES {
+            return Err(TraceError::TooMany);
+        }
+    }
+    list.sort_by(|one, other| one.0.total_cmp(&other.0));
+    let first = list.first().ok_or(TraceError::Empty)?.0;
+    // A log in whole seconds has all of a second at its start: they are spread over it, in order.
+    if format == Format::Log {
+        spread(&mut list);
+    }
+    let mut entries = Vec::with_capacity(list.len() * replay.copies as usize);
+    for place in 0..list.len() {
+        let (at, method, path, body) = &list[place];
+        let next = list.get(place + 1).map_or(*at, |next| next.0);
+        for copy in 0..replay.copies {
+            let at = at + (next - at) * f64::from(copy) / f64::from(replay.copies);
+            let at = ((at - first) / replay.speed * SECOND as f64) as Nanos;
+            entries.push(Entry { at, method: method.clone(), path: path.clone(), body: *body });
+        }
+    }
+    Ok(entries)
+}
+
+fn spread(list: &mut [(f64, String, String, usize)]) {
+    let mut start = 0;
+    while start < list.len() {
+        let second = list[start].0;
+        let same = list[start..].iter().take_while(|entry| entry.0 == second).count();
+        for (place, entry) in list[start..start + same].iter_mut().enumerate() {
+            entry.0 += place as f64 / same as f64;
+        }
+        start += same;
+    }
+}
+
+fn csv_line(line: &str) -> Result<(f64, String, String, usize), &'static str> {
+    let parts: Vec<_> = line.trim_end().splitn(4, ',').collect();
+    let [at, method, path, body] = parts[..] else { return Err("not `at,method,path,body`") };
+    let at = at.trim().parse().map_err(|_| "a time that is none")?;
+    let body = body.trim().parse().map_err(|_| "a body that is no number of bytes")?;
+    Ok((at, method.trim().into(), path.trim().into(), body))
+}
+
+/// `host ident user [time] "METHOD path HTTP/x" status bytes ...`
+fn log_line(line: &str) -> Result<(f64, String, String, usize), &'static str> {
+    let (_, rest) = line.split_once('[').ok_or("no time in `[` and `]`")?;
+    let (time, rest) = rest.split_once(']').ok_or("no time in `[` and `]`")?;
+    let at = log_time(time).ok_or("a time that is none, such as `10/Oct/2000:13:55:36 -0700`")?;
+    let (_, rest) = rest.split_once('"').ok_or("no request in quotes")?;
+    let (request, _) = rest.split_once('"').ok_or("no request in quotes")?;
+    let mut words = request.split(' ');
+    let (method, path) = (words.next().unwrap_or_default(), words.next().unwrap_or_default());
+    if !words.next().is_some_and(|version| version.starts_with("HTTP/")) || words.next().is_some() {
+        return Err("a request that is not `METHOD path HTTP/x`");
+    }
+    Ok((at, method.into(), path.into(), 0))
+}
+
+/// Unix seconds of `10/Oct/2000:13:55:36 -0700`.
+fn log_time(text: &str) -> Option<f64> {
+    const MONTHS: [&str; 12] =
+        ["Jan", "Feb", "Mar", "Apr", "May", "Jun", "Jul", "Aug", "Sep", "Oct", "Nov", "Dec"];
+    let (clock, zone) = text.split_once(' ')?;
+    let (date, time) = clock.split_once(':')?;
+    let date: Vec<_> = date.split('/').collect();
+    let time: Vec<_> = time.split(':').collect();
+    let ([day, month, year], [hour, minute, second]) = (&date[..], &time[..]) else { return None };
+    let month = MONTHS.iter().position(|name| name == month)? as i64 + 1;
+    let number = |text: &str, least: i64, most: i64| {
+        let digits = text.bytes().all(|b| b.is_ascii_digit());
+        text.parse::<i64>().ok().filter(|n| digits && (least..=most).contains(n))
+    };
+    let (day, year) = (number(day, 1, 31)?, number(year, 1970, 9_999)?);
+    let (hour, minute, second) = (number(hour, 0, 23)?, number(minute, 0, 59)?, number(second, 0, 60)?);
+    let sign = match zone.as_bytes().first()? {
+        b'+' => 1,
+        b'-' => -1,
+        _ => return None,
+    };
+    let zone = zone.get(1..).filter(|zone| zone.len() == 4)?;
+    let offset = number(zone.get(..2)?, 0, 14)? * 3_600 + number(zone.get(2..)?, 0, 59)? * 60;
+    // Days of the civil calendar since 1970, counting years from March.
+    let (y, m) = if month > 2 { (year, month - 3) } else { (year - 1, month + 9) };
+    let days = 365 * y + y / 4 - y / 100 + y / 400 + (153 * m + 2) / 5 + day - 1 - 719_468;
+    Some((days * 86_400 + hour * 3_600 + minute * 60 + second - sign * offset) as f64)
+}
+
+/// Writes requests in our own form as CSV.
+#[must_use]
+pub fn write_csv(entries: &[Entry]) -> String {
+    use std::fmt::Write;
+    let mut out = String::from("at,method,path,body\n");
+    for entry in entries {
+        let at = entry.at as f64 / SECOND as f64;
+        let _ = writeln!(out, "{at:.6},{},{},{}", entry.method, entry.path, entry.body);
+    }
+    out
+}
--- /dev/null
+++ b/crates/load/tests/exact.rs
@@ -0,0 +1,247 @@
+//! Schedules and accounting in virtual time: exact, and the same every run.
+
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use pumicehead_load::mix::{Mix, Plan, Planned};
+use pumicehead_load::model::{Model, Service, Stalls};
+use pumicehead_load::outcome::{End, Story, Tally};
+use pumicehead_load::schedule::{Arrivals, Schedule};
+use pumicehead_load::shape::{Shape, parse_rate, parse_span};
+use pumicehead_load::virtual_time::{Mode, play};
+use pumicehead_load::{Nanos, SECOND};
+
+const MS: Nanos = 1_000_000;
+
+fn times(shape: &str, arrivals: Arrivals, span: Nanos, seed: u64) -> Vec<Nanos> {
+    Schedule::new(shape.parse().unwrap(), arrivals, span, seed).collect()
+}
+
+fn plan(times: &[Nanos], patience: Nanos) -> Vec<Planned> {
+    let one = |(number, &at): (usize, &Nanos)| Planned {
+        number: number as u64,
+        at,
+        class: 0,
+        path: "/".into(),
+        method: None,
+        account: None,
+        site: None,
+        body: 0,
+        patience,
+    };
+    times.iter().enumerate().map(one).collect()
+}
+
+fn classes() -> Vec<(String, Nanos)> {
+    vec![("a".into(), 100 * MS)]
+}
+
+fn fixed(service: Nanos, stalls: &[(Nanos, Nanos)], limit: usize) -> Model {
+    Model { service: Service::Fixed(service), delay: 0, stalls: Stalls(stalls.to_vec()), limit, seed: 1 }
+}
+
+#[test]
+fn even_arrivals_stand_where_the_integral_says() {
+    assert_eq!(times("constant:10/s", Arrivals::Even, SECOND, 1).len(), 10);
+    let first = times("constant:10/s", Arrivals::Even, SECOND, 1)[0];
+    assert!(first.abs_diff(50 * MS) < 1_000, "{first}");
+    assert_eq!(times("ramp:0,100,10s", Arrivals::Even, 10 * SECOND, 1).len(), 500);
+    assert_eq!(times("step:10,100,5s", Arrivals::Even, 10 * SECOND, 1).len(), 550);
+    assert_eq!(times("burst:10,110,1s,1s,2s", Arrivals::Even, 10 * SECOND, 1).len(), 400);
+    let on_off = times("onoff:100,1s,1s", Arrivals::Even, 4 * SECOND, 1);
+    assert_eq!(on_off.len(), 200);
+    assert!(on_off.iter().all(|at| (at / SECOND).is_multiple_of(2)));
+    assert_eq!(times("diurnal:100,100%,4s", Arrivals::Even, 4 * SECOND, 1).len(), 400);
+    assert_eq!(times("constant:10/s+step:0,10,1s", Arrivals::Even, 2 * SECOND, 1).len(), 30);
+}
+
+#[test]
+fn rates_of_nothing_next_to_nothing_and_a_million_are_met() {
+    for arrivals in [Arrivals::Even, Arrivals::Poisson] {
+        assert!(times("constant:0", arrivals, 3_600 * SECOND, 1).is_empty());
+        assert!(times("step:0,0,1s", arrivals, SECOND, 1).is_empty());
+    }
+    let rare = times("constant:6/h", Arrivals::Even, 3_600 * SECOND, 1);
+    assert_eq!(rare.len(), 6);
+    assert!(rare[0].abs_diff(300 * SECOND) < SECOND);
+    let many = times("constant:1000000/s", Arrivals::Even, SECOND, 1);
+    assert_eq!(many.len(), 1_000_000);
+    assert!(many.windows(2).all(|pair| pair[0] <= pair[1]) && many[999_999] < SECOND);
+    let drawn = times("constant:1000000/s", Arrivals::Poisson, SECOND, 1).len() as f64;
+    assert!((drawn - 1e6).abs() < 5.0 * 1e3, "{drawn}");
+}
+
+#[test]
+fn a_seed_gives_the_same_day_and_another_seed_another() {
+    let day = |seed| {
+        let schedule =
+            Schedule::new("diurnal:200,50%,5s".parse().unwrap(), Arrivals::Poisson, 5 * SECOND, seed);
+        Plan::drawn(schedule, Mix::default(), seed).collect::<Vec<_>>()
+    };
+    assert_eq!(day(7), day(7));
+    assert_ne!(day(7), day(8));
+    let all = day(7);
+    let submits = all.iter().filter(|request| request.class == 1).count() as f64 / all.len() as f64;
+    assert!((submits - 0.44).abs() < 0.06, "{submits}");
+    assert!(all.iter().all(|request| match request.class {
+        0 => request.body == 0 && (4_200 * MS..=6_000 * MS).contains(&request.patience),
+        _ => (100..=400).contains(&request.body) && (840 * MS..=1_200 * MS).contains(&request.patience),
+    }));
+    // Zipf: the first of a thousand keys is asked far more than one in a thousand.
+    let first = all.iter().filter(|request| request.path.ends_with("/0")).count();
+    assert!(first * 20 > all.len(), "{first} of {}", all.len());
+}
+
+/// A stall of two seconds holds each request that was due in it until its end: the tail is its closed form.
+#[test]
+fn a_stall_shows_in_full_in_the_open_loop_and_hides_in_the_closed_one() {
+    let span = 10 * SECOND;
+    let arrivals = times("constant:1000/s", Arrivals::Even, span, 1);
+    let model = fixed(MS, &[(4 * SECOND, 6 * SECOND)], usize::MAX);
+    let open = play(&plan(&arrivals, 60 * SECOND), Mode::Open { connections: 100_000 }, &model, classes());
+    assert_eq!((open.requests(), open.of(End::Served)), (10_000, 10_000));
+    let served = open.served();
+    for share in [0.5, 0.79, 0.85, 0.9, 0.95, 0.99, 0.999] {
+        let found = served.value_at_quantile(share) as f64 / 1e6;
+        let expected = model.stalled_quantile(share, span) as f64 / 1e9;
+        assert!((found - expected).abs() < 0.004, "{share}: {found} s, not {expected} s");
+    }
+    assert!(served.max() >= 1_999_000);
+    // One fifth was due in the stall.
+    assert_eq!(served.count_between(10_000, 10_000_000).div_ceil(100), 20);
+    let closed = play(&plan(&arrivals, 60 * SECOND), Mode::Closed { clients: 10 }, &model, classes());
+    let hidden = closed.served();
+    // Ten clients met it once each: of 80,000 answers nobody sees it at p99.9.
+    assert!(hidden.len() > 50_000 && hidden.value_at_quantile(0.999) < 2_000);
+    assert_eq!(hidden.count_between(10_000, 10_000_000), 10);
+}
+
+/// Where connections run out, waiting for one counts, and what waits too long is named.
+#[test]
+fn a_bound_on_connections_shows_and_is_named() {
+    let arrivals: Vec<_> = (0..100).map(|n| n * MS).collect();
+    let model = fixed(10 * MS, &[], usize::MAX);
+    let tally = play(&plan(&arrivals, SECOND), Mode::Open { connections: 1 }, &model, classes());
+    // The nth is answered at 10 (n + 1) ms, so it took 10 (n + 1) - n.
+    let (least, most) = (tally.served().min(), tally.served().max());
+    assert!(least.abs_diff(10_000) < 20 && most.abs_diff(901_000) < 1_000, "{least} {most}");
+    let tally = play(&plan(&arrivals, 200 * MS), Mode::Open { connections: 1 }, &model, classes());
+    assert!(tally.of(End::NoRoom) > 50 && tally.of(End::GaveUp) < 3);
+    assert_eq!(tally.requests(), 100);
+}
+
+#[test]
+fn a_limit_of_one_is_a_queue_and_late_is_told_from_failed() {
+    // Lindley: with a gap of 10 and a service of 15 each waits 5 more than the one before.
+    let arrivals: Vec<_> = (0..20).map(|n| n * 10 * MS).collect();
+    let mut server = fixed(15 * MS, &[], 1);
+    let answers: Vec<_> = {
+        let mut running = server.start();
+        arrivals.iter().map(|&at| running.answer(at) - at).collect()
+    };
+    assert!(answers.iter().enumerate().all(|(n, &took)| took == (15 + 5 * n as u64) * MS));
+    let tally = play(&plan(&arrivals, SECOND), Mode::Open { connections: 100 }, &server, classes());
+    // Over 100 ms from the 18th on.
+    assert_eq!((tally.classes[0].late, tally.of(End::Served)), (2, 20));
+    server.delay = 2 * SECOND;
+    let tally = play(&plan(&arrivals, SECOND), Mode::Open { connections: 100 }, &server, classes());
+    assert_eq!(tally.of(End::GaveUp), 20);
+    assert!(tally.classes[0].all.min() >= 999_000);
+}
+
+#[test]
+fn service_times_have_their_quantiles() {
+    let exponential = Service::Exponential(10 * MS);
+    assert!(exponential.quantile(0.5).abs_diff(6_931_471) < 10);
+    let bimodal = Service::Bimodal { short: MS, long: 50 * MS, share: 0.02 };
+    assert_eq!((bimodal.quantile(0.97), bimodal.quantile(0.985)), (MS, 50 * MS));
+    for service in [exponential, bimodal] {
+        let model = Model { service, ..fixed(0, &[], usize::MAX) };
+        let mut running = model.start();
+        let mut took: Vec<_> = (0..100_000u64).map(|n| running.answer(n) - n).collect();
+        took.sort_unstable();
+        for share in [0.5, 0.9, 0.97, 0.99] {
+            let found = took[(share * took.len() as f64) as usize] as f64;
+            let expected = service.quantile(share) as f64;
+            assert!((found / expected - 1.0).abs() < 0.06, "{service:?} {share}: {found} {expected}");
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 300, rng_seed: RngSeed::Fixed(3), failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// Histograms that are merged are the histogram of all, and so are all counts.
+    #[test]
+    fn merged_is_as_counted_in_one(
+        stories in prop::collection::vec((0usize..2, 0u64..20_000_000_000, 0u64..5_000_000_000, 0usize..9, any::<bool>()), 0..200),
+        lanes in 1usize..5,
+    ) {
+        let classes = || vec![("a".to_owned(), 100 * MS), ("b".to_owned(), SECOND)];
+        let mut one = Tally::new(classes());
+        let mut parts: Vec<_> = (0..lanes).map(|_| Tally::new(classes())).collect();
+        for (place, &(class, intended, took, end, retried)) in stories.iter().enumerate() {
+            let end = pumicehead_load::outcome::ENDS[end];
+            let story = Story { class, intended, sent: None, ended: intended + took, end, retried };
+            one.count(&story);
+            one.came(took);
+            parts[place % lanes].count(&story);
+            parts[place % lanes].came(took);
+        }
+        let mut merged = Tally::new(classes());
+        parts.iter().for_each(|part| merged.merge(part));
+        prop_assert_eq!(merged.requests(), stories.len() as u64);
+        prop_assert_eq!(&merged.seconds, &one.seconds);
+        prop_assert_eq!(&merged.lateness, &one.lateness);
+        for (merged, one) in merged.classes.iter().zip(&one.classes) {
+            prop_assert_eq!((&merged.ends, merged.late, merged.retried), (&one.ends, one.late, one.retried));
+            prop_assert_eq!((&merged.served, &merged.all), (&one.served, &one.all));
+        }
+    }
+
+    /// The inverse of every shape's integral is its inverse, and its rate is its slope.
+    #[test]
+    fn shapes_agree_with_their_integrals(t in 0.0f64..30.0, which in 0usize..7) {
+        let shapes = ["constant:40", "ramp:5,80,20s", "step:10,90,7s", "burst:5,60,3s,2s,4s", "onoff:50,2s,3s", "diurnal:40,80%,11s", "constant:3+burst:1,20,5s,1s,1s"];
+        let shape: Shape = shapes[which].parse().unwrap();
+        let slope = (shape.integral(t + 1e-6) - shape.integral(t)) / 1e-6;
+        // Not at a jump.
+        if (shape.rate(t) - shape.rate(t + 1e-6)).abs() < 1.0 {
+            prop_assert!((slope - shape.rate(t)).abs() < 0.1, "{} {}", slope, shape.rate(t));
+        }
+        let count = shape.integral(t);
+        let back = shape.time_of(count, 0.0, 40.0).unwrap();
+        prop_assert!((shape.integral(back) - count).abs() < 1e-4);
+    }
+
+    #[test]
+    fn no_text_panics(text in "\\PC{0,40}") {
+        let _ = text.parse::<Shape>();
+        let _ = parse_rate(&text);
+        let _ = parse_span(&text);
+    }
+}
+
+#[test]
+fn shapes_that_are_none_say_why() {
+    for (text, part) in [
+        ("", "shapes are"),
+        ("constant", "no rate"),
+        ("constant:1,2", "another number"),
+        ("constant:x", "no rate"),
+        ("constant:-1", "0 to 10,000,000"),
+        ("constant:1e9", "0 to 10,000,000"),
+        ("constant:NaN", "0 to 10,000,000"),
+        ("constant:5/day", "rates are"),
+        ("ramp:1,2,5", "needs a unit"),
+        ("ramp:1,2,0s", "a span of 0"),
+        ("ramp:1,2,5m", "units of time"),
+        ("ramp:1,2,999d", "longer than a year"),
+        ("diurnal:5,150%,1s", "a swing"),
+        ("diurnal:5,50,1s", "a swing"),
+        ("wave:5", "shapes are"),
+        ("constant:1+nothing", "shapes are"),
+    ] {
+        let fault = text.parse::<Shape>().unwrap_err().to_string();
+        assert!(fault.contains(part), "{text}: {fault}");
+    }
+}
--- /dev/null
+++ b/crates/load/tests/loopback.rs
@@ -0,0 +1,257 @@
+//! The generator on loopback against servers that answer, stall, break off, refuse or say nothing. Counts are exact or
+//! bounded; no times are tight.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::Command;
+use std::sync::{Arc, mpsc};
+use std::thread;
+
+use pumicehead_load::engine::{Progress, Protocol, Setup, run};
+use pumicehead_load::mix::{Mix, Plan};
+use pumicehead_load::model::{Model, Service, Stalls};
+use pumicehead_load::outcome::{End, Tally};
+use pumicehead_load::report::Summary;
+use pumicehead_load::schedule::{Arrivals, Schedule};
+use pumicehead_load::{Nanos, SECOND, html, standin};
+use tokio::runtime::Builder;
+use tokio::task::LocalSet;
+
+const MS: Nanos = 1_000_000;
+
+fn stand_in(service: Service, stalls: &[(Nanos, Nanos)]) -> SocketAddr {
+    let model = Model { service, delay: 0, stalls: Stalls(stalls.to_vec()), limit: 10_000, seed: 1 };
+    let (sender, bound) = mpsc::channel();
+    thread::spawn(move || {
+        let runtime = Builder::new_current_thread().enable_all().build().unwrap();
+        let local = "127.0.0.1:0".parse().unwrap();
+        let serve = standin::serve(local, model, 100, |address| sender.send(address).unwrap());
+        LocalSet::new().block_on(&runtime, serve).unwrap();
+    });
+    bound.recv().unwrap()
+}
+
+/// A server that does this with each connection.
+fn scripted(act: impl Fn(TcpStream) + Send + Sync + 'static) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let act = Arc::new(act);
+    thread::spawn(move || {
+        for stream in listener.incoming().map_while(Result::ok) {
+            let act = act.clone();
+            thread::spawn(move || act(stream));
+        }
+    });
+    address
+}
+
+fn setup(target: SocketAddr) -> Setup {
+    Setup {
+        targets: vec![target],
+        protocol: Protocol::Http,
+        threads: 2,
+        connections: 1_000,
+        closed: None,
+        relaxed: false,
+        seed: 1,
+    }
+}
+
+fn plan(shape: &str, span: Nanos, mix: Mix) -> Plan {
+    Plan::drawn(Schedule::new(shape.parse().unwrap(), Arrivals::Even, span, 1), mix, 1)
+}
+
+/// Clients that wait for a second at most, and don't ask again.
+fn impatient() -> Mix {
+    let mut mix = Mix { patience: (1.0, 1.0), ..Mix::default() };
+    mix.classes.iter_mut().for_each(|class| class.deadline_ms = 1_000);
+    mix
+}
+
+fn patient() -> Mix {
+    let mut mix = impatient();
+    mix.classes.iter_mut().for_each(|class| class.deadline_ms = 30_000);
+    mix
+}
+
+fn go(plan: &Plan, setup: &Setup) -> Tally {
+    run(plan, setup, &Arc::new(Progress::default())).unwrap()
+}
+
+#[test]
+fn every_request_is_counted_once() {
+    let server = stand_in(Service::Fixed(2 * MS), &[]);
+    let tally = go(&plan("constant:500/s", 2 * SECOND, impatient()), &setup(server));
+    assert_eq!((tally.requests(), tally.of(End::Served)), (1_000, 1_000));
+    assert_eq!(tally.seconds.iter().map(|second| second.ends[0]).sum::<u64>(), 1_000);
+    assert!(tally.served().min() >= 1_900, "none is faster than the server");
+    assert!(tally.connections < 200);
+    let summary = Summary::of("a <run>", 2 * SECOND, &tally);
+    assert!(summary.table().contains("board-read") && summary.table().contains("p99.9"));
+    let page = html::page(&summary);
+    assert!(page.contains("a &lt;run&gt;") && page.contains("<svg") && !page.contains("http://"));
+    let back: Summary = serde_json::from_str(&serde_json::to_string(&summary).unwrap()).unwrap();
+    assert_eq!(back, summary);
+}
+
+/// Guards against coordinated omission: of a stall of 2 s the open loop sees all that was due, the closed loop what
+/// its clients were in the middle of.
+#[test]
+fn a_stall_shows_in_full_and_the_closed_loop_hides_it() {
+    // From a second after the server's start on.
+    let stalls = [(SECOND, 3 * SECOND)];
+    let open =
+        go(&plan("constant:200/s", 4 * SECOND, patient()), &setup(stand_in(Service::Fixed(MS), &stalls)));
+    assert_eq!(open.of(End::Served), 800);
+    let served = open.served();
+    assert!(served.max() > 1_700_000, "{}", served.max());
+    // Half of all were due in the stall, and waited 1 s on average.
+    let waited = served.count_between(100_000, 100_000_000);
+    assert!((300..=460).contains(&waited), "{waited}");
+    let long = served.count_between(1_000_000, 100_000_000);
+    assert!((120..=260).contains(&long), "{long}");
+    let mut closed = setup(stand_in(Service::Fixed(MS), &stalls));
+    closed.closed = Some(4);
+    let hidden = go(&plan("constant:200/s", 4 * SECOND, patient()), &closed);
+    let waited = hidden.served().count_between(100_000, 100_000_000);
+    assert!(waited <= 4, "{waited} of {}", hidden.requests());
+}
+
+#[test]
+fn servers_that_say_nothing_refuse_or_break_off_are_told_apart() {
+    let few = |mix| plan("constant:50/s", SECOND, mix);
+    let silent = scripted(|mut stream| {
+        let _ = stream.read_to_end(&mut Vec::new());
+    });
+    let tally = go(&few(impatient()), &setup(silent));
+    assert_eq!((tally.of(End::GaveUp), tally.requests()), (50, 50));
+    assert!(tally.classes[0].all.min() >= 990_000, "each client waited its time");
+    let refusing = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    assert_eq!(go(&few(impatient()), &setup(refusing)).of(End::NoConnection), 50);
+    let broken = scripted(|mut stream| {
+        let _ = stream.read(&mut [0; 4_096]);
+        let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf");
+    });
+    assert_eq!(go(&few(impatient()), &setup(broken)).of(End::Broken), 50);
+    let garbage = scripted(|mut stream| {
+        let _ = stream.read(&mut [0; 4_096]);
+        let _ = stream.write_all(b"what is this\r\n\r\n");
+    });
+    assert_eq!(go(&few(impatient()), &setup(garbage)).of(End::Malformed), 50);
+    let refusals = scripted(|mut stream| {
+        let _ = stream.read(&mut [0; 4_096]);
+        let _ = stream.write_all(
+            b"HTTP/1.1 503 X\r\nConnection: close\r\nRetry-After: 0.05\r\nContent-Length: 0\r\n\r\n",
+        );
+    });
+    let tally = go(&few(Mix { retry: true, ..impatient() }), &setup(refusals));
+    assert_eq!(tally.of(End::Refused), 50);
+    assert_eq!(tally.classes.iter().map(|class| class.retried).sum::<u64>(), 50);
+}
+
+#[test]
+fn requests_over_the_bound_of_connections_are_named() {
+    let slow = stand_in(Service::Fixed(100 * MS), &[]);
+    let tally =
+        go(&plan("constant:50/s", SECOND, impatient()), &Setup { connections: 1, threads: 1, ..setup(slow) });
+    assert_eq!(tally.requests(), 50);
+    // Ten a second can be served, and each of the others waits for the one place until its client's time is over.
+    let (served, no_room) = (tally.of(End::Served), tally.of(End::NoRoom));
+    assert!(
+        served >= 5 && no_room >= 10 && served + no_room + tally.of(End::GaveUp) == 50,
+        "{served} {no_room}"
+    );
+}
+
+/// Guards descriptors that run out: such requests are named, and the run ends.
+#[test]
+fn descriptors_that_run_out_are_named() {
+    let silent = scripted(|mut stream| {
+        let _ = stream.read_to_end(&mut Vec::new());
+    });
+    let program = env!("CARGO_BIN_EXE_pumicehead-load");
+    let file = std::env::temp_dir().join(format!("load-{}.json", std::process::id()));
+    let line = format!(
+        "ulimit -n 40; exec {program} run --target {silent} --shape constant:100/s --span 1s --even --json {}",
+        file.display()
+    );
+    let done = Command::new("sh").args(["-c", &line]).output().unwrap();
+    let summary: Summary = serde_json::from_str(&std::fs::read_to_string(&file).unwrap()).unwrap();
+    let _ = std::fs::remove_file(file);
+    assert_eq!(summary.classes[0].requests, 100);
+    assert!(summary.of_end(End::NoDescriptor) > 20, "{}", String::from_utf8_lossy(&done.stdout));
+    assert!(summary.of_end(End::GaveUp) > 10);
+}
+
+/// Guards against believing a generator that could not keep up: more than its processor can send is invalid.
+#[test]
+fn a_starved_generator_says_so() {
+    let server = stand_in(Service::Fixed(0), &[]);
+    let starved = Setup { threads: 1, connections: 50, ..setup(server) };
+    let tally = go(&plan("constant:400000/s", SECOND / 2, impatient()), &starved);
+    assert_eq!(tally.requests(), 200_000);
+    let summary = Summary::of("too much", SECOND / 2, &tally);
+    assert!(!summary.valid && summary.table().contains("INVALID"));
+}
+
+#[test]
+fn fastcgi_and_the_platforms_form_are_spoken() {
+    let (sender, heads) = mpsc::channel();
+    let sender = std::sync::Mutex::new(sender);
+    let http = scripted(move |mut stream| {
+        let mut bytes = vec![0; 4_096];
+        while let Ok(count) = stream.read(&mut bytes)
+            && count > 0
+        {
+            let _ = sender.lock().unwrap().send(String::from_utf8_lossy(&bytes[..count]).into_owned());
+            let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+        }
+    });
+    let mix = Mix { accounts: vec!["acme".into()], ..impatient() };
+    let tally =
+        go(&plan("constant:20/s", SECOND, mix), &Setup { protocol: Protocol::Platform, ..setup(http) });
+    assert_eq!(tally.of(End::Served), 20);
+    let head = heads.recv().unwrap();
+    for part in ["x-correlation-id: ", "x-service-class: ", "x-time-left: ", "x-account: acme"] {
+        assert!(head.contains(part), "{part} in {head}");
+    }
+    assert!(head.starts_with("GET /board-read/") || head.starts_with("POST /run-submit/"), "{head}");
+    let refusing = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let tally = go(
+        &plan("constant:20/s", SECOND, impatient()),
+        &Setup { protocol: Protocol::FastCgi, ..setup(refusing) },
+    );
+    assert_eq!(tally.of(End::NoConnection), 20);
+    let fastcgi = scripted(|mut stream| {
+        use pumicehead_fastcgi::server::{Bounds, Event, Server};
+        let mut server = Server::new(Bounds {
+            connections: 1,
+            requests: 1,
+            params: 9_000,
+            pairs: 99,
+            body: 9_000,
+            coming: 99_000,
+            waiting: 99_000,
+        });
+        let mut bytes = vec![0; 4_096];
+        while let Ok(count) = stream.read(&mut bytes)
+            && count > 0
+        {
+            let mut events = Vec::new();
+            server.receive(&bytes[..count], &mut events).unwrap();
+            for event in events {
+                if let Event::Request { id, .. } = event {
+                    server.end(id, [bytes::Bytes::from_static(b"Status: 200 OK\r\n\r\nrank 1")], 0);
+                }
+            }
+            let mut out = bytes::BytesMut::new();
+            server.output(&mut out, usize::MAX);
+            let _ = stream.write_all(&out);
+        }
+    });
+    let tally = go(
+        &plan("constant:20/s", SECOND, impatient()),
+        &Setup { protocol: Protocol::FastCgi, ..setup(fastcgi) },
+    );
+    assert_eq!(tally.of(End::Served), 20);
+}
