Load: an idle connection holds no place

Cause: requests that waited for a place never got one, since idle connections kept theirs: at a bound of one connection 1 of 50 requests was sent. Change: places are of requests that are out.

--- a/crates/load/src/engine/mod.rs
+++ b/crates/load/src/engine/mod.rs
@@ -13,7 +13,7 @@
 use std::time::Duration;
 
 use tokio::runtime::Builder;
-use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::sync::Semaphore;
 use tokio::task::{JoinSet, LocalSet, yield_now};
 use tokio::time::{Instant, sleep, sleep_until, timeout_at};
 
@@ -116,7 +116,9 @@
     number: usize,
     start: Instant,
     places: Arc<Semaphore>,
-    idle: RefCell<VecDeque<(Connection, OwnedSemaphorePermit)>>,
+    /// Without places of their own: a request takes the one that was used last, so there are never more open than
+    /// were needed at once.
+    idle: RefCell<VecDeque<Connection>>,
     tally: RefCell<Tally>,
     next_target: Cell<usize>,
     progress: Arc<Progress>,
@@ -228,11 +230,9 @@
         let Ok(place) = timeout_at(gives_up, self.places.clone().acquire_owned()).await else {
             return (End::NoRoom, None, None);
         };
-        let Ok(permit) = place else { return (End::NoRoom, None, None) };
-        // Of those that are open the one that was used last; its own permit goes back in place of ours.
+        let Ok(_permit) = place else { return (End::NoRoom, None, None) };
         let kept = loop {
-            let Some((connection, held)) = self.idle.borrow_mut().pop_back() else { break None };
-            drop(held);
+            let Some(connection) = self.idle.borrow_mut().pop_back() else { break None };
             if connection.is_open() {
                 break Some(connection);
             }
@@ -259,7 +259,7 @@
         match timeout_at(gives_up, connection.ask(message)).await {
             Ok(Ok(answer)) => {
                 if answer.keep {
-                    self.idle.borrow_mut().push_back((connection, permit));
+                    self.idle.borrow_mut().push_back(connection);
                 }
                 (End::of_status(answer.status), Some(sent), answer.retry_after)
             }
