--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -95,8 +95,9 @@
     },
     /// Serves with a known service time until it is ended.
     StandIn {
-        /// Where, on loopback.
-        address: SocketAddr,
+        /// Where, on loopback; each is a server of its own.
+        #[arg(required = true)]
+        addresses: Vec<SocketAddr>,
         /// `5ms`, `exp:5ms` (exponential around it), or `1ms,50ms,2%` (short, long, share of long ones).
         #[arg(long, default_value = "5ms")]
         service: String,
@@ -202,7 +203,7 @@
             print!("{}", table(&compare(&a, &b)?, (a.len(), b.len())));
             Ok(ExitCode::SUCCESS)
         }
-        Command::StandIn { address, service, delay, stall, limit, answer } => {
+        Command::StandIn { addresses, service, delay, stall, limit, answer } => {
             let stalls = stall.iter().map(|text| stall_of(text)).collect::<Result<_, _>>()?;
             let service = service_of(&service)?;
             let model = Model {
@@ -212,8 +213,8 @@
                 limit: limit.max(1),
                 seed: 1,
             };
-            on_loopback(&[address])?;
-            forever(standin::serve(address, model, answer, |bound| println!("a stand-in on {bound}")))
+            on_loopback(&addresses)?;
+            forever(standin::serve_all(&addresses, &model, answer, |bound| println!("a stand-in on {bound}")))
         }
         Command::Relay { address, targets } => {
             on_loopback(&[&[address], &targets[..]].concat())?;
--- a/crates/load/src/standin.rs
+++ b/crates/load/src/standin.rs
@@ -31,6 +31,26 @@
     answer: Bytes,
 }
 
+/// Serves a model on several addresses, each a server of its own, until this is dropped.
+///
+/// # Errors
+/// Those of the system.
+pub async fn serve_all(
+    addresses: &[SocketAddr],
+    model: &Model,
+    answer: usize,
+    bound: impl Fn(SocketAddr) + Copy + 'static,
+) -> io::Result<()> {
+    let mut servers = tokio::task::JoinSet::new();
+    for &address in addresses {
+        servers.spawn_local(serve(address, model.clone(), answer, bound));
+    }
+    match servers.join_next().await {
+        Some(ended) => ended.map_err(io::Error::other)?,
+        None => Ok(()),
+    }
+}
+
 /// Serves a model on an address of loopback until this is dropped; its times count from the start.
 ///
 /// # Errors
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -30,6 +30,8 @@
     },
     /// The configuration: checks, matches, reloads.
     Config(Options),
+    /// The node's cost beside a bare relay, and how it grows.
+    Cost(Options),
     /// FastCGI beside HTTP: the parity table, costs, memory.
     Fastcgi(Options),
 }
@@ -51,6 +53,7 @@
     let done = match Arguments::parse().command {
         Command::StandIn { addresses, takes_ms } => stand_in(&addresses, takes_ms),
         Command::Config(options) => measure("config", &options),
+        Command::Cost(options) => measure("cost", &options),
         Command::Fastcgi(options) => measure("fastcgi", &options),
     };
     done.unwrap_or_else(|error| {
--- a/crates/rig/src/measure/mod.rs
+++ b/crates/rig/src/measure/mod.rs
@@ -1,6 +1,7 @@
 //! Measurements that anyone can run, each in a module of its own.
 
 pub mod config;
+pub mod cost;
 pub mod fastcgi;
 
 use std::io;
@@ -20,4 +21,5 @@
 pub type Measurement = fn(Plan) -> io::Result<Report>;
 
 /// All measurements.
-pub const ALL: [(&str, Measurement); 2] = [("config", config::measure), ("fastcgi", fastcgi::measure)];
+pub const ALL: [(&str, Measurement); 3] =
+    [("config", config::measure), ("cost", cost::measure), ("fastcgi", fastcgi::measure)];
--- a/crates/rig/src/program.rs
+++ b/crates/rig/src/program.rs
@@ -42,12 +42,19 @@
 /// # Errors
 /// A build that fails.
 pub fn build_node() -> io::Result<()> {
+    build("pumicehead")
+}
+
+/// The same with another package.
+///
+/// # Errors
+/// A build that fails.
+pub fn build(package: &str) -> io::Result<()> {
     // Set where cargo runs this; started by hand, what lies beside it is taken as it is.
     let Some(cargo) = env::var_os("CARGO") else { return Ok(()) };
-    let status = Command::new(cargo)
-        .args(["build", "--release", "--locked", "--quiet", "-p", "pumicehead"])
-        .status()?;
-    if status.success() { Ok(()) } else { Err(io::Error::other("the node does not build")) }
+    let status =
+        Command::new(cargo).args(["build", "--release", "--locked", "--quiet", "-p", package]).status()?;
+    if status.success() { Ok(()) } else { Err(io::Error::other(format!("{package} does not build"))) }
 }
 
 /// A file of its own in the system's folder for such.
@@ -57,6 +64,82 @@
     env::temp_dir().join(format!("pumicehead-{}-{number}{end}", std::process::id()))
 }
 
+/// A program that prints where it listens; killed when dropped.
+pub struct Tool {
+    child: Child,
+    /// Where it listens.
+    pub addresses: Vec<SocketAddr>,
+}
+
+impl Tool {
+    /// Starts a built program, on a core of its own where `core` names one, and waits until it listens so often.
+    ///
+    /// # Errors
+    /// Where it does not.
+    pub fn start(
+        name: &str,
+        arguments: &[String],
+        core: Option<usize>,
+        listeners: usize,
+    ) -> io::Result<Self> {
+        let mut command = pinned(&built(name)?, core);
+        let mut child = command.args(arguments).stdout(Stdio::piped()).spawn()?;
+        let output = child.stdout.take().ok_or(io::ErrorKind::BrokenPipe)?;
+        let mut lines = BufReader::new(output).lines();
+        let mut addresses = Vec::new();
+        while addresses.len() < listeners {
+            let line = lines.next().ok_or(io::ErrorKind::UnexpectedEof)??;
+            addresses.extend(line.rsplit(' ').next().and_then(|address| address.parse::<SocketAddr>().ok()));
+        }
+        Ok(Self { child, addresses })
+    }
+
+    /// Its process.
+    #[must_use]
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+}
+
+impl Drop for Tool {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// A command on a core of its own, where the system has the tool for that.
+fn pinned(program: &Path, core: Option<usize>) -> Command {
+    let Some(core) = core.filter(|_| Path::new("/usr/bin/taskset").exists()) else {
+        return Command::new(program);
+    };
+    let mut command = Command::new("taskset");
+    command.args(["-c", &core.to_string()]).arg(program);
+    command
+}
+
+/// Processor time that a process has used so far, in seconds; 0 where the system does not tell.
+#[must_use]
+pub fn cpu_seconds(pid: u32) -> f64 {
+    let stat = fs::read_to_string(format!("/proc/{pid}/stat")).unwrap_or_default();
+    // The name, in brackets, may hold anything; fields 14 and 15 count ticks of 10 ms.
+    let fields = stat.rsplit(") ").next().unwrap_or_default();
+    let ticks = fields.split(' ').skip(11).take(2).filter_map(|field| field.parse::<f64>().ok());
+    ticks.sum::<f64>() / 100.0
+}
+
+/// Memory that a process holds now, in bytes; 0 where the system does not tell.
+#[must_use]
+pub fn memory(pid: u32) -> u64 {
+    status_kib(pid, "VmRSS:")
+}
+
+fn status_kib(pid: u32, name: &str) -> u64 {
+    let status = fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
+    let found = status.lines().find_map(|line| line.strip_prefix(name));
+    found.and_then(|text| text.trim().trim_end_matches(" kB").parse::<u64>().ok()).unwrap_or_default() * 1024
+}
+
 /// A standalone node; killed when dropped.
 pub struct Standalone {
     child: Child,
@@ -87,7 +170,16 @@
     /// Where it does not start.
     #[must_use]
     pub fn start_file(file: &Path, listeners: usize) -> Self {
-        let mut command = Command::new(built("pumicehead").expect("a built node"));
+        Self::start_on(file, listeners, None)
+    }
+
+    /// The same on a core of its own.
+    ///
+    /// # Panics
+    /// Where it does not start.
+    #[must_use]
+    pub fn start_on(file: &Path, listeners: usize, core: Option<usize>) -> Self {
+        let mut command = pinned(&built("pumicehead").expect("a built node"), core);
         command.arg("run").arg(file).stderr(Stdio::piped()).env_remove("EDGE_CONFIG");
         let mut child = command.spawn().expect("the node starts");
         let log = Arc::new(Mutex::new(Vec::new()));
@@ -162,6 +254,12 @@
         matches!(self.child.try_wait(), Ok(None))
     }
 
+    /// Its process.
+    #[must_use]
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Waits for its end.
     ///
     /// # Panics
@@ -174,20 +272,13 @@
     /// Processor time that it has used so far, in seconds; 0 where the system does not tell.
     #[must_use]
     pub fn cpu_seconds(&self) -> f64 {
-        let stat = fs::read_to_string(format!("/proc/{}/stat", self.child.id())).unwrap_or_default();
-        // The name, in brackets, may hold anything; fields 14 and 15 count ticks of 10 ms.
-        let fields = stat.rsplit(") ").next().unwrap_or_default();
-        let ticks = fields.split(' ').skip(11).take(2).filter_map(|field| field.parse::<f64>().ok());
-        ticks.sum::<f64>() / 100.0
+        cpu_seconds(self.child.id())
     }
 
     /// Most memory that it has held, in bytes; 0 where the system does not tell.
     #[must_use]
     pub fn peak_memory(&self) -> u64 {
-        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap_or_default();
-        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
-        let kib = peak.and_then(|text| text.trim().trim_end_matches(" kB").parse::<u64>().ok());
-        kib.unwrap_or_default() * 1024
+        status_kib(self.child.id(), "VmHWM:")
     }
 }
 
