Load: a request is late where its own task begins, not where it is made

Cause: the generator's lateness was taken as its requests were made. A thread that makes 200,000 in time but has no time to run them passed for punctual, and the test of a starved generator failed on two busy cores. Change: the lateness counts from the first run of each request's task.

--- a/crates/load/src/engine/mod.rs
+++ b/crates/load/src/engine/mod.rs
@@ -141,11 +141,13 @@
         for request in plan {
             let due = self.start + Duration::from_nanos(request.at);
             self.wait_until(due).await;
-            let late = Instant::now().saturating_duration_since(due);
-            self.tally.borrow_mut().came(late.as_nanos() as Nanos);
             self.progress.due.fetch_add(1, Ordering::Relaxed);
             let lane = self.clone();
             tasks.spawn_local(async move {
+                // Where the request's own task begins, not where it is made: a thread that makes them in time but
+                // has no time to run them is late all the same.
+                let late = Instant::now().saturating_duration_since(due);
+                lane.tally.borrow_mut().came(late.as_nanos() as Nanos);
                 let story = lane.ask(&request, due).await;
                 lane.note(&story);
             });
