FastCGI: no bytes twice after an abort, and no old answer for an id that came again

Cause, found on reading the change again: (1) Driver::abort wrote what fits at once without counting it; where the connection of a draining server goes on for other requests, the same bytes went out a second time, which could begin a request twice. (2) An answer that crossed an ABORT was matched by its id alone, which the front end may have given to its next request by then. Change: what is written is counted; answers carry the serial number of their request. Neither fault has a test of its own yet: the first needs a server whose learned limit lets two requests share a connection.

--- a/crates/node/src/net/fastcgi/connection.rs
+++ b/crates/node/src/net/fastcgi/connection.rs
@@ -313,8 +313,11 @@
             return false;
         }
         // What fits at once: the application hears of it before the connection ends.
-        if let Some(front) = self.out.front() {
-            let _ = tokio::time::timeout(Duration::ZERO, self.writer.write(front)).await;
+        if let Some(front) = self.out.front()
+            && let Ok(Ok(count)) = tokio::time::timeout(Duration::ZERO, self.writer.write(front)).await
+        {
+            // Where others are still open the connection goes on, and nothing may be written twice.
+            self.wrote(count);
         }
         self.sent.is_empty()
     }
--- a/crates/node/src/net/front/fastcgi.rs
+++ b/crates/node/src/net/front/fastcgi.rs
@@ -36,11 +36,13 @@
     server: Server,
     /// Requests that have begun, and until when they must be whole.
     coming: HashMap<u16, Instant>,
-    /// Requests that are being answered.
-    asking: HashMap<u16, AbortHandle>,
+    /// Requests that are being answered, each with its serial number: ids come again, and an answer that crosses an
+    /// abort must not meet the next request of its id.
+    asking: HashMap<u16, (u64, AbortHandle)>,
+    serial: u64,
     /// Dropped with the connection: those who wait are gone then.
     tasks: JoinSet<()>,
-    answers: mpsc::UnboundedSender<(u16, Vec<Bytes>)>,
+    answers: mpsc::UnboundedSender<(u16, u64, Vec<Bytes>)>,
 }
 
 impl Front {
@@ -64,6 +66,7 @@
             server,
             coming: HashMap::new(),
             asking: HashMap::new(),
+            serial: 0,
             tasks: JoinSet::new(),
             answers,
         };
@@ -95,10 +98,7 @@
                     // Who asked is gone, and with the tasks goes what they wait for.
                     _ => return,
                 },
-                Some((id, parts)) = answered.recv() => {
-                    exchange.asking.remove(&id);
-                    exchange.server.end(id, parts, 0);
-                }
+                Some((id, serial, parts)) = answered.recv() => exchange.answered(id, serial, parts),
                 written = writer.write(&out), if !out.is_empty() => match written {
                     Ok(count) if count > 0 => {
                         out.advance(count);
@@ -137,11 +137,12 @@
                 Event::Request { id, params, body } => {
                     exchange.coming.remove(&id);
                     let (front, conn, answers) = (self.clone(), conn.clone(), exchange.answers.clone());
+                    let serial = exchange.next_serial();
                     let task = exchange.tasks.spawn_local(async move {
                         let parts = front.answer_fastcgi(&conn, peer, &params, body).await;
-                        let _ = answers.send((id, parts));
+                        let _ = answers.send((id, serial, parts));
                     });
-                    exchange.asking.insert(id, task);
+                    exchange.asking.insert(id, (serial, task));
                 }
                 Event::Bad(id, why) => {
                     exchange.coming.remove(&id);
@@ -151,15 +152,17 @@
                     };
                     // Made on a task as any other, so that there is one way out.
                     let answers = exchange.answers.clone();
-                    exchange.tasks.spawn_local(async move {
+                    let serial = exchange.next_serial();
+                    let task = exchange.tasks.spawn_local(async move {
                         let parts = parts(&Method::POST, answer::bad(&bad)).await;
-                        let _ = answers.send((id, parts));
+                        let _ = answers.send((id, serial, parts));
                     });
+                    exchange.asking.insert(id, (serial, task));
                 }
                 Event::Aborted(id) => {
                     exchange.coming.remove(&id);
                     // Dropped, it tells the loop that the client is gone.
-                    if let Some(task) = exchange.asking.remove(&id) {
+                    if let Some((_, task)) = exchange.asking.remove(&id) {
                         task.abort();
                     }
                     exchange.server.end(id, [], 0);
@@ -192,6 +195,19 @@
 }
 
 impl Exchange {
+    fn next_serial(&mut self) -> u64 {
+        self.serial += 1;
+        self.serial
+    }
+
+    /// Ends a request with its answer; one that was aborted meanwhile has ended already.
+    fn answered(&mut self, id: u16, serial: u64, parts: Vec<Bytes>) {
+        if self.asking.get(&id).is_some_and(|(asked, _)| *asked == serial) {
+            self.asking.remove(&id);
+            self.server.end(id, parts, 0);
+        }
+    }
+
     /// Answers requests that took too long to come.
     async fn end_slow(&mut self) {
         let now = Instant::now();
