--- a/crates/node/src/cli.rs
+++ b/crates/node/src/cli.rs
@@ -42,6 +42,9 @@
     Run {
         /// The configuration.
         file: PathBuf,
+        /// Writes what is asked to a new file, in the form that `pumicehead-load replay` plays.
+        #[arg(long, value_name = "FILE")]
+        record: Option<PathBuf>,
     },
     /// Checks configurations.
     Check {
@@ -99,13 +102,13 @@
 /// What can't be carried out.
 pub fn carry_out(command: Command) -> Result<ExitCode, Box<dyn Error>> {
     match command {
-        Command::Run { file } => {
+        Command::Run { file, record } => {
             let checked = check(&Disk, &file);
             report(&checked.sources, &checked.diagnostics, Format::Text);
             if checked.config.is_none() {
                 return Ok(ExitCode::from(MISTAKES));
             }
-            crate::block_on(crate::standalone::serve(&file, checked))?;
+            crate::block_on(crate::standalone::serve(file, checked, record))?;
             Ok(ExitCode::SUCCESS)
         }
         Command::Check { files, format, deny_warnings } => Ok(check_all(&files, format, deny_warnings)),
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -12,8 +12,8 @@
 use std::process::ExitCode;
 
 use clap::Parser;
-use tokio::runtime::Builder;
-use tokio::task::LocalSet;
+use tokio::runtime::{Builder, LocalOptions};
+use tokio::task;
 
 fn main() -> ExitCode {
     // The platform starts it with no arguments; what is wrong there is told by the missing variable, not by usage.
@@ -30,7 +30,8 @@
 }
 
 /// Runs on the one loop of this process, which ends with it.
-fn block_on(serve: impl Future<Output = Result<(), Box<dyn Error>>>) -> Result<(), Box<dyn Error>> {
-    let runtime = Builder::new_current_thread().enable_all().build()?;
-    LocalSet::new().block_on(&runtime, serve)
+fn block_on(serve: impl Future<Output = Result<(), Box<dyn Error>>> + 'static) -> Result<(), Box<dyn Error>> {
+    let runtime = Builder::new_current_thread().enable_all().build_local(LocalOptions::default())?;
+    // A task: each wake of what is blocked on is a write to the loop's own descriptor.
+    runtime.block_on(async { task::spawn_local(serve).await? })
 }
--- a/crates/node/src/net/admission.rs
+++ b/crates/node/src/net/admission.rs
@@ -18,8 +18,8 @@
     pub uri: &'a Uri,
     /// Version that the client speaks.
     pub version: Version,
-    /// Fields.
-    pub headers: &'a HeaderMap,
+    /// Fields; what is passed on is made of them.
+    pub headers: HeaderMap,
     /// Where the client is.
     pub peer: IpAddr,
 }
@@ -101,5 +101,5 @@
     ///
     /// # Errors
     /// What is wrong with it, or the answer that it has already.
-    fn admit(&self, head: &Head<'_>) -> Result<Admitted, Bad>;
+    fn admit(&self, head: Head<'_>) -> Result<Admitted, Bad>;
 }
--- a/crates/node/src/net/core.rs
+++ b/crates/node/src/net/core.rs
@@ -2,8 +2,7 @@
 //! place that knows both requests and the ids of the module. A node has one loop for each pool of servers.
 
 use std::cell::Cell;
-use std::cmp::Reverse;
-use std::collections::{BinaryHeap, VecDeque};
+use std::collections::{BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -93,6 +92,9 @@
     error: Option<Served>,
     /// By attempt number, while it is out.
     attempts: Vec<Option<oneshot::Sender<()>>>,
+    /// What is armed for it, or has fired: dropped with it. Most requests end long before any of it is due, and
+    /// each would wake the loop for nothing.
+    timers: Vec<(Nanos, Due)>,
 }
 
 impl Open {
@@ -109,7 +111,7 @@
     to_self: mpsc::UnboundedSender<Message>,
     start: Instant,
     start_unix: Nanos,
-    timers: BinaryHeap<Reverse<(Nanos, Due)>>,
+    timers: BTreeSet<(Nanos, Due)>,
     events: VecDeque<Event>,
     open: FxHashMap<RequestId, Open>,
     /// Where the list is watched; `None` where the configuration has it.
@@ -140,7 +142,7 @@
             to_self,
             start: Instant::now(),
             start_unix: unix.as_nanos() as Nanos,
-            timers: BinaryHeap::new(),
+            timers: BTreeSet::new(),
             events: VecDeque::new(),
             open: FxHashMap::default(),
             discovery,
@@ -149,7 +151,7 @@
             handles,
             retired: false,
         };
-        core.timers.push(Reverse((core.now() + SWEEP, Due::Sweep)));
+        core.timers.insert((core.now() + SWEEP, Due::Sweep));
         if let Some(list) = fixed {
             core.set_servers(list);
             return (core, handle);
@@ -176,7 +178,7 @@
             if self.retired && self.open.is_empty() && self.handles.strong_count() == 0 {
                 return;
             }
-            let next = self.timers.peek().map_or(Nanos::MAX, |Reverse((at, _))| *at);
+            let next = self.timers.first().map_or(Nanos::MAX, |(at, _)| *at);
             let wake = self.instant(next);
             tokio::select! {
                 message = self.messages.recv() => match message {
@@ -215,17 +217,17 @@
     }
 
     fn fire(&mut self) {
-        while let Some(Reverse((at, due))) = self.timers.peek().copied() {
+        while let Some(&(at, due)) = self.timers.first() {
             if at > self.now() {
                 return;
             }
-            self.timers.pop();
+            self.timers.pop_first();
             match due {
                 Due::Timer(token) => self.events.push_back(Event::Timer(TimerToken(token))),
                 Due::Overdue(id) => self.on_overdue(RequestId(id)),
                 Due::Sweep => {
                     self.roster.transport().sweep();
-                    self.timers.push(Reverse((self.now() + SWEEP, Due::Sweep)));
+                    self.timers.insert((self.now() + SWEEP, Due::Sweep));
                 }
                 Due::Subscribe => self.subscribe(),
                 Due::Empty => self.set_servers(List { whole: true, ..List::default() }),
@@ -273,7 +275,7 @@
                     watch.abort();
                 }
                 if gone {
-                    self.timers.push(Reverse((self.now() + GRACE, Due::Empty)));
+                    self.timers.insert((self.now() + GRACE, Due::Empty));
                 }
             }
             Message::GiveUp => {
@@ -291,13 +293,15 @@
 
     fn on_request(&mut self, id: RequestId, ask: Ask, arrived: Instant, answer: oneshot::Sender<Answer>) {
         let deadline = self.at(arrived) + ask.left.as_nanos() as Nanos;
-        self.timers.push(Reverse((deadline + OVERDUE, Due::Overdue(id.0))));
+        let overdue = (deadline + OVERDUE, Due::Overdue(id.0));
+        self.timers.insert(overdue);
         let open = Open {
             call: Rc::new(ask.call),
             answer: Some(answer),
             deadline,
             error: None,
             attempts: Vec::new(),
+            timers: vec![overdue],
         };
         self.open.insert(id, open);
         self.events.push_back(Event::Request(NewRequest {
@@ -322,8 +326,21 @@
 
     fn free(&mut self, id: RequestId) {
         if self.open.get(&id).is_some_and(Open::is_over) {
-            self.open.remove(&id);
+            let timers = self.open.remove(&id).map_or_else(Vec::new, |open| open.timers);
+            for timer in timers {
+                self.timers.remove(&timer);
+            }
+        }
+    }
+
+    fn arm(&mut self, at: Nanos, token: TimerToken) {
+        let timer = (at, Due::Timer(token.0));
+        if let Some(id) = token.request() {
+            // Of one that is over it would do nothing.
+            let Some(open) = self.open.get_mut(&id) else { return };
+            open.timers.push(timer);
         }
+        self.timers.insert(timer);
     }
 
     fn on_client_gone(&mut self, id: RequestId) {
@@ -403,7 +420,7 @@
                     let _ = std::mem::replace(cancel, spent).send(());
                 }
             }
-            Action::Timer { at, token } => self.timers.push(Reverse((at, Due::Timer(token.0)))),
+            Action::Timer { at, token } => self.arm(at, token),
             Action::FreeLinks(server) => {
                 if let Some(server) = self.roster.server(server) {
                     server.hang_up();
@@ -466,7 +483,7 @@
         task.abort();
         eprintln!("discovery: watch lost: {error}");
         if self.pushed {
-            self.timers.push(Reverse((self.now() + AGENT_PAUSE, Due::Subscribe)));
+            self.timers.insert((self.now() + AGENT_PAUSE, Due::Subscribe));
         } else {
             self.events.push_back(Event::Members(ListChange::Failed));
         }
--- a/crates/node/src/net/fields.rs
+++ b/crates/node/src/net/fields.rs
@@ -22,6 +22,9 @@
 /// Fields that no `Connection` can make end here: without them a request is another one.
 const KEPT: [HeaderName; 2] = [header::HOST, header::COOKIE];
 
+/// Of an entry of `Forwarded` without the host.
+const LONGEST_PEER: usize = 80;
+
 /// Removes what is for this connection, by its own name or by that of `Connection`.
 pub fn strip_hop_by_hop(headers: &mut HeaderMap) {
     let named: Vec<HeaderName> = headers
@@ -45,15 +48,19 @@
 
 /// An entry of `Forwarded` (RFC 7239 section 4).
 pub fn forwarded(peer: IpAddr, host: Option<&str>) -> Option<HeaderValue> {
-    let mut entry = match peer.to_canonical() {
-        IpAddr::V4(peer) => format!("for={peer}"),
-        IpAddr::V6(peer) => format!("for=\"[{peer}]\""),
+    // With every request: in one piece, and without the machinery of formats for what is plain text.
+    let mut entry = String::with_capacity(LONGEST_PEER + host.map_or(0, str::len));
+    let _ = match peer.to_canonical() {
+        IpAddr::V4(peer) => write!(entry, "for={peer}"),
+        IpAddr::V6(peer) => write!(entry, "for=\"[{peer}]\""),
     };
     if let Some(host) = host.filter(|host| !host.is_empty() && !host.contains(['"', '\\'])) {
-        let _ = write!(entry, ";host=\"{host}\"");
+        entry.push_str(";host=\"");
+        entry.push_str(host);
+        entry.push('"');
     }
     entry.push_str(";proto=http");
-    HeaderValue::from_str(&entry).ok()
+    HeaderValue::try_from(entry).ok()
 }
 
 #[cfg(test)]
--- a/crates/node/src/net/front/budget.rs
+++ b/crates/node/src/net/front/budget.rs
@@ -61,12 +61,22 @@
 
     /// Takes one in.
     pub fn add(&self, conn: &Rc<Conn>) {
-        self.conns.borrow_mut().push(conn.clone());
+        let mut conns = self.conns.borrow_mut();
+        conn.place.set(conns.len());
+        conns.push(conn.clone());
     }
 
     /// One has ended.
     pub fn remove(&self, conn: &Rc<Conn>) {
-        self.conns.borrow_mut().retain(|other| !Rc::ptr_eq(other, conn));
+        // At every end of thousands: the last one takes its place, where a search would cost more than the rest.
+        let mut conns = self.conns.borrow_mut();
+        let place = conn.place.get();
+        if conns.get(place).is_some_and(|found| Rc::ptr_eq(found, conn)) {
+            conns.swap_remove(place);
+            if let Some(moved) = conns.get(place) {
+                moved.place.set(place);
+            }
+        }
     }
 
     /// Those of one front.
--- a/crates/node/src/net/front/conn.rs
+++ b/crates/node/src/net/front/conn.rs
@@ -29,6 +29,8 @@
     counted: Cell<bool>,
     /// When it came up, was last answered, or was closed.
     pub since: Cell<Instant>,
+    /// Where it is among all connections; [`super::budget::Budget`] alone changes it.
+    pub place: Cell<usize>,
     /// Over the budget: told so and closed.
     pub extra: bool,
     /// The bounds of its front.
@@ -62,6 +64,7 @@
             stage: Cell::new(Stage::Waiting),
             used: Cell::new(false),
             since: Cell::new(Instant::now()),
+            place: Cell::new(0),
             extra,
             options,
             close: Notify::new(),
--- a/crates/node/src/net/front/fastcgi.rs
+++ b/crates/node/src/net/front/fastcgi.rs
@@ -183,11 +183,11 @@
             method: &read.method,
             uri: &read.uri,
             version: Version::HTTP_11,
-            headers: &read.headers,
+            headers: read.headers,
             peer: read.peer.unwrap_or(peer),
         };
         let whole = read.length.is_none_or(|length| length == body.len() as u64);
-        let admitted = self.admission.admit(&head);
+        let admitted = self.admission.admit(head);
         let admitted = admitted.and_then(|admitted| if whole { Ok(admitted) } else { Err(Bad::Broken) });
         let response = self.decide(admitted, body, conn.extra).await;
         parts(&read.method, response).await
--- a/crates/node/src/net/front/mod.rs
+++ b/crates/node/src/net/front/mod.rs
@@ -319,11 +319,12 @@
             method: &parts.method,
             uri: &parts.uri,
             version: parts.version,
-            headers: &parts.headers,
+            headers: parts.headers,
             peer,
         };
-        let admitted = self.admission.admit(&head);
-        if admitted.is_err() && parts.headers.contains_key(header::EXPECT) {
+        let expects = head.headers.contains_key(header::EXPECT);
+        let admitted = self.admission.admit(head);
+        if admitted.is_err() && expects {
             // The client has not begun to write its body, and now needs not (RFC 9110 section 10.1.1).
             return admitted.map(|admitted| (admitted, Bytes::new()));
         }
--- a/crates/node/src/net/front/read.rs
+++ b/crates/node/src/net/front/read.rs
@@ -19,22 +19,25 @@
 
 impl Framing {
     /// Read from the head as it came.
-    pub fn of(head: &[Vec<u8>]) -> Self {
-        let fields = |name: &str| {
-            let named = head.iter().skip(1).filter_map(move |line| {
-                let colon = line.iter().position(|&byte| byte == b':')?;
-                line[..colon].trim_ascii().eq_ignore_ascii_case(name.as_bytes()).then(|| &line[colon + 1..])
-            });
-            named.collect::<Vec<_>>()
-        };
-        let lengths = fields("content-length");
-        match (lengths.as_slice(), fields("transfer-encoding").is_empty()) {
-            ([], true) => Self::Length(0),
-            ([], false) => Self::Chunked,
-            ([length], true) => {
-                let length = str::from_utf8(length).ok().and_then(|text| text.trim().parse().ok());
-                length.map_or(Self::Doubtful, Self::Length)
+    pub fn of(head: &[u8]) -> Self {
+        let lines = head.split(|&byte| byte == b'\n').map(<[u8]>::trim_ascii_end);
+        // After the request's line, ahead of which empty ones are allowed.
+        let fields = lines.skip_while(|line| line.is_empty()).skip(1);
+        let (mut length, mut lengths, mut chunked) = (None, 0, false);
+        for line in fields {
+            let Some(colon) = line.iter().position(|&byte| byte == b':') else { continue };
+            let (name, value) = (line[..colon].trim_ascii(), &line[colon + 1..]);
+            if name.eq_ignore_ascii_case(b"content-length") {
+                length = str::from_utf8(value).ok().and_then(|text| text.trim().parse().ok());
+                lengths += 1;
+            } else if name.eq_ignore_ascii_case(b"transfer-encoding") {
+                chunked = true;
             }
+        }
+        match (lengths, chunked) {
+            (0, false) => Self::Length(0),
+            (0, true) => Self::Chunked,
+            (1, false) => length.map_or(Self::Doubtful, Self::Length),
             _ => Self::Doubtful,
         }
     }
--- a/crates/node/src/net/http/upstream.rs
+++ b/crates/node/src/net/http/upstream.rs
@@ -94,7 +94,8 @@
 
 impl Backend {
     fn keep(self: &Rc<Self>, connections: &Connections, conn: Conn) {
-        if self.usable.get() && conn.is_open() {
+        // Whether the socket has ended is asked when it is wanted again.
+        if self.usable.get() && !conn.sender.is_closed() {
             self.idle.borrow_mut().push_back((Instant::now(), conn));
             connections.register(self);
         }
@@ -255,8 +256,7 @@
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = self.uri.clone();
         *request.headers_mut() = self.headers.clone();
-        let left = format!("{}u", left.as_micros());
-        if let Ok(left) = HeaderValue::from_str(&left) {
+        if let Ok(left) = HeaderValue::try_from(format!("{}u", left.as_micros())) {
             request.headers_mut().insert("x-time-left", left);
         }
         let line = self.method.as_str().len() + self.uri.path().len() + " HTTP/1.1\r\n".len();
--- a/crates/node/src/net/link.rs
+++ b/crates/node/src/net/link.rs
@@ -8,7 +8,7 @@
 use std::task::{Context, Poll, ready};
 
 use socket2::SockRef;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::{TcpStream, UnixStream};
 use tokio::time::Instant;
 
@@ -53,6 +53,13 @@
         either!(self, stream => stream.try_read_buf(buffer))
     }
 
+    /// The kernel has nothing more for now: it tells when there is. Without this, each message costs another read,
+    /// which finds nothing.
+    fn is_drained(&self) {
+        let nothing = || Err::<(), _>(io::ErrorKind::WouldBlock.into());
+        let _ = either!(self, stream => stream.try_io(Interest::READABLE, nothing));
+    }
+
     fn try_read(&self, buffer: &mut [u8]) -> io::Result<usize> {
         either!(self, stream => stream.try_read(buffer))
     }
@@ -133,24 +140,14 @@
         Self(Rc::new(Shared { stream: Socket::Tcp(stream), written: Cell::new(0), tap }))
     }
 
-    /// The lines of the head that has come in whole, without their ends; what follows is the body.
-    pub fn take_head(&self) -> Vec<Vec<u8>> {
-        let mut lines: Vec<Vec<u8>> = Vec::new();
-        let Some(tap) = &self.0.tap else { return lines };
+    /// The head that has come in whole, as it came; what follows is the body.
+    pub fn take_head(&self) -> Vec<u8> {
+        let Some(tap) = &self.0.tap else { return Vec::new() };
         let mut tap = tap.borrow_mut();
-        let mut end = 0;
-        for line in tap.head.split_inclusive(|&byte| byte == b'\n') {
-            end += line.len();
-            match line.trim_ascii_end() {
-                // Empty lines ahead of a request are allowed.
-                [] if lines.is_empty() => {}
-                [] => break,
-                text => lines.push(text.to_vec()),
-            }
-        }
-        tap.head.drain(..end);
-        tap.since = (!tap.head.is_empty()).then(Instant::now);
-        lines
+        let end = head_end(&tap.head);
+        let rest = tap.head.split_off(end);
+        tap.since = (!rest.is_empty()).then(Instant::now);
+        std::mem::replace(&mut tap.head, rest)
     }
 
     /// So many bytes are the body of the request whose head was taken.
@@ -160,10 +157,8 @@
         let mut came = std::mem::take(&mut tap.head);
         let here = came.len().min(usize::try_from(body).unwrap_or(usize::MAX));
         tap.skip = body - here as u64;
-        came.drain(..here);
-        tap.head = came;
         // An idle connection holds no buffer.
-        tap.head.shrink_to_fit();
+        tap.head = came.split_off(here);
         tap.since = (!tap.head.is_empty()).then(Instant::now);
     }
 
@@ -212,6 +207,21 @@
     }
 }
 
+/// Where the first head in some bytes ends, its empty line included; empty lines ahead of a request are allowed (RFC
+/// 9112 section 2.2). All of it where it has no end.
+fn head_end(bytes: &[u8]) -> usize {
+    let (mut end, mut begun) = (0, false);
+    for line in bytes.split_inclusive(|&byte| byte == b'\n') {
+        end += line.len();
+        let empty = matches!(line, [b'\n'] | [b'\r', b'\n']);
+        if begun && empty {
+            break;
+        }
+        begun |= !empty;
+    }
+    end
+}
+
 impl AsyncRead for Link {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         loop {
@@ -220,6 +230,11 @@
             match self.0.stream.try_read_buf(buf) {
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                 read => {
+                    // Less than there was room for was all there was. An end that has come is not forgotten by
+                    // this, and nothing comes in between: the one thread that is told is this one.
+                    if read.as_ref().is_ok_and(|&count| count > 0) && buf.remaining() > 0 {
+                        self.0.stream.is_drained();
+                    }
                     let read = read.map(|_| ());
                     if let Some(tap) = &self.0.tap {
                         tap.borrow_mut().take(&buf.filled()[before..]);
--- a/crates/node/src/platform/admission.rs
+++ b/crates/node/src/platform/admission.rs
@@ -64,8 +64,8 @@
 }
 
 impl Admission for Platform {
-    fn admit(&self, head: &Head<'_>) -> Result<Admitted, Bad> {
-        let headers = head.headers;
+    fn admit(&self, head: Head<'_>) -> Result<Admitted, Bad> {
+        let headers = &head.headers;
         if head.uri.authority().is_some() {
             return Err(Bad::Unknown);
         }
--- a/crates/node/src/standalone/admission.rs
+++ b/crates/node/src/standalone/admission.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
-use hyper::{Method, StatusCode, Uri};
+use hyper::{Method, StatusCode, Uri, Version};
 use pumicehead_lang::explain::key_of;
 use pumicehead_lang::model::{Config, KeyOf, Protocol, Repeats, TenantOf};
 use pumicehead_route::{Found, Matcher, Query, RequestPath, request_host};
@@ -14,6 +14,7 @@
 use crate::net::answer::Manner;
 use crate::net::ask::{Ask, Call, Handle};
 use crate::net::fields;
+use crate::standalone::record::Recorder;
 
 /// A name that servers may log a request by.
 const CORRELATION: HeaderName = HeaderName::from_static("x-correlation-id");
@@ -23,7 +24,8 @@
     matcher: Matcher,
     routes: Vec<LiveRoute>,
     tenants: Vec<String>,
-    name: String,
+    /// This node's entries of `Via`, of messages of HTTP/1.0 and of 1.1.
+    via: [Option<HeaderValue>; 2],
 }
 
 /// A route with the loop of its pool.
@@ -65,7 +67,7 @@
             matcher: config.matcher(),
             routes: routes.collect(),
             tenants: config.tenants.iter().map(|tenant| tenant.name.clone()).collect(),
-            name: config.node.name.clone(),
+            via: [Version::HTTP_10, Version::HTTP_11].map(|version| fields::via(version, &config.node.name)),
         }
     }
 }
@@ -76,12 +78,14 @@
     /// Names of requests: one part for the life of the node, one for the request.
     seed: u64,
     next: Cell<u64>,
+    /// What is asked is written down here.
+    recorder: Option<Recorder>,
 }
 
 impl Gateway {
     /// With the first configuration.
-    pub fn new(live: Live, seed: u64) -> Rc<Self> {
-        Rc::new(Self { live: RefCell::new(Rc::new(live)), seed, next: Cell::new(0) })
+    pub fn new(live: Live, seed: u64, recorder: Option<Recorder>) -> Rc<Self> {
+        Rc::new(Self { live: RefCell::new(Rc::new(live)), seed, next: Cell::new(0), recorder })
     }
 
     /// Requests from now on meet this one.
@@ -97,21 +101,26 @@
 }
 
 impl Admission for Gateway {
-    fn admit(&self, head: &Head<'_>) -> Result<Admitted, Bad> {
+    fn admit(&self, mut head: Head<'_>) -> Result<Admitted, Bad> {
+        if let Some(recorder) = &self.recorder {
+            let target = head.uri.path_and_query().map_or("", |target| target.as_str());
+            let length = head.headers.get(header::CONTENT_LENGTH).and_then(|length| length.to_str().ok());
+            let length = length.and_then(|length| length.trim().parse().ok()).unwrap_or(0);
+            recorder.note(head.method.as_str(), target, length);
+        }
         let live = self.live.borrow().clone();
         if matches!(*head.method, Method::TRACE | Method::CONNECT) {
             // TRACE shows a client what others added; CONNECT is for proxies that clients choose.
             return Err(Bad::NotImplemented);
         }
-        let mut headers = head.headers.clone();
-        if *head.method == Method::OPTIONS && ends_here(head, &mut headers)? {
+        if *head.method == Method::OPTIONS && ends_here(&mut head)? {
             return Err(Bad::Own(StatusCode::NO_CONTENT));
         }
-        let authority = authority(head)?;
+        let authority = authority(&head)?;
         let target = |text: String| Bad::Target(text);
         let host = request_host(&authority).map_err(|fault| target(format!("the host is {fault}")))?;
         let path = RequestPath::parse(head.uri.path()).map_err(|fault| target(fault.to_string()))?;
-        let query = Query { host: &host, path: &path, method: head.method, headers: head.headers };
+        let query = Query { host: &host, path: &path, method: head.method, headers: &head.headers };
         let place = match live.matcher.find(&query) {
             Found::Route(place) => place,
             Found::Method(allowed) => return Err(Bad::Method(allowed)),
@@ -122,7 +131,7 @@
             return Err(Bad::Unknown);
         }
         if let Some(name) = &route.keyed {
-            one(head.headers, name)?;
+            one(&head.headers, name)?;
         }
         let tenant = match &route.tenant {
             TenantOf::None => None,
@@ -130,19 +139,21 @@
             TenantOf::Header(name) => {
                 let missing = || Bad::Header(name.clone().into());
                 let field = HeaderName::from_bytes(name.as_bytes()).map_err(|_| missing())?;
-                let value = one(head.headers, &field)?;
+                let value = one(&head.headers, &field)?;
                 let known = live.tenants.iter().position(|tenant| tenant.as_bytes() == value);
                 Some(known.ok_or_else(missing)?)
             }
         };
         let correlation = self.correlation();
+        let key = key_of(&route.key, &query);
+        let mut headers = head.headers;
         headers
             .insert(header::HOST, HeaderValue::from_str(&authority).map_err(|_| Bad::Header("host".into()))?);
         fields::strip_hop_by_hop(&mut headers);
-        append(&mut headers, header::VIA, fields::via(head.version, &live.name));
+        append(&mut headers, header::VIA, live.via[usize::from(head.version != Version::HTTP_10)].clone());
         append(&mut headers, header::FORWARDED, fields::forwarded(head.peer, Some(&authority)));
         if !headers.contains_key(&CORRELATION) {
-            append(&mut headers, CORRELATION, HeaderValue::from_str(&correlation).ok());
+            append(&mut headers, CORRELATION, HeaderValue::from_bytes(correlation.as_bytes()).ok());
         }
         let call =
             Call { method: head.method.clone(), uri: origin_form(head.uri)?, headers, ..Call::default() };
@@ -151,13 +162,12 @@
             class: route.class,
             tenant,
             hint: None,
-            key: key_of(&route.key, &query),
+            key,
             left: route.deadline,
             call,
         };
         // The server's answer is one of HTTP/1.1 whatever it speaks: the node has taken it whole.
-        let via = fields::via(hyper::Version::HTTP_11, &live.name);
-        let via = via.unwrap_or(HeaderValue::from_static("1.1 pumicehead"));
+        let via = live.via[1].clone().unwrap_or(HeaderValue::from_static("1.1 pumicehead"));
         Ok(Admitted { core: route.core.clone(), ask, manner: Manner::Gateway(via), bodiless: false })
     }
 }
@@ -168,7 +178,7 @@
     let mut hosts = head.headers.get_all(header::HOST).iter();
     let field = match (hosts.next(), hosts.next()) {
         (Some(host), None) => host.to_str().map_err(|_| Bad::Header("host".into()))?,
-        (None, _) if head.version == hyper::Version::HTTP_10 => "",
+        (None, _) if head.version == Version::HTTP_10 => "",
         _ => return Err(Bad::Header("host".into())),
     };
     Ok(head.uri.authority().map_or(field, |authority| authority.as_str()).to_owned())
@@ -188,15 +198,15 @@
 
 /// Whether an OPTIONS request is for this node, by its target or since it may go no further (RFC 9110 sections
 /// 9.3.7 and 7.6.2); else its count of hops goes down.
-fn ends_here(head: &Head<'_>, headers: &mut HeaderMap) -> Result<bool, Bad> {
+fn ends_here(head: &mut Head<'_>) -> Result<bool, Bad> {
     if head.uri.path() == "*" {
         return Ok(true);
     }
-    let Some(hops) = headers.get(header::MAX_FORWARDS) else { return Ok(false) };
+    let Some(hops) = head.headers.get(header::MAX_FORWARDS) else { return Ok(false) };
     let hops: Option<u32> = hops.to_str().ok().and_then(|hops| hops.trim().parse().ok());
     let hops = hops.ok_or(Bad::Header("max-forwards".into()))?;
     if let Some(left) = hops.checked_sub(1) {
-        headers.insert(header::MAX_FORWARDS, left.into());
+        head.headers.insert(header::MAX_FORWARDS, left.into());
     }
     Ok(hops == 0)
 }
--- a/crates/node/src/standalone/mod.rs
+++ b/crates/node/src/standalone/mod.rs
@@ -1,10 +1,11 @@
 //! A node of its own: one configuration file, any number of listeners and pools, plain HTTP clients.
 
 mod admission;
+mod record;
 mod site;
 
 use std::error::Error;
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::rc::Rc;
 
 use pumicehead_lang::disk::Disk;
@@ -13,19 +14,22 @@
 use tokio::task;
 
 use crate::cli::report;
+use record::Recorder;
 use site::Site;
 
-/// Serves what a file says until SIGTERM; SIGHUP reads it again.
+/// Serves what a file says until SIGTERM; SIGHUP reads it again. What is asked is written to `record`.
 ///
 /// # Errors
 /// What keeps it from starting.
-pub async fn serve(path: &Path, checked: Checked) -> Result<(), Box<dyn Error>> {
+pub async fn serve(path: PathBuf, checked: Checked, record: Option<PathBuf>) -> Result<(), Box<dyn Error>> {
     let mut term = signal(SignalKind::terminate())?;
     let mut hangup = signal(SignalKind::hangup())?;
     let Checked { config, .. } = checked;
     let config = config.ok_or("the configuration can't be used")?;
-    let site = Site::start(config)?;
-    let reloads = task::spawn_local(reload_on(site.clone(), path.into(), async move || hangup.recv().await));
+    let recorder = record
+        .map(|file| Recorder::start(&file).map_err(|error| format!("record to {}: {error}", file.display())));
+    let site = Site::start(config, recorder.transpose()?)?;
+    let reloads = task::spawn_local(reload_on(site.clone(), path, async move || hangup.recv().await));
     term.recv().await;
     // A reload that is half done would bind listeners anew.
     reloads.abort();
--- a/crates/node/src/standalone/site.rs
+++ b/crates/node/src/standalone/site.rs
@@ -18,6 +18,7 @@
 use tokio::task::{self, JoinHandle};
 
 use super::admission::{Gateway, Live};
+use super::record::Recorder;
 use crate::net::ask::{Handle, Held};
 use crate::net::connections::Connections;
 use crate::net::core::{Core, Setup, Source};
@@ -143,7 +144,7 @@
     ///
     /// # Errors
     /// An address that can't be listened on, or settings that can't be used.
-    pub fn start(config: Config) -> Result<Rc<Self>, SiteError> {
+    pub fn start(config: Config, recorder: Option<Recorder>) -> Result<Rc<Self>, SiteError> {
         let listeners = bind(&config, &[])?;
         let limits = &config.limits;
         let places = Places::of(limits.descriptors, config.listeners.len());
@@ -160,7 +161,7 @@
             cores.push((handle.clone(), footing.classes.clone()));
             pools.insert(config.pools[place].name.clone(), RunningPool { footing, handle });
         }
-        let gateway = Gateway::new(Live::new(&config, &cores), seed);
+        let gateway = Gateway::new(Live::new(&config, &cores), seed, recorder);
         let budget = Budget::new(places.clients, limits.descriptors);
         let site = Rc::new(Self {
             gateway,
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod peers;
 pub mod policy;
 mod state;
+mod timer;
 pub mod turns;
 
 pub use interface::{Action, Event, Settings};
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -30,6 +30,7 @@
 use crate::meter::{mix, nanos, ring, seconds};
 use crate::peers::{self, Peers};
 use crate::state::{Attempt, ClassState, Flow, Pools, Queues, RATE_S, Ran, Request, Server, TenantState};
+use crate::timer::{T_AGAIN, T_ASK, T_GIVE_UP, T_HANG_UP, T_HEDGE, T_PUMP, T_TURN};
 use crate::turns::Turns;
 
 /// Servers compared for one pick: enough to avoid a bad one, few enough for 10 us and against herding.
@@ -125,15 +126,6 @@
 const MEDIUM: usize = 2;
 const LOW: usize = 3;
 
-/// Kinds of timers: the upper half of a token.
-const T_GIVE_UP: u64 = 1;
-const T_HEDGE: u64 = 2;
-const T_PUMP: u64 = 3;
-const T_ASK: u64 = 4;
-const T_AGAIN: u64 = 5;
-const T_HANG_UP: u64 = 6;
-const T_TURN: u64 = 7;
-
 /// How far so many samples in a few seconds are trusted; few of them are mostly noise.
 fn sure(count: f64) -> f64 {
     count / (count + EVIDENCE)
@@ -1217,15 +1209,12 @@
     // ---- Timers ---------------------------------------------------------------------------------
 
     fn arm(&self, at: Nanos, kind: u64, about: u32, actions: &mut Vec<Action>) {
-        actions.push(Action::Timer {
-            at: at.max(self.now + 1),
-            token: TimerToken(kind << 32 | u64::from(about)),
-        });
+        actions.push(Action::Timer { at: at.max(self.now + 1), token: TimerToken::new(kind, about) });
     }
 
     fn on_timer(&mut self, token: TimerToken, actions: &mut Vec<Action>) {
-        let id = RequestId(token.0 as u32);
-        match token.0 >> 32 {
+        let id = RequestId(token.about());
+        match token.kind() {
             T_GIVE_UP => self.on_give_up(id, actions),
             T_HEDGE => self.on_hedge(id, actions),
             T_PUMP => self.pumping = false,
