Load: recording from a node, cost by connections in processor time, page seen in a browser

`cost` compares in turns and rounds, takes processor time from the scheduler's nanoseconds rather than ticks of 10 ms, searches the highest rate to a fifth, and sets a relay to 1,000 servers beside the node. The page was looked at in headless Chromium: its last mark was cut off and marks of seconds were rounded; both mended.

--- a/crates/load/src/html.rs
+++ b/crates/load/src/html.rs
@@ -9,6 +9,8 @@
 const HEIGHT: f64 = 260.0;
 const LEFT: f64 = 64.0;
 const BOTTOM: f64 = 30.0;
+/// Half of the last mark must fit.
+const RIGHT: f64 = 28.0;
 /// Most points of a line by second; more are joined, the worst of each standing for all.
 const MOST_POINTS: usize = 600;
 
@@ -26,7 +28,7 @@
         "<!doctype html>\n<html lang=\"en\"><head><meta charset=\"utf-8\"><title>Load</title><style>\n\
          body{font:15px/1.45 system-ui,sans-serif;margin:2em auto;max-width:920px;color:#1d1d1f}\n\
          table{border-collapse:collapse;margin:1em 0;font-variant-numeric:tabular-nums}\n\
-         td,th{padding:.2em .7em;text-align:right;border-bottom:1px solid #ddd}td:first-child,th:first-child{text-align:left}\n\
+         td,th{padding:.2em .5em;text-align:right;border-bottom:1px solid #ddd}td:first-child,th:first-child{text-align:left}\n\
          .bad{background:#c8501a;color:#fff;padding:.5em 1em}svg{display:block;margin:.5em 0 1.5em}\n\
          h1{font-size:1.3em}h2{font-size:1.05em;margin-top:1.6em}text{font:12px system-ui,sans-serif;fill:#333}\n\
          </style></head><body>\n",
@@ -97,7 +99,7 @@
     }
 
     fn x(&self, share: f64) -> f64 {
-        LEFT + share * (WIDTH - LEFT - 10.0)
+        LEFT + share * (WIDTH - LEFT - RIGHT)
     }
 
     fn y(&self, value: f64) -> f64 {
@@ -139,7 +141,7 @@
             let _ = writeln!(
                 out,
                 "<line x1=\"{LEFT}\" x2=\"{}\" y1=\"{y:.1}\" y2=\"{y:.1}\" stroke=\"#e2e2e2\"/>",
-                WIDTH - 10.0
+                WIDTH - RIGHT
             );
             let shown = if self.most_y >= 20.0 { format!("{value:.0}") } else { format!("{value:.2}") };
             let _ = writeln!(
@@ -183,7 +185,9 @@
 fn time_marks(plot: &mut Plot, seconds: usize) {
     for part in 0..=4u32 {
         let share = f64::from(part) / 4.0;
-        plot.mark_x(share, &format!("{:.0} s", share * seconds.saturating_sub(1) as f64));
+        let at = share * seconds.saturating_sub(1) as f64;
+        let text = if seconds < 20 { format!("{at:.1} s") } else { format!("{at:.0} s") };
+        plot.mark_x(share, &text);
     }
 }
 
--- /dev/null
+++ b/crates/node/tests/record.rs
@@ -0,0 +1,51 @@
+//! What a running node records is a trace that the load generator plays.
+
+use std::fs;
+
+use pumicehead_load::trace::{Replay, parse};
+use pumicehead_rig::program::{Standalone, temporary};
+use pumicehead_rig::scripted::{Backend, Client, ok};
+
+#[test]
+fn a_recorded_day_can_be_played() {
+    let server = Backend::start(|_| ok("served"));
+    let (config, record) = (temporary(".conf"), temporary(".jsonl"));
+    let text = format!(
+        "listener public {{ address 127.0.0.1:0 }}\npool boards {{ server s0 {{ address {} }} }}\n\
+         class read {{ aim 5s; deadline 20s; repeats safe }}\nclass submit {{ aim 5s; deadline 20s; repeats unsafe }}\n\
+         route submit {{ path /runs/**; method POST; class submit; pool boards }}\n\
+         route read {{ path /boards/**; class read; pool boards }}\n",
+        server.address
+    );
+    fs::write(&config, text).unwrap();
+    let path = record.to_str().unwrap();
+    let mut node = Standalone::start_with(&config, 1, None, &["--record", path]);
+    let mut client = Client::connect(node.address());
+    for (request, status) in [
+        ("GET /boards/any?page=2 HTTP/1.1\r\nHost: a\r\n\r\n", 200),
+        ("POST /runs/7 HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nabc", 200),
+        // It came, whatever became of it: a replay is to bring it again.
+        ("GET /nowhere HTTP/1.1\r\nHost: a\r\n\r\n", 404),
+    ] {
+        client.write(request);
+        assert_eq!(client.read().unwrap().status(), status, "{request}");
+    }
+    node.signal("TERM");
+    assert_eq!(node.wait().code(), Some(0));
+    assert_eq!(node.said("recorded 3 requests, left out 0"), 1);
+    let text = fs::read_to_string(&record).unwrap();
+    let played = parse(&text, Replay { speed: 1.0, copies: 1, gaps: false }).unwrap();
+    let seen: Vec<_> =
+        played.iter().map(|entry| (entry.method.as_str(), entry.path.as_str(), entry.body)).collect();
+    assert_eq!(seen, [("GET", "/boards/any?page=2", 0), ("POST", "/runs/7", 3), ("GET", "/nowhere", 0)]);
+    assert!(played.is_sorted_by_key(|entry| entry.at));
+    // A second recording must not write over the first.
+    let again = std::process::Command::new(pumicehead_rig::program::built("pumicehead").unwrap())
+        .args(["run", config.to_str().unwrap(), "--record", path])
+        .output()
+        .unwrap();
+    assert_eq!(again.status.code(), Some(2));
+    assert!(String::from_utf8_lossy(&again.stderr).contains("record to "));
+    fs::remove_file(config).unwrap();
+    fs::remove_file(record).unwrap();
+}
--- a/crates/rig/src/measure/cost.rs
+++ b/crates/rig/src/measure/cost.rs
@@ -22,10 +22,15 @@
 
 /// Load at which costs are compared, a second: well under what one core does.
 const RATE: f64 = 4_000.0;
-/// How long each is asked.
-const SPAN: Nanos = 2 * SECOND;
-/// Rates at which the highest that is held is looked for.
-const RATES: [f64; 7] = [8_000.0, 12_000.0, 16_000.0, 20_000.0, 25_000.0, 30_000.0, 40_000.0];
+/// How long each is asked at a time.
+const SPAN: Nanos = SECOND * 6 / 10;
+/// Rounds in which all that is compared takes its turn; the median of them counts. The machine's speed changes from
+/// second to second, by more than what is compared.
+const ROUNDS: usize = 3;
+/// The highest rate that is tried.
+const TOP_RATE: f64 = 64_000.0;
+/// How near to the highest rate that is held the search comes, as a ratio.
+const NEAR: f64 = 1.2;
 /// Numbers of servers and of connections.
 const SERVERS: [usize; 4] = [10, 50, 250, 1_000];
 const CONNECTIONS: [usize; 3] = [10, 1_000, 5_000];
@@ -50,10 +55,54 @@
     let servers = servers(10)?;
     compare(plan, &servers, &mut report)?;
     growth(plan, &mut report)?;
-    connections(&servers, &mut report)?;
+    connections(plan, &servers, &mut report)?;
     Ok(report)
 }
 
+/// What one target of a comparison has cost in each round, and what the requests of all of them met.
+struct Turns {
+    name: String,
+    target: SocketAddr,
+    pid: Option<u32>,
+    /// How many times as long as it is asked it is warmed up.
+    warm: u64,
+    costs: Vec<f64>,
+    last: Option<Summary>,
+}
+
+impl Turns {
+    fn new(name: String, target: SocketAddr, pid: Option<u32>) -> Self {
+        Self { name, target, pid, warm: 1, costs: Vec::new(), last: None }
+    }
+
+    fn cost(&self) -> f64 {
+        let mut costs = self.costs.clone();
+        costs.sort_by(f64::total_cmp);
+        costs.get(costs.len() / 2).copied().unwrap_or_default()
+    }
+}
+
+/// All of them in turn, round after round.
+fn take_turns(plan: Run, rounds: usize, all: &mut [Turns], report: &mut Report) -> io::Result<()> {
+    for turns in &*all {
+        // Limits are learned, connections come up: with a thousand servers, more of them.
+        ask(plan, turns.target, RATE, SPAN * turns.warm, None)?;
+    }
+    for _ in 0..rounds {
+        for turns in &mut *all {
+            let (summary, cost) = ask(plan, turns.target, RATE, SPAN, turns.pid)?;
+            turns.costs.push(cost);
+            turns.last = Some(summary);
+        }
+    }
+    for turns in &*all {
+        if let Some(summary) = &turns.last {
+            row(report, &turns.name, summary, turns.pid.map(|_| turns.cost()));
+        }
+    }
+    Ok(())
+}
+
 /// A process with so many stand-in servers.
 fn servers(count: usize) -> io::Result<Tool> {
     let mut arguments = vec!["stand-in".to_owned(), "--service".into(), "1ms".into()];
@@ -61,6 +110,12 @@
     Tool::start("pumicehead-load", &arguments, None, count)
 }
 
+fn relay(targets: &[SocketAddr]) -> io::Result<Tool> {
+    let mut arguments = vec!["relay".to_owned(), "127.0.0.1:0".into()];
+    arguments.extend(targets.iter().map(ToString::to_string));
+    Tool::start("pumicehead-load", &arguments, Some(CORE), 1)
+}
+
 fn node(servers: &[SocketAddr]) -> io::Result<(Standalone, std::path::PathBuf)> {
     let mut text = String::from("listener public { address 127.0.0.1:0 }\npool boards {\n");
     for (n, address) in servers.iter().enumerate() {
@@ -116,62 +171,89 @@
 
 fn compare(plan: Run, servers: &Tool, report: &mut Report) -> io::Result<()> {
     let targets = &servers.addresses;
-    let mut arguments = vec!["relay".to_owned(), "127.0.0.1:0".into()];
-    arguments.extend(targets.iter().map(ToString::to_string));
-    let relay = Tool::start("pumicehead-load", &arguments, Some(CORE), 1)?;
+    let relay = relay(targets)?;
     let (node, file) = node(targets)?;
-    let span = if plan.long { 5 * SPAN } else { SPAN };
-    // Limits are learned, connections come up.
-    ask(plan, node.address(), RATE, SECOND, None)?;
-    let (direct, _) = ask(plan, targets[0], RATE, span, None)?;
-    let (relayed, relay_cost) = ask(plan, relay.addresses[0], RATE, span, Some(relay.pid()))?;
-    let (through, node_cost) = ask(plan, node.address(), RATE, span, Some(node.pid()))?;
-    row(report, &format!("direct, {RATE:.0}/s"), &direct, None);
-    row(report, &format!("relay, {RATE:.0}/s"), &relayed, Some(relay_cost));
-    row(report, &format!("node, {RATE:.0}/s"), &through, Some(node_cost));
+    let mut all = [
+        Turns::new(format!("direct, {RATE:.0}/s"), targets[0], None),
+        Turns::new(format!("relay, {RATE:.0}/s"), relay.addresses[0], Some(relay.pid())),
+        Turns::new(format!("node, {RATE:.0}/s"), node.address(), Some(node.pid())),
+    ];
+    take_turns(plan, if plan.long { 5 * ROUNDS } else { ROUNDS }, &mut all, report)?;
+    let [direct, relayed, through] = &all;
+    let (relay_cost, node_cost) = (relayed.cost(), through.cost());
     report.figure("relay_us", format!("{relay_cost:.1}"));
     report.figure("node_us", format!("{node_cost:.1}"));
     report.figure("cost_ratio", format!("{:.2}", node_cost / relay_cost.max(1e-9)));
-    report.figure("p99_added_us", through.served_us(0.99).saturating_sub(direct.served_us(0.99)));
+    if let (Some(direct), Some(through)) = (&direct.last, &through.last) {
+        for (share, figure) in [(0.5, "p50_added_us"), (0.99, "p99_added_us"), (0.999, "p999_added_us")] {
+            report.figure(figure, through.served_us(share).saturating_sub(direct.served_us(share)));
+        }
+    }
     report.claim(
         node_cost <= MOST_COST * relay_cost,
         format!("the node costs at most {MOST_COST} times the relay"),
     );
-    for (name, target, figure) in [
-        ("direct", targets[0], "direct_held"),
-        ("relay", relay.addresses[0], "relay_held"),
-        ("node", node.address(), "node_held"),
-    ] {
-        let mut held = RATE;
-        for rate in RATES {
-            let (summary, _) = ask(plan, target, rate, SECOND, None)?;
-            let sound = summary.valid && served(&summary) >= 99.0 && summary.served_us(0.99) <= AIM_US;
-            if !sound {
-                let why = if summary.valid { "" } else { " (the generator's own bound)" };
-                row(report, &format!("{name} breaks at {rate:.0}/s{why}"), &summary, None);
-                break;
-            }
-            held = rate;
-        }
-        report.figure(figure, held);
+    for (turns, figure) in all.iter().zip(["direct_held", "relay_held", "node_held"]) {
+        let held = highest(plan, turns, report)?;
+        report.figure(figure, format!("{held:.0}"));
     }
     let _ = fs::remove_file(file);
     Ok(())
 }
 
+/// The highest rate at which a target keeps p99 in the aim: doubled until it does not, then halved down to [`NEAR`].
+fn highest(plan: Run, turns: &Turns, report: &mut Report) -> io::Result<f64> {
+    let (mut held, mut broken) = (RATE, f64::INFINITY);
+    let mut breaks = None;
+    while held < TOP_RATE && broken > NEAR * held {
+        let rate = if broken.is_finite() { (held * broken).sqrt() } else { (2.0 * held).min(TOP_RATE) };
+        let (summary, _) = ask(plan, turns.target, rate, SPAN / 2, None)?;
+        if summary.valid && served(&summary) >= 99.0 && summary.served_us(0.99) <= AIM_US {
+            held = rate;
+        } else {
+            broken = rate;
+            breaks = Some(summary);
+        }
+        // What is still on its way is not the next rate's.
+        thread::sleep(Duration::from_millis(200));
+    }
+    let what = turns.name.split(',').next().unwrap_or_default();
+    if let Some(summary) = breaks {
+        let why = if summary.valid { "" } else { " (the generator's own bound)" };
+        row(report, &format!("{what} breaks at {broken:.0}/s{why}"), &summary, None);
+    }
+    Ok(held)
+}
+
 fn growth(plan: Run, report: &mut Report) -> io::Result<()> {
-    let mut costs = Vec::new();
-    for count in SERVERS {
-        let servers = servers(count)?;
-        let (node, file) = node(&servers.addresses)?;
-        ask(plan, node.address(), RATE, SECOND, None)?;
-        let (summary, cost) = ask(plan, node.address(), RATE, SPAN, Some(node.pid()))?;
-        row(report, &format!("node, {count} servers"), &summary, Some(cost));
-        costs.push(cost);
+    let servers = SERVERS.iter().map(|&count| servers(count)).collect::<io::Result<Vec<_>>>()?;
+    let nodes = servers.iter().map(|servers| node(&servers.addresses)).collect::<io::Result<Vec<_>>>()?;
+    let mut all: Vec<Turns> = nodes
+        .iter()
+        .zip(SERVERS)
+        .map(|((node, _), count)| {
+            let turns = Turns::new(format!("node, {count} servers"), node.address(), Some(node.pid()));
+            Turns { warm: 1 + count as u64 / 200, ..turns }
+        })
+        .collect();
+    // What more sockets cost by themselves: a relay to the fewest and to the most.
+    let ends = [&servers[0], &servers[SERVERS.len() - 1]];
+    let relays = ends.map(|servers| relay(&servers.addresses));
+    for (relay, servers) in relays.iter().zip(ends) {
+        let Ok(relay) = relay else { continue };
+        let name = format!("relay, {} servers", servers.addresses.len());
+        all.push(Turns::new(name, relay.addresses[0], Some(relay.pid())));
+    }
+    take_turns(plan, if plan.long { 5 * ROUNDS } else { ROUNDS }, &mut all, report)?;
+    for (_, file) in &nodes {
         let _ = fs::remove_file(file);
     }
-    let growth = costs[SERVERS.len() - 1] / costs[0].max(1e-9);
+    let grown = |from: usize, to: usize| all[to].cost() / all[from].cost().max(1e-9);
+    let growth = grown(0, SERVERS.len() - 1);
     report.figure("growth_servers", format!("{growth:.2}"));
+    if all.len() == SERVERS.len() + 2 {
+        report.figure("relay_growth_servers", format!("{:.2}", grown(SERVERS.len(), SERVERS.len() + 1)));
+    }
     report.claim(
         growth <= MOST_GROWTH,
         format!("no growth beyond {MOST_GROWTH} from {} to {} servers", SERVERS[0], SERVERS[3]),
@@ -179,13 +261,13 @@
     Ok(())
 }
 
-/// Memory of connections that stay open after an answer.
-fn connections(servers: &Tool, report: &mut Report) -> io::Result<()> {
-    let (node, file) = node(&servers.addresses)?;
-    let mut open = Vec::new();
-    let before = memory(node.pid());
-    for count in CONNECTIONS {
-        while open.len() < count {
+/// Processor time and memory beside connections that stay open after an answer.
+fn connections(plan: Run, servers: &Tool, report: &mut Report) -> io::Result<()> {
+    let nodes = CONNECTIONS.iter().map(|_| node(&servers.addresses)).collect::<io::Result<Vec<_>>>()?;
+    let (mut all, mut open, mut lines) = (Vec::new(), Vec::new(), Vec::new());
+    for (&count, (node, _)) in CONNECTIONS.iter().zip(&nodes) {
+        let before = memory(node.pid());
+        for _ in 0..count {
             let mut stream = TcpStream::connect(node.address())?;
             stream.set_read_timeout(Some(Duration::from_secs(10)))?;
             stream.write_all(b"GET /boards/x HTTP/1.1\r\nHost: a\r\n\r\n")?;
@@ -194,11 +276,22 @@
         }
         thread::sleep(Duration::from_millis(100));
         let each = memory(node.pid()).saturating_sub(before) / count as u64;
-        report.row(&[format!("node, {count} connections: {each} bytes each")]);
-        if count == CONNECTIONS[2] {
+        lines.push(format!("node, {count} connections: {each} bytes each"));
+        if count == CONNECTIONS[CONNECTIONS.len() - 1] {
             report.figure("bytes_a_connection", each);
         }
+        all.push(Turns::new(format!("node, {count} connections beside"), node.address(), Some(node.pid())));
     }
-    let _ = fs::remove_file(file);
+    take_turns(plan, if plan.long { 5 * ROUNDS } else { ROUNDS }, &mut all, report)?;
+    for line in lines {
+        report.row(&[line]);
+    }
+    for (_, file) in &nodes {
+        let _ = fs::remove_file(file);
+    }
+    report.figure(
+        "growth_connections",
+        format!("{:.2}", all[CONNECTIONS.len() - 1].cost() / all[0].cost().max(1e-9)),
+    );
     Ok(())
 }
--- a/crates/rig/src/program.rs
+++ b/crates/rig/src/program.rs
@@ -121,6 +121,11 @@
 /// Processor time that a process has used so far, in seconds; 0 where the system does not tell.
 #[must_use]
 pub fn cpu_seconds(pid: u32) -> f64 {
+    // In nanoseconds, of its one thread that works.
+    let schedule = fs::read_to_string(format!("/proc/{pid}/schedstat")).unwrap_or_default();
+    if let Some(ran) = schedule.split(' ').next().and_then(|ran| ran.parse::<f64>().ok()) {
+        return ran / 1e9;
+    }
     let stat = fs::read_to_string(format!("/proc/{pid}/stat")).unwrap_or_default();
     // The name, in brackets, may hold anything; fields 14 and 15 count ticks of 10 ms.
     let fields = stat.rsplit(") ").next().unwrap_or_default();
@@ -179,8 +184,17 @@
     /// Where it does not start.
     #[must_use]
     pub fn start_on(file: &Path, listeners: usize, core: Option<usize>) -> Self {
+        Self::start_with(file, listeners, core, &[])
+    }
+
+    /// The same with more arguments.
+    ///
+    /// # Panics
+    /// Where it does not start.
+    #[must_use]
+    pub fn start_with(file: &Path, listeners: usize, core: Option<usize>, more: &[&str]) -> Self {
         let mut command = pinned(&built("pumicehead").expect("a built node"), core);
-        command.arg("run").arg(file).stderr(Stdio::piped()).env_remove("EDGE_CONFIG");
+        command.arg("run").arg(file).args(more).stderr(Stdio::piped()).env_remove("EDGE_CONFIG");
         let mut child = command.spawn().expect("the node starts");
         let log = Arc::new(Mutex::new(Vec::new()));
         let (lines, input) = (log.clone(), BufReader::new(child.stderr.take().expect("its log")));
