Fleet: a fleet in virtual time on both levels, and the module takes planners' advice

Need: what nodes that decide alone pay was to be measured before slices and shares are designed, and every later part needs a world that tests the four rules on both levels.

The module has an event for advice: a server that is advised against looks 16 times as slow, less as a lease ages; drains stay told for a process.

--- a/crates/policy/src/interface.rs
+++ b/crates/policy/src/interface.rs
@@ -311,6 +311,17 @@
     pub complete: bool,
 }
 
+/// What planners advise, from what many nodes have seen.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Advice {
+    /// From when it is heard; in its second half it loses weight.
+    pub lasts: Nanos,
+    /// Servers that are better avoided for now.
+    pub avoid: Arc<[ServerId]>,
+    /// Servers that somebody was told are draining, with the start of the process that is meant.
+    pub draining: Arc<[(ServerId, Nanos)]>,
+}
+
 /// What happens to a node.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Event {
@@ -331,6 +342,8 @@
     ClientGone(RequestId),
     /// A timer fired.
     Timer(TimerToken),
+    /// Planners' advice, which replaces what they said before.
+    Advice(Advice),
     /// Another node's note.
     Note {
         /// Its number.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -4,6 +4,7 @@
 //! the [`Action`]s it gets back, in order. `interface` has both, `policy` every decision, `state` the records
 //! that it keeps, and `boot` the settings as a deployment writes them.
 
+pub mod advice;
 pub mod boot;
 pub mod interface;
 pub mod meter;
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -23,6 +23,7 @@
 use rand_pcg::Pcg64Mcg;
 use rustc_hash::FxHashMap;
 
+use crate::advice::Advised;
 use crate::interface::{
     Action, AttemptNo, Class, ClassId, Condition, Discovery, Effect, Ended, Event, Group, ListChange, Nanos,
     NewRequest, Outcome, RequestId, SECOND, ServerId, ServerInfo, Settings, TenantId, TimerToken, ZoneId,
@@ -149,6 +150,7 @@
     requests: FxHashMap<RequestId, Request>,
     turns: Turns,
     peers: Peers,
+    advised: Advised,
     /// Nodes with the same subset, which this one tells what it has out; number and time of the last note.
     group: Vec<u32>,
     told: (u8, Nanos),
@@ -180,6 +182,7 @@
             requests: FxHashMap::default(),
             turns: Turns::default(),
             peers: Peers::default(),
+            advised: Advised::default(),
             group: Vec::new(),
             told: (0, 0),
             to_tell: None,
@@ -207,6 +210,7 @@
             Event::Streaming { id, attempt } => self.on_over(id, Some(attempt), actions),
             Event::ClientGone(id) => self.on_over(id, None, actions),
             Event::Timer(token) => self.on_timer(token, actions),
+            Event::Advice(advice) => self.advised.hear(&advice, self.now),
             Event::Note { from, body } => self.peers.hear(from, &body, self.now),
         }
         self.dispatch(actions);
@@ -934,7 +938,8 @@
         let tie = 1.0 + 0.05 * self.chance();
         let server = &self.servers[slot];
         let size = if self.settings.weights_tell_size { server.weight.max(0.1) } else { 1.0 };
-        server.latency(self.now) * (self.known_out(slot) as f64 + 1.0) / size * tie
+        let caution = self.advised.caution(server.id, server.started_at, self.now);
+        server.latency(self.now) * (self.known_out(slot) as f64 + 1.0) / size * tie * caution
     }
 
     /// Among servers with room the least smoothed peak latency x (own in-flight + 1); on many servers
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -9,3 +9,4 @@
 pub mod report;
 pub mod scripted;
 pub mod standin;
+pub mod world;
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -34,6 +34,8 @@
     Cost(Options),
     /// FastCGI beside HTTP: the parity table, costs, memory.
     Fastcgi(Options),
+    /// Many nodes and servers in virtual time.
+    Fleet(Options),
 }
 
 #[derive(clap::Args)]
@@ -55,6 +57,7 @@
         Command::Config(options) => measure("config", &options),
         Command::Cost(options) => measure("cost", &options),
         Command::Fastcgi(options) => measure("fastcgi", &options),
+        Command::Fleet(options) => measure("fleet", &options),
     };
     done.unwrap_or_else(|error| {
         eprintln!("pumicehead-rig: {error}");
--- /dev/null
+++ b/crates/rig/src/measure/fleet.rs
@@ -0,0 +1,130 @@
+//! What nodes that decide alone pay as they become many, in virtual time with real decision modules.
+
+use std::io;
+
+use pumicehead_policy::interface::SECOND;
+
+use super::Plan;
+use crate::report::Report;
+use crate::world::{Day, Health, Tally, World};
+
+/// Nodes and servers, side by side; all at the same load of the servers.
+const SIZES: [(u32, u32); 5] = [(4, 50), (50, 50), (200, 50), (200, 250), (1_250, 250)];
+const LOAD: f64 = 0.7;
+const PLANNERS: usize = 3;
+/// Seconds until things settle, and of trouble.
+const SETTLE: u64 = 8;
+const TROUBLE: u64 = 6;
+
+/// Shares of two spans of the same day differ by so much by chance, in percent.
+const NOISE: f64 = 1.0;
+
+/// Runs it.
+///
+/// # Errors
+/// None; measurements have one form.
+pub fn measure(plan: Plan) -> io::Result<Report> {
+    let columns = [
+        "nodes",
+        "planners",
+        "servers",
+        "in aim %",
+        "refused %",
+        "failed %",
+        "conns a server",
+        "failing: sends a s before",
+        "in 1st s",
+        "in last s",
+        "cold: in aim %",
+        "fallen",
+        "kB/s of levels",
+    ];
+    let mut report = Report::new("fleet", &columns);
+    let mut broken = 0;
+    let (mut connections, mut failing_sends) = (Vec::new(), Vec::new());
+    let both = SIZES.into_iter().flat_map(|size| [(size, 0), (size, PLANNERS)]);
+    for ((nodes, servers), planners) in both {
+        let day = Day { seed: plan.seed, nodes, servers, load: LOAD, notes: false, planners };
+        let mut world = World::new(day);
+        world.run(SETTLE * SECOND);
+        let calm = std::mem::take(&mut world.tally);
+        // One in fifty servers begins to fail, fast.
+        let failing = (servers / 50).max(1);
+        (0..failing).for_each(|server| world.servers[server as usize].health = Health::Failing);
+        world.run(TROUBLE * SECOND);
+        let trouble = std::mem::take(&mut world.tally);
+        // One in ten of the others restarts at the same instant.
+        let cold = servers / 10;
+        (failing..failing + cold).for_each(|server| world.restart(server as usize));
+        world.run(TROUBLE * SECOND);
+        let after = std::mem::take(&mut world.tally);
+        let share =
+            |part: u64, tally: &Tally| format!("{:.2}", 100.0 * part as f64 / tally.asked.max(1) as f64);
+        let usual = f64::from(failing) * LOAD * 30.0;
+        let second = |place: u64| {
+            let first = trouble.pairs.keys().next().copied().unwrap_or_default();
+            trouble.at_failing.get(&(first + place - 1)).copied().unwrap_or_default()
+        };
+        let pairs = calm.pairs.values().last().copied().unwrap_or_default() as f64 / f64::from(servers);
+        connections.push(pairs);
+        failing_sends.push(second(TROUBLE - 1));
+        report.row(&[
+            nodes.to_string(),
+            planners.to_string(),
+            servers.to_string(),
+            share(calm.in_aim, &calm),
+            share(calm.refused, &calm),
+            share(calm.failed, &calm),
+            format!("{pairs:.1}"),
+            format!("{usual:.0}"),
+            second(1).to_string(),
+            second(TROUBLE - 1).to_string(),
+            share(after.in_aim, &after),
+            after.fallen.to_string(),
+            (calm.bytes / SETTLE / 1_000).to_string(),
+        ]);
+        for tally in [&calm, &trouble, &after] {
+            broken += tally.lost + tally.twice + tally.past_drain + tally.fallen;
+        }
+    }
+    let (alone, guided) =
+        failing_sends.iter().skip(failing_sends.len() - 2).fold((0, 0), |(_, last), &next| (last, next));
+    report.figure("late_sends_to_failing_alone", alone);
+    report.figure("late_sends_to_failing_guided", guided);
+    report.claim(guided < alone, "a failing server is left sooner with planners, with the most nodes");
+    lose_planners(plan, &mut report, &mut broken);
+    report.figure("rules_broken", broken);
+    report.figure("connections_a_server", format!("{:.1}", connections.last().copied().unwrap_or_default()));
+    report.claim(broken == 0, "no rule is broken");
+    Ok(report)
+}
+
+/// What is served before all planners are lost, while they are, and after they are back.
+fn lose_planners(plan: Plan, report: &mut Report, broken: &mut u64) {
+    let day = Day { seed: plan.seed, nodes: 200, servers: 250, load: LOAD, notes: false, planners: PLANNERS };
+    let mut world = World::new(day);
+    world.run(SETTLE * SECOND);
+    let mut shares = Vec::new();
+    for (place, name) in ["with planners", "all lost", "all back"].into_iter().enumerate() {
+        match place {
+            1 => world.stop_planners(),
+            2 => world.start_planners(),
+            _ => {}
+        }
+        world.tally = Tally::default();
+        world.run(SETTLE * SECOND);
+        let tally = std::mem::take(&mut world.tally);
+        let share = 100.0 * tally.in_aim as f64 / tally.asked.max(1) as f64;
+        report.row(&[format!(
+            "200 nodes, 250 servers, {name}: {share:.2}% in the aim, {} refused",
+            tally.refused
+        )]);
+        *broken += tally.lost + tally.twice + tally.past_drain + tally.fallen;
+        shares.push(share);
+    }
+    report.figure("in_aim_with_lost_back", format!("{:.2}/{:.2}/{:.2}", shares[0], shares[1], shares[2]));
+    report.claim(
+        shares[1] > shares[0] - NOISE && shares[2] > shares[0] - NOISE,
+        "no service is lost with the planners",
+    );
+}
--- a/crates/rig/src/measure/mod.rs
+++ b/crates/rig/src/measure/mod.rs
@@ -3,6 +3,7 @@
 pub mod config;
 pub mod cost;
 pub mod fastcgi;
+pub mod fleet;
 
 use std::io;
 
@@ -21,5 +22,9 @@
 pub type Measurement = fn(Plan) -> io::Result<Report>;
 
 /// All measurements.
-pub const ALL: [(&str, Measurement); 3] =
-    [("config", config::measure), ("cost", cost::measure), ("fastcgi", fastcgi::measure)];
+pub const ALL: [(&str, Measurement); 4] = [
+    ("config", config::measure),
+    ("cost", cost::measure),
+    ("fastcgi", fastcgi::measure),
+    ("fleet", fleet::measure),
+];
--- /dev/null
+++ b/crates/rig/src/world/levels.rs
@@ -0,0 +1,168 @@
+//! The second level in the same virtual time: each node reports to all planners over the real codec, and goes by what
+//! they make of it.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use bytes::Bytes;
+use prost::Message as _;
+use pumicehead_fleet::holder::{Granting, Holder, Lending};
+use pumicehead_fleet::ledger::Ledger;
+use pumicehead_fleet::sync::{Delta, Mirror, Source, Table};
+use pumicehead_fleet::terms::Terms;
+use pumicehead_fleet::view::View;
+use pumicehead_fleet::wire::{Body, Frames, Plan, Report, Sighting, frame};
+use pumicehead_fleet::{ForwarderId, PlannerId};
+use pumicehead_policy::interface::{Advice, Nanos, SECOND, ServerId};
+
+/// How often a node reports to each planner.
+pub const PACE: Nanos = SECOND / 2;
+/// Bytes of a table's changes in one message.
+const MOST_CHANGES: usize = 64 << 10;
+
+/// The spans of a simulated fleet.
+pub fn terms(nodes: u32) -> Terms {
+    Terms { forwarders: nodes, lease: 2 * SECOND, loan: 6 * SECOND }
+}
+
+/// A node's side of its planners.
+pub struct Forwarder {
+    holder: Holder,
+    /// Answers and failures by server, and the process they are of.
+    seen: BTreeMap<u32, Sighting>,
+    sides: Vec<Side>,
+}
+
+#[derive(Default)]
+struct Side {
+    source: Source,
+    advice: Mirror,
+    /// Each planner's last word, with its end.
+    until: Nanos,
+}
+
+impl Forwarder {
+    pub fn new(nodes: u32, planners: usize, now: Nanos) -> Self {
+        let sides = (0..planners).map(|_| Side::default()).collect();
+        Self { holder: Holder::new(terms(nodes), planners, now), seen: BTreeMap::new(), sides }
+    }
+
+    /// An attempt at a server has ended.
+    pub fn ended(&mut self, server: u32, born: Nanos, failed: bool) {
+        let seen = self.seen.entry(server).or_default();
+        if seen.born != born {
+            *seen = Sighting { born, ..Sighting::default() };
+        }
+        seen.answered += u64::from(!failed);
+        seen.failed += u64::from(failed);
+    }
+
+    /// The list says that a server is draining.
+    pub fn draining(&mut self, server: u32, born: Nanos) {
+        *self.seen.entry(server).or_default() = Sighting { born, draining: true, ..Sighting::default() };
+    }
+
+    /// The report to a planner, framed.
+    pub fn report(&mut self, place: usize, now: Nanos) -> Bytes {
+        let lending = self.holder.report(place, now);
+        let table: Table =
+            self.seen.iter().map(|(&server, seen)| (server, seen.encode_to_vec().into())).collect();
+        let changes = self.sides[place].source.delta(&table, MOST_CHANGES).map(Into::into);
+        frame(Body::Report(Report { servers: changes, ..Report::from(&lending) }))
+    }
+
+    /// A planner was lost and is back as another process: both tables begin anew.
+    pub fn reconnect(&mut self, place: usize) {
+        self.sides[place] = Side { until: self.sides[place].until, ..Side::default() };
+    }
+
+    /// A plan has come; the advice of all planners together, where it is in force. What any of them advises against is
+    /// advised against.
+    pub fn plan(&mut self, place: usize, bytes: &[u8], now: Nanos) -> Option<Advice> {
+        let mut frames = Frames::default();
+        frames.feed(bytes);
+        let Ok(Some(Body::Plan(plan))) = frames.next_message() else { return None };
+        let granting = Granting::from(&plan);
+        let lease = Terms::at_least(terms(1).lease);
+        self.holder.hear(place, &granting, now).ok()?;
+        let side = &mut self.sides[place];
+        side.until = now + lease;
+        if let Some(changes) = plan.servers
+            && side.advice.apply(&Delta::from(changes)).is_err()
+        {
+            return None;
+        }
+        let mut avoid = BTreeSet::new();
+        let mut draining = BTreeMap::new();
+        for side in self.sides.iter().filter(|side| now < side.until) {
+            for (&server, value) in side.advice.table() {
+                let Ok(said) = Sighting::decode(value.clone()) else { continue };
+                if said.failed > 0 {
+                    avoid.insert(ServerId(server));
+                }
+                if said.draining {
+                    draining.insert(ServerId(server), said.born);
+                }
+            }
+        }
+        let (avoid, draining) = (avoid.into_iter().collect(), draining.into_iter().collect());
+        Some(Advice { lasts: lease, avoid, draining })
+    }
+}
+
+/// A planner.
+pub struct Planner {
+    ledger: Ledger,
+    view: View,
+    sides: BTreeMap<ForwarderId, (Mirror, Source)>,
+    /// The advice of now, made once for all that ask in a short while.
+    table: (Nanos, Table),
+}
+
+impl Planner {
+    pub fn new(id: PlannerId, nodes: u32, now: Nanos) -> Self {
+        Self {
+            ledger: Ledger::new(id, terms(nodes), now),
+            view: View::default(),
+            sides: BTreeMap::new(),
+            table: (0, Table::new()),
+        }
+    }
+
+    /// A report has come; the plan that answers it, framed.
+    pub fn report(&mut self, from: ForwarderId, bytes: &[u8], now: Nanos) -> Option<Bytes> {
+        let mut frames = Frames::default();
+        frames.feed(bytes);
+        let Ok(Some(Body::Report(report))) = frames.next_message() else { return None };
+        self.ledger.hear(from, &Lending::from(&report), now);
+        let (mirror, source) = self.sides.entry(from).or_default();
+        if let Some(changes) = report.servers {
+            let delta = Delta::from(changes);
+            if mirror.apply(&delta).is_err() {
+                return None;
+            }
+            for (server, value) in &delta.set {
+                if let Ok(sighting) = Sighting::decode(value.clone()) {
+                    self.view.hear(from, ServerId(*server), &sighting, now);
+                }
+            }
+        }
+        if now >= self.table.0 + PACE / 10 {
+            self.ledger.expire(now);
+            let merged =
+                self.view.merged(now).into_iter().filter(|(_, server)| server.avoid || server.draining);
+            let entry = |(id, server): (ServerId, pumicehead_fleet::view::Merged)| {
+                let said = Sighting {
+                    born: server.born,
+                    draining: server.draining,
+                    failed: u64::from(server.avoid),
+                    ..Sighting::default()
+                };
+                (id.0, Bytes::from(said.encode_to_vec()))
+            };
+            self.table = (now, merged.map(entry).collect());
+        }
+        let changes = source.delta(&self.table.1, MOST_CHANGES).map(Into::into);
+        let granting = self.ledger.plan(from, &[], now)?;
+        Some(frame(Body::Plan(Plan { servers: changes, ..Plan::from(&granting) })))
+    }
+}
