Fleet: rights are rates that forwarders own and lend, not parts of an unknown whole

Need: a part of a cold server's room needs the whole, which nobody knows: an estimate that differs by forwarder is no bound, and the number of forwarders is one more thing to be wrong about. The module already gives each node a share of what that node sends a warm server, so all together keep the bound. Now that share is what is owned, lent and granted.

A loan is bounded by what is owned when it is made, less what others have been lent: renewed one by one, loans outlasted a share that had fallen.

--- a/crates/fleet/src/holder.rs
+++ b/crates/fleet/src/holder.rs
@@ -1,17 +1,18 @@
 //! A forwarder's rights to the room of cold servers.
 //!
-//! Every forwarder owns an equal part. It may lend that to planners, which grant it to whom it helps most: a cold
-//! server's room shared out evenly among a thousand forwarders is less than a request a second for each. What is lent is
-//! not used until the loan has ended, and what is granted ends before any loan that it can be made of: so the rights of
-//! all forwarders never add up to more than the whole, whoever is alive, cut off, restarted or confused, and a
-//! forwarder without planners ends up with its own part again.
+//! A forwarder owns as much of a cold server as it sends a warm one: so do all together, without knowing each other. It may
+//! lend that, as a rate, to planners, which grant it to whom it helps most: among a thousand forwarders the own share of
+//! each is less than a request a minute. What is lent is not used until the loan has ended, and what is granted ends before
+//! any loan that it can be made of. So the rights of all forwarders never add up to more than what all of them own, or
+//! owned a loan ago, whoever is alive, cut off, restarted or confused, and a forwarder without planners ends up with its
+//! own share again.
 
 use std::collections::VecDeque;
 
 use pumicehead_policy::interface::{Nanos, ServerId};
 use rustc_hash::FxHashMap;
 
-use crate::room::{Part, Standing};
+use crate::room::{Rate, Standing};
 use crate::terms::Terms;
 use crate::{PlanNo, PlannerId, ReportNo};
 
@@ -26,7 +27,7 @@
     /// The planner that it knows there, and the last plan that it heard of it.
     pub heard: Option<(PlannerId, PlanNo)>,
     /// What it does without for the span of a loan from now.
-    pub lent: Part,
+    pub lent: Rate,
 }
 
 /// What a plan says of rights.
@@ -39,7 +40,7 @@
     /// The last report that it has taken in.
     pub answers: ReportNo,
     /// What the forwarder may use of each cold server, until the end of the lease. All earlier grants are replaced.
-    pub grants: Vec<(ServerId, Part)>,
+    pub grants: Vec<(ServerId, Rate)>,
 }
 
 /// Why a plan is not taken.
@@ -62,7 +63,7 @@
     /// The lease of the last plan ends then.
     leased_until: Nanos,
     lent: Standing,
-    grants: FxHashMap<ServerId, Part>,
+    grants: FxHashMap<ServerId, Rate>,
 }
 
 impl Side {
@@ -74,9 +75,9 @@
 /// A forwarder's rights.
 #[derive(Debug)]
 pub struct Holder {
-    own: Part,
+    own: Rate,
     terms: Terms,
-    /// From when on its own part is its own: an earlier process on this machine may have lent it.
+    /// From when on its own share is its own: an earlier process on this machine may have lent it.
     free_from: Nanos,
     sides: Vec<Side>,
 }
@@ -86,20 +87,26 @@
     #[must_use]
     pub fn new(terms: Terms, planners: usize, now: Nanos) -> Self {
         Self {
-            own: Part::WHOLE.split(u64::from(terms.forwarders)),
+            own: Rate::NONE,
             terms,
             free_from: now + Terms::at_most(terms.loan),
             sides: (0..planners).map(|_| Side::default()).collect(),
         }
     }
 
+    /// What this forwarder sends a warm server now. Where that falls under what is lent, nothing of its own is left to use, and
+    /// the loans run on.
+    pub fn set_own(&mut self, own: Rate) {
+        self.own = own;
+    }
+
     /// The places of planners are others now: `kept` names, for each new place, which old one it is. What was lent at a place
     /// that is gone stays lent until its end, and its grants end at once.
     pub fn replace(&mut self, kept: &[Option<usize>], now: Nanos) {
         let mut old: Vec<Option<Side>> = std::mem::take(&mut self.sides).into_iter().map(Some).collect();
         let mut take = |place: &Option<usize>| place.and_then(|place| old.get_mut(place)?.take());
         self.sides = kept.iter().map(|place| take(place).unwrap_or_default()).collect();
-        for mut gone in old.into_iter().flatten().filter(|side| side.lent.at(now) > Part::NONE) {
+        for mut gone in old.into_iter().flatten().filter(|side| side.lent.at(now) > Rate::NONE) {
             gone.lent.expire(now);
             // Held among the others, without a way to be used: loans are summed over all sides.
             self.sides.push(Side { lent: gone.lent, next: u64::MAX, ..Side::default() });
@@ -109,11 +116,15 @@
     /// A report is about to be sent to a place. Nothing is lent to whom nothing was heard of lately.
     pub fn report(&mut self, place: usize, now: Nanos) -> Lending {
         let live = self.sides.iter().filter(|side| side.is_live(now)).count() as u64;
-        let free = self.free(now);
+        // What others have been lent counts against what is owned now, also where that has fallen since: renewed one by one,
+        // loans would outlast what they were made of.
+        let others = self.sides.iter().enumerate().filter(|(other, _)| *other != place);
+        let others: Rate = others.map(|(_, side)| side.lent.at(now)).sum();
+        let own = if now < self.free_from { Rate::NONE } else { self.own };
         let until = now + Terms::at_most(self.terms.loan);
         let aim = self.own.split(live);
         let Some(side) = self.sides.get_mut(place).filter(|side| side.next < u64::MAX) else {
-            return Lending { number: ReportNo::default(), heard: None, lent: Part::NONE };
+            return Lending { number: ReportNo::default(), heard: None, lent: Rate::NONE };
         };
         side.next += 1;
         let number = ReportNo(side.next);
@@ -121,7 +132,7 @@
         if side.sent.len() > REMEMBERED {
             side.sent.pop_front();
         }
-        let lent = if side.is_live(now) { aim.min(side.lent.at(now) + free) } else { Part::NONE };
+        let lent = if side.is_live(now) { aim.min(own.less(others)) } else { Rate::NONE };
         side.lent.add(lent, until);
         Lending { number, heard: side.heard, lent }
     }
@@ -146,11 +157,11 @@
         Ok(())
     }
 
-    /// The part of a cold server's room that this forwarder may use now.
+    /// At what rate this forwarder may ask a cold server now, before its ramp.
     #[must_use]
-    pub fn room(&self, server: ServerId, now: Nanos) -> Part {
+    pub fn room(&self, server: ServerId, now: Nanos) -> Rate {
         let live = self.sides.iter().filter(|side| side.is_live(now));
-        let granted: Part = live.filter_map(|side| side.grants.get(&server)).copied().sum();
+        let granted: Rate = live.filter_map(|side| side.grants.get(&server)).copied().sum();
         self.free(now) + granted
     }
 
@@ -161,9 +172,9 @@
     }
 
     /// What of its own is lent to nobody.
-    fn free(&self, now: Nanos) -> Part {
+    fn free(&self, now: Nanos) -> Rate {
         if now < self.free_from {
-            return Part::NONE;
+            return Rate::NONE;
         }
         self.own.less(self.sides.iter().map(|side| side.lent.at(now)).sum())
     }
--- a/crates/fleet/src/ledger.rs
+++ b/crates/fleet/src/ledger.rs
@@ -6,7 +6,7 @@
 use rustc_hash::FxHashMap;
 
 use crate::holder::{Granting, Lending};
-use crate::room::{Part, Standing};
+use crate::room::{Rate, Standing};
 use crate::terms::Terms;
 use crate::{ForwarderId, PlanNo, PlannerId, ReportNo};
 
@@ -78,11 +78,11 @@
     pub fn plan(
         &mut self,
         forwarder: ForwarderId,
-        wishes: &[(ServerId, Part)],
+        wishes: &[(ServerId, Rate)],
         now: Nanos,
     ) -> Option<Granting> {
         let until = now + Terms::at_most(self.terms.lease);
-        let room = if now < self.from { Part::NONE } else { self.lent(until) };
+        let room = if now < self.from { Rate::NONE } else { self.lent(until) };
         let member = self.members.get_mut(&forwarder)?;
         self.last.0 += 1;
         let number = self.last;
@@ -97,9 +97,9 @@
             // What others have may end before this grant does, and so may loans: the former counts as it is now, the latter
             // as they are at its end. What it has itself says nothing: that was made of loans that may end sooner.
             let others = holders.iter().filter(|(id, _)| **id != forwarder);
-            let taken: Part = others.map(|(_, standing)| standing.at(now)).sum();
+            let taken: Rate = others.map(|(_, standing)| standing.at(now)).sum();
             let grant = wish.min(room.less(taken));
-            if grant > Part::NONE {
+            if grant > Rate::NONE {
                 holders.entry(forwarder).or_default().add(grant, until);
                 grants.push((server, grant));
             }
@@ -121,15 +121,15 @@
 
     /// What is lent now and will still be at a time.
     #[must_use]
-    pub fn lent(&self, until: Nanos) -> Part {
+    pub fn lent(&self, until: Nanos) -> Rate {
         self.members.values().map(|member| member.lent.at(until)).sum()
     }
 
     /// What of a server's room is granted now.
     #[must_use]
-    pub fn granted(&self, server: ServerId, now: Nanos) -> Part {
+    pub fn granted(&self, server: ServerId, now: Nanos) -> Rate {
         let holders = self.granted.get(&server);
-        holders.map_or(Part::NONE, |holders| holders.values().map(|standing| standing.at(now)).sum())
+        holders.map_or(Rate::NONE, |holders| holders.values().map(|standing| standing.at(now)).sum())
     }
 
     /// How many forwarders there are.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -5,7 +5,7 @@
 //!
 //! - `terms`: spans, and how far clocks may drift;
 //! - `room`: amounts of a cold server's room, and promises that end;
-//! - `holder`: a forwarder's rights to cold servers: its own part, what it has lent, what it was granted;
+//! - `holder`: a forwarder's rights to cold servers: its own share, what it has lent, what it was granted;
 //! - `ledger`: a planner's side of the same: what was lent to it, and what it grants from that;
 //! - `wire`: reports and plans as bytes, in frames with a bound;
 //! - `view`: what a planner makes of what forwarders have seen;
--- a/crates/fleet/src/wire.rs
+++ b/crates/fleet/src/wire.rs
@@ -9,7 +9,7 @@
 use thiserror::Error;
 
 use crate::holder::{Granting, Lending};
-use crate::room::Part;
+use crate::room::Rate;
 use crate::sync::Delta;
 use crate::{PlanNo, PlannerId, ReportNo};
 use pumicehead_policy::interface::ServerId;
@@ -33,14 +33,11 @@
     /// Of the sender's process.
     #[prost(fixed64, tag = "3")]
     pub id: u64,
-    /// [`crate::terms::Terms`] of the fleet; they must be the same on both sides.
-    #[prost(uint32, tag = "4")]
-    pub forwarders: u32,
-    /// In nanoseconds.
-    #[prost(uint64, tag = "5")]
+    /// [`crate::terms::Terms`] of the fleet, in nanoseconds; they must be the same on both sides.
+    #[prost(uint64, tag = "4")]
     pub lease: u64,
     /// In nanoseconds.
-    #[prost(uint64, tag = "6")]
+    #[prost(uint64, tag = "5")]
     pub loan: u64,
 }
 
@@ -84,7 +81,7 @@
     /// The last plan that it has heard.
     #[prost(uint64, tag = "3")]
     pub heard: u64,
-    /// What it lends, in parts of 2^-40.
+    /// What it lends, in millionths of a request a second.
     #[prost(uint64, tag = "4")]
     pub lent: u64,
     /// What it knows of servers.
@@ -107,7 +104,7 @@
     /// The process.
     #[prost(fixed64, tag = "3")]
     pub planner: u64,
-    /// Parts of cold servers' room, all that there are.
+    /// Rights to ask cold servers, all that there are.
     #[prost(message, repeated, tag = "4")]
     pub grants: Vec<Grant>,
     /// What it advises on servers.
@@ -144,15 +141,15 @@
     pub places: u32,
 }
 
-/// A part of a cold server's room.
+/// A right to ask a cold server.
 #[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
 pub struct Grant {
     /// Which.
     #[prost(uint32, tag = "1")]
     pub server: u32,
-    /// In parts of 2^-40.
+    /// In millionths of a request a second.
     #[prost(uint64, tag = "2")]
-    pub part: u64,
+    pub rate: u64,
 }
 
 /// A message.
@@ -283,14 +280,14 @@
         Self {
             number: ReportNo(report.number),
             heard: (report.planner != 0).then_some(heard),
-            lent: Part::from_raw(report.lent),
+            lent: Rate::from_raw(report.lent),
         }
     }
 }
 
 impl From<&Granting> for Plan {
     fn from(granting: &Granting) -> Self {
-        let grant = |&(server, part): &(ServerId, Part)| Grant { server: server.0, part: part.raw() };
+        let grant = |&(server, rate): &(ServerId, Rate)| Grant { server: server.0, rate: rate.raw() };
         Self {
             number: granting.number.0,
             answers: granting.answers.0,
@@ -303,7 +300,7 @@
 
 impl From<&Plan> for Granting {
     fn from(plan: &Plan) -> Self {
-        let grant = |grant: &Grant| (ServerId(grant.server), Part::from_raw(grant.part));
+        let grant = |grant: &Grant| (ServerId(grant.server), Rate::from_raw(grant.rate));
         Self {
             planner: PlannerId(plan.planner),
             number: PlanNo(plan.number),
--- a/crates/rig/src/world/mod.rs
+++ b/crates/rig/src/world/mod.rs
@@ -195,8 +195,8 @@
     OUTCOMES.iter().position(|known| *known == outcome).unwrap_or(1) as u8
 }
 
-fn planner(day: &Day, place: usize, now: Nanos) -> Planner {
-    Planner::new(PlannerId(now ^ place as u64), day.nodes, now)
+fn planner(place: usize, now: Nanos) -> Planner {
+    Planner::new(PlannerId(now ^ place as u64), now)
 }
 
 impl World {
@@ -220,8 +220,8 @@
             nodes,
             servers,
             notes: Vec::new(),
-            forwarders: (0..day.nodes).map(|_| Forwarder::new(day.nodes, day.planners, SECOND)).collect(),
-            planners: (0..day.planners).map(|place| Some(planner(&day, place, SECOND))).collect(),
+            forwarders: (0..day.nodes).map(|_| Forwarder::new(day.planners, SECOND)).collect(),
+            planners: (0..day.planners).map(|place| Some(planner(place, SECOND))).collect(),
             messages: BTreeMap::new(),
             pairs: std::collections::HashSet::new(),
             tally: Tally::default(),
@@ -286,7 +286,7 @@
     /// All planners are there again, as other processes that know nothing.
     pub fn start_planners(&mut self) {
         for place in 0..self.planners.len() {
-            self.planners[place] = Some(planner(&self.day, place, self.now));
+            self.planners[place] = Some(planner(place, self.now));
             self.forwarders.iter_mut().for_each(|forwarder| forwarder.reconnect(place));
         }
     }
