Fleet: rights to cold servers by server, lent and granted in the module and in the world

Need: a forwarder has a right only to the cold servers that it uses; lent as one rate for all, the rights to one server would have added up to many times its room.

Holder and ledger keep rates by server. The module's advice carries what is lent and granted; it keeps the end of grants itself, and old advice said again fades on. A planner grants in pieces of a request a second, to lenders chosen by a hash of the server.

Without advice the module does what it did.

--- a/crates/fleet/src/ledger.rs
+++ b/crates/fleet/src/ledger.rs
@@ -5,13 +5,17 @@
 use pumicehead_policy::interface::{Nanos, ServerId};
 use rustc_hash::FxHashMap;
 
-use crate::holder::{Granting, Lending};
+use crate::holder::{Granting, Lending, MOST_COLD};
 use crate::room::{Rate, Standing};
+use crate::sync::mix;
 use crate::terms::Terms;
 use crate::{ForwarderId, PlanNo, PlannerId, ReportNo};
 
 /// Plans of which the time is remembered, by forwarder.
 const REMEMBERED: usize = 64;
+/// A cold server's room is granted in pieces of at least so much, as far as it reaches: with less, most forwarders send it
+/// nothing for seconds, and open connections to it all the same.
+const PIECE: Rate = Rate::of(1);
 /// Most forwarders that a planner keeps: what one can look after with some hundred bytes for each. More are turned away,
 /// and keep what is their own.
 pub const MOST_FORWARDERS: usize = 65_536;
@@ -20,7 +24,7 @@
 struct Member {
     sent: VecDeque<(PlanNo, Nanos)>,
     answers: ReportNo,
-    lent: Standing,
+    lent: FxHashMap<ServerId, Standing>,
 }
 
 /// What is lent to a planner, and what it has granted.
@@ -67,8 +71,11 @@
         let heard = report.heard.filter(|(planner, _)| *planner == self.me);
         let since = heard.and_then(|(_, plan)| member.sent.iter().find(|(number, _)| *number == plan));
         if let Some((_, since)) = since {
-            member.lent.add(report.lent, since + Terms::at_least(self.terms.loan));
-            member.lent.expire(now);
+            let until = since + Terms::at_least(self.terms.loan);
+            member.lent.retain(|_, standing| standing.expire(now));
+            for &(server, rate) in report.lent.iter().take(MOST_COLD) {
+                member.lent.entry(server).or_default().add(rate, until);
+            }
         }
         true
     }
@@ -82,7 +89,7 @@
         now: Nanos,
     ) -> Option<Granting> {
         let until = now + Terms::at_most(self.terms.lease);
-        let room = if now < self.from { Rate::NONE } else { self.lent(until) };
+        let rooms: Vec<Rate> = wishes.iter().map(|&(server, _)| self.lent(server, until)).collect();
         let member = self.members.get_mut(&forwarder)?;
         self.last.0 += 1;
         let number = self.last;
@@ -92,7 +99,8 @@
         }
         let answers = member.answers;
         let mut grants = Vec::new();
-        for &(server, wish) in wishes {
+        let wishes = wishes.iter().zip(rooms).filter(|_| now >= self.from);
+        for (&(server, wish), room) in wishes {
             let holders = self.granted.entry(server).or_default();
             // What others have may end before this grant does, and so may loans: the former counts as it is now, the latter
             // as they are at its end. What it has itself says nothing: that was made of loans that may end sooner.
@@ -107,6 +115,27 @@
         Some(Granting { planner: self.me, number, answers, grants })
     }
 
+    /// What a forwarder had best get: of each server that it lends, and so uses, an equal piece for some of those who lend it.
+    /// Who they are depends on the server alone, so that all planners choose the same.
+    #[must_use]
+    pub fn wishes(&self, forwarder: ForwarderId, now: Nanos) -> Vec<(ServerId, Rate)> {
+        let Some(member) = self.members.get(&forwarder) else { return Vec::new() };
+        let until = now + Terms::at_most(self.terms.lease);
+        let mut servers: Vec<ServerId> = member.lent.keys().copied().collect();
+        servers.sort_unstable();
+        let wish = |server: ServerId| {
+            let lends = |member: &&Member| member.lent.contains_key(&server);
+            let lenders = self.members.values().filter(lends).count() as u64;
+            let room = self.lent(server, until);
+            let pieces = (room.raw() / PIECE.raw()).clamp(1, lenders.max(1));
+            let mine = weight(server, forwarder);
+            let others = self.members.iter().filter(|(_, member)| member.lent.contains_key(&server));
+            let ahead = others.filter(|(id, _)| weight(server, **id) > mine).count() as u64;
+            (server, if ahead < pieces { room.split(pieces) } else { Rate::NONE })
+        };
+        servers.into_iter().map(wish).collect()
+    }
+
     /// Forgets what has ended, and forwarders that were not heard of for the span of a loan.
     pub fn expire(&mut self, now: Nanos) {
         self.granted.retain(|_, holders| {
@@ -115,14 +144,16 @@
         });
         let silent = now.saturating_sub(Terms::at_most(self.terms.loan));
         self.members.retain(|_, member| {
-            member.lent.expire(now) || member.sent.back().is_some_and(|(_, sent)| *sent > silent)
+            member.lent.retain(|_, standing| standing.expire(now));
+            !member.lent.is_empty() || member.sent.back().is_some_and(|(_, sent)| *sent > silent)
         });
     }
 
-    /// What is lent now and will still be at a time.
+    /// What of a server is lent now and will still be at a time.
     #[must_use]
-    pub fn lent(&self, until: Nanos) -> Rate {
-        self.members.values().map(|member| member.lent.at(until)).sum()
+    pub fn lent(&self, server: ServerId, until: Nanos) -> Rate {
+        let standing = self.members.values().filter_map(|member| member.lent.get(&server));
+        standing.map(|standing| standing.at(until)).sum()
     }
 
     /// What of a server's room is granted now.
@@ -138,3 +169,8 @@
         self.members.len()
     }
 }
+
+/// Highest first: rendezvous hashing, by which the coming and going of one forwarder moves no other's place by more than one.
+fn weight(server: ServerId, forwarder: ForwarderId) -> (u64, ForwarderId) {
+    (mix(mix(u64::from(server.0)) ^ forwarder.0), forwarder)
+}
--- a/crates/fleet/src/sync.rs
+++ b/crates/fleet/src/sync.rs
@@ -57,7 +57,7 @@
 }
 
 /// The finisher of splitmix64: the same in all versions, as hashers of libraries are not.
-fn mix(word: u64) -> u64 {
+pub(crate) fn mix(word: u64) -> u64 {
     let word = word.wrapping_add(0x9e37_79b9_7f4a_7c15);
     let word = (word ^ (word >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
     let word = (word ^ (word >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
--- a/crates/fleet/src/wire.rs
+++ b/crates/fleet/src/wire.rs
@@ -81,9 +81,9 @@
     /// The last plan that it has heard.
     #[prost(uint64, tag = "3")]
     pub heard: u64,
-    /// What it lends, in millionths of a request a second.
-    #[prost(uint64, tag = "4")]
-    pub lent: u64,
+    /// What it lends.
+    #[prost(message, repeated, tag = "4")]
+    pub lent: Vec<Grant>,
     /// What it knows of servers.
     #[prost(message, optional, tag = "5")]
     pub servers: Option<Changes>,
@@ -261,6 +261,20 @@
     }
 }
 
+impl From<&(ServerId, Rate)> for Grant {
+    fn from(&(server, rate): &(ServerId, Rate)) -> Self {
+        Self { server: server.0, rate: rate.raw() }
+    }
+}
+
+impl Grant {
+    /// The server and the rate.
+    #[must_use]
+    pub fn read(&self) -> (ServerId, Rate) {
+        (ServerId(self.server), Rate::from_raw(self.rate))
+    }
+}
+
 impl From<&Lending> for Report {
     fn from(lending: &Lending) -> Self {
         let (planner, heard) = lending.heard.unwrap_or((PlannerId(0), PlanNo(0)));
@@ -268,7 +282,7 @@
             number: lending.number.0,
             planner: planner.0,
             heard: heard.0,
-            lent: lending.lent.raw(),
+            lent: lending.lent.iter().map(Grant::from).collect(),
             ..Self::default()
         }
     }
@@ -280,19 +294,18 @@
         Self {
             number: ReportNo(report.number),
             heard: (report.planner != 0).then_some(heard),
-            lent: Rate::from_raw(report.lent),
+            lent: report.lent.iter().map(Grant::read).collect(),
         }
     }
 }
 
 impl From<&Granting> for Plan {
     fn from(granting: &Granting) -> Self {
-        let grant = |&(server, rate): &(ServerId, Rate)| Grant { server: server.0, rate: rate.raw() };
         Self {
             number: granting.number.0,
             answers: granting.answers.0,
             planner: granting.planner.0,
-            grants: granting.grants.iter().map(grant).collect(),
+            grants: granting.grants.iter().map(Grant::from).collect(),
             ..Self::default()
         }
     }
@@ -300,12 +313,11 @@
 
 impl From<&Plan> for Granting {
     fn from(plan: &Plan) -> Self {
-        let grant = |grant: &Grant| (ServerId(grant.server), Rate::from_raw(grant.rate));
         Self {
             planner: PlannerId(plan.planner),
             number: PlanNo(plan.number),
             answers: ReportNo(plan.answers),
-            grants: plan.grants.iter().map(grant).collect(),
+            grants: plan.grants.iter().map(Grant::read).collect(),
         }
     }
 }
--- a/crates/fleet/tests/rights.rs
+++ b/crates/fleet/tests/rights.rs
@@ -127,7 +127,11 @@
                 }
                 let (from, clock, holder) = &mut self.forwarders[forwarder];
                 let (from, lending) = (*from, holder.report(place, clock.at(self.now)));
-                self.send(faults, self.lag[forwarder][place][0], || Message::Report { place, from, lending });
+                self.send(faults, self.lag[forwarder][place][0], || Message::Report {
+                    place,
+                    from,
+                    lending: lending.clone(),
+                });
             }
         }
         self.break_something(faults);
@@ -185,7 +189,7 @@
             let which = self.below(self.forwarders.len() as u64) as usize;
             let own = Rate::from_raw(self.below(2 * OWN.raw()));
             self.owned[which].push((self.now, own));
-            self.forwarders[which].2.set_own(own);
+            self.forwarders[which].2.set_own(SERVERS.map(|server| (server, own)));
         }
         if self.chance(faults.lagging) {
             let (forwarder, place) = (self.below(self.cut.len() as u64), self.below(PLANNERS as u64));
@@ -234,7 +238,7 @@
 
 fn holder(own: Rate, planners: usize, now: Nanos) -> Holder {
     let mut holder = Holder::new(TERMS, planners, now);
-    holder.set_own(own);
+    holder.set_own(SERVERS.map(|server| (server, own)));
     holder
 }
 
@@ -286,12 +290,12 @@
     let plan = ledger.plan(id, &[], now).unwrap();
     side.hear(0, &plan, now).unwrap();
     let lending = side.report(0, now);
-    assert_eq!(lending.lent, WHOLE);
+    assert_eq!(lending.lent, SERVERS.map(|server| (server, WHOLE)));
     // That report takes an hour.
     let later = now + 3_600 * SECOND;
     assert_eq!(side.room(SERVERS[0], later), WHOLE);
     ledger.hear(id, &lending, later);
-    assert_eq!(ledger.lent(later), Rate::NONE);
+    assert_eq!(ledger.lent(SERVERS[0], later), Rate::NONE);
     let plan = ledger.plan(id, &[(SERVERS[0], WHOLE)], later).unwrap();
     assert_eq!(plan.grants, []);
     assert_eq!(side.hear(0, &plan, later), Err(Passed::Late));
@@ -318,8 +322,12 @@
             world.planners[place] = Some(planner(&mut world.rng, world.now));
         }
         world.run(seed, 12 * SECOND, NONE);
-        let lent: Rate =
-            world.planners.iter().flatten().map(|(_, clock, ledger)| ledger.lent(clock.at(world.now))).sum();
+        let lent: Rate = world
+            .planners
+            .iter()
+            .flatten()
+            .map(|(_, clock, ledger)| ledger.lent(SERVERS[0], clock.at(world.now)))
+            .sum();
         assert!(lent > WHOLE.split(2), "seed {seed}: only {} is lent", lent.requests());
     }
 }
@@ -367,10 +375,10 @@
         side.hear(0, &ledger.plan(ForwarderId(1), &[(SERVERS[0], WHOLE)], now).unwrap(), now).unwrap();
     }
     let lent = side.report(0, now);
-    assert_eq!(lent.lent, WHOLE);
+    assert_eq!(lent.lent, SERVERS.map(|server| (server, WHOLE)));
     side.replace(&[None, None], now);
     assert_eq!(side.room(SERVERS[0], now), Rate::NONE, "it was lent a moment ago");
-    assert_eq!(side.report(1, now).lent, Rate::NONE);
+    assert_eq!(side.report(1, now).lent, []);
     assert_eq!(side.room(SERVERS[0], now + 2 * TERMS.loan), WHOLE);
     side.replace(&[Some(1)], now + 2 * TERMS.loan);
     assert_eq!(side.room(SERVERS[0], now + 2 * TERMS.loan), WHOLE);
--- a/crates/fleet/tests/wire.rs
+++ b/crates/fleet/tests/wire.rs
@@ -11,7 +11,13 @@
 };
 
 fn report(number: u64) -> Body {
-    Body::Report(Report { number, planner: 5, heard: 7, lent: 9, ..Report::default() })
+    Body::Report(Report {
+        number,
+        planner: 5,
+        heard: 7,
+        lent: vec![Grant { server: 3, rate: 9 }],
+        ..Report::default()
+    })
 }
 
 /// Guards the cut of frames wherever the bytes are divided.
--- a/crates/policy/src/advice.rs
+++ b/crates/policy/src/advice.rs
@@ -1,5 +1,6 @@
 //! What planners advise on servers: a plain container, and how far advice is believed as it ages. What is made of it is
-//! said in `src/policy.rs`: it can make a node more careful, never less.
+//! said in `src/policy.rs`: it can make a node more careful, or give it of a cold server's room what another node has given
+//! up, and nothing else.
 
 use rustc_hash::FxHashMap;
 
@@ -17,6 +18,9 @@
     avoid: FxHashMap<ServerId, ()>,
     heard: Nanos,
     lasts: Nanos,
+    lent: FxHashMap<ServerId, f64>,
+    granted: FxHashMap<ServerId, f64>,
+    granted_until: Nanos,
     /// By server, the process that was told to be draining. That stays told for as long as it is that process.
     draining: FxHashMap<ServerId, Nanos>,
 }
@@ -25,8 +29,11 @@
     /// Takes advice in; it replaces what was said before, but for drains.
     pub fn hear(&mut self, advice: &Advice, now: Nanos) {
         self.avoid = advice.avoid.iter().map(|&server| (server, ())).collect();
-        self.heard = now;
+        self.heard = now.saturating_sub(advice.age);
         self.lasts = advice.lasts;
+        self.lent = advice.lent.iter().copied().collect();
+        self.granted = advice.granted.iter().copied().collect();
+        self.granted_until = now.saturating_add(advice.granted_for);
         for &(server, started_at) in &*advice.draining {
             if self.draining.len() < MOST_DRAINING || self.draining.contains_key(&server) {
                 self.draining.insert(server, started_at);
@@ -34,6 +41,14 @@
         }
     }
 
+    /// At what rate a cold server may be asked, before its ramp, by a node that would ask it at `own` if it were alone.
+    #[must_use]
+    pub fn cold_rate(&self, server: ServerId, own: f64, now: Nanos) -> f64 {
+        let granted = self.granted.get(&server).filter(|_| now < self.granted_until);
+        let lent = self.lent.get(&server).copied().unwrap_or(0.0);
+        (own - lent).max(0.0) + granted.copied().unwrap_or(0.0).max(0.0)
+    }
+
     /// How many times as slow a server is to look, at least 1. In full for half of the time that advice lasts, then by
     /// degrees less, so that its end is no jump.
     #[must_use]
@@ -56,23 +71,49 @@
 
     const ONE: ServerId = ServerId(1);
 
+    fn at(advised: &Advised) -> impl Fn(u64) -> f64 + '_ {
+        |half_seconds| advised.caution(ONE, 0, half_seconds * SECOND / 2)
+    }
+
     #[test]
     fn advice_fades_and_drains_do_not() {
         let mut advised = Advised::default();
         assert_eq!(advised.caution(ONE, 0, 0), 1.0);
-        let advice = Advice { lasts: 2 * SECOND, avoid: [ONE].into(), draining: [(ServerId(2), 7)].into() };
+        let advice = Advice {
+            lasts: 2 * SECOND,
+            avoid: [ONE].into(),
+            draining: [(ServerId(2), 7)].into(),
+            ..Advice::default()
+        };
         advised.hear(&advice, SECOND);
-        let at = |half_seconds: u64| advised.caution(ONE, 0, half_seconds * SECOND / 2);
-        assert_eq!([2, 4, 5, 6, 60].map(at), [CAUTION, CAUTION, 8.5, 1.0, 1.0]);
+        assert_eq!([2, 4, 5, 6, 60].map(at(&advised)), [CAUTION, CAUTION, 8.5, 1.0, 1.0]);
         let later = 3_600 * SECOND;
         assert_eq!(advised.caution(ServerId(2), 7, later), CAUTION);
         assert_eq!(advised.caution(ServerId(2), 8, later), 1.0, "another process");
+        // The same said again, as old as it is, fades on.
+        let again =
+            Advice { age: 3 * SECOND / 2, lasts: 2 * SECOND, avoid: [ONE].into(), ..Advice::default() };
+        advised.hear(&again, 5 * SECOND / 2);
+        assert_eq!([5, 6].map(at(&advised)), [8.5, 1.0]);
         // What is no longer advised ends at once; a drain that is not repeated stays.
         advised.hear(&Advice { lasts: 2 * SECOND, ..Advice::default() }, later);
         assert_eq!(advised.caution(ONE, 0, later), 1.0);
         assert_eq!(advised.caution(ServerId(2), 7, later), CAUTION);
     }
 
+    #[test]
+    fn what_is_lent_is_done_without_and_grants_end() {
+        let mut advised = Advised::default();
+        assert_eq!(advised.cold_rate(ONE, 5.0, 0), 5.0);
+        let granted = [(ONE, 7.0)].into();
+        let lent = [(ONE, 3.0), (ServerId(2), 3.0)].into();
+        advised.hear(&Advice { lent, granted, granted_for: SECOND, ..Advice::default() }, SECOND);
+        let rates = |server, own| [1, 2].map(|second| advised.cold_rate(server, own, second * SECOND));
+        assert_eq!((rates(ONE, 5.0), rates(ServerId(2), 5.0)), ([9.0, 2.0], [2.0, 2.0]));
+        // Where its own share has fallen under what is lent, there is nothing left of it, and no debt.
+        assert_eq!(rates(ONE, 1.0), [7.0, 0.0]);
+    }
+
     #[test]
     fn advice_without_an_end_in_sight_does_no_harm() {
         let mut advised = Advised::default();
--- a/crates/policy/src/interface.rs
+++ b/crates/policy/src/interface.rs
@@ -314,12 +314,20 @@
 /// What planners advise, from what many nodes have seen.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Advice {
-    /// From when it is heard; in its second half it loses weight.
+    /// How old it is already when it is heard.
+    pub age: Nanos,
+    /// How old it becomes; in the second half of that it loses weight.
     pub lasts: Nanos,
     /// Servers that are better avoided for now.
     pub avoid: Arc<[ServerId]>,
     /// Servers that somebody was told are draining, with the start of the process that is meant.
     pub draining: Arc<[(ServerId, Nanos)]>,
+    /// Work for cold servers that this node has lent, by server, in requests a second before its ramp: it does without.
+    pub lent: Arc<[(ServerId, f64)]>,
+    /// The same that it has been granted, by server, until `granted_for` from when it is heard.
+    pub granted: Arc<[(ServerId, f64)]>,
+    /// How long that holds. The end is kept by the module itself, however late the next advice is.
+    pub granted_for: Nanos,
 }
 
 /// What happens to a node.
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -690,7 +690,8 @@
         if ramp >= 1.0 {
             return true;
         }
-        let rate = COLD_SHARE * ramp * self.pools.warm_rate;
+        let own = self.pools.warm_rate;
+        let rate = COLD_SHARE * ramp * self.advised.cold_rate(self.servers[slot].id, own, self.now);
         let most = (rate * seconds(self.settings.fall_span) * 0.25).max(0.01);
         let server = &mut self.servers[slot];
         let earned = rate * seconds(self.now.saturating_sub(server.cold_at));
--- a/crates/policy/src/policy/retune.rs
+++ b/crates/policy/src/policy/retune.rs
@@ -1,7 +1,8 @@
-//! Other settings for a module that goes on with what it has learned. Decides nothing.
+//! What a host does with a module beside its events: other settings for one that goes on with what it has learned, and
+//! what it may lend. Decides nothing.
 
 use super::Balancer;
-use crate::interface::Settings;
+use crate::interface::{ServerId, Settings};
 
 impl Settings {
     /// Whether a module with these settings may go over to others: requests that are open must end under the rules
@@ -23,6 +24,14 @@
 }
 
 impl Balancer {
+    /// This node's own share of the cold servers that it uses, in requests a second before their ramp: what it sends a warm
+    /// one. It may be lent. Of servers that it does not use it has none: others do.
+    pub fn cold_shares(&self) -> impl Iterator<Item = (ServerId, f64)> {
+        let used = self.pools.active.iter().flatten().map(|&slot| &self.servers[slot]);
+        let cold = used.filter(|server| self.ramp(server) < 1.0);
+        cold.map(|server| (server.id, self.pools.warm_rate))
+    }
+
     /// Goes on with other settings; they should have passed [`Settings::check`]. Requests that are held keep their worth
     /// and their aim. Tells whether [`Settings::retunes_to`] allows it; where not, nothing is changed.
     pub fn retune(&mut self, settings: Settings) -> bool {
--- a/crates/rig/src/world/levels.rs
+++ b/crates/rig/src/world/levels.rs
@@ -7,6 +7,7 @@
 use prost::Message as _;
 use pumicehead_fleet::holder::{Granting, Holder, Lending};
 use pumicehead_fleet::ledger::Ledger;
+use pumicehead_fleet::room::Rate;
 use pumicehead_fleet::sync::{Delta, Mirror, Source, Table};
 use pumicehead_fleet::terms::Terms;
 use pumicehead_fleet::view::View;
@@ -34,8 +35,8 @@
 struct Side {
     source: Source,
     advice: Mirror,
-    /// Each planner's last word, with its end.
-    until: Nanos,
+    /// When the last plan was heard.
+    heard: Nanos,
 }
 
 impl Forwarder {
@@ -60,7 +61,13 @@
     }
 
     /// The report to a planner, framed.
-    pub fn report(&mut self, place: usize, now: Nanos) -> Bytes {
+    pub fn report(
+        &mut self,
+        place: usize,
+        shares: impl Iterator<Item = (ServerId, f64)>,
+        now: Nanos,
+    ) -> Bytes {
+        self.holder.set_own(shares.map(|(server, rate)| (server, Rate::per_second(rate))));
         let lending = self.holder.report(place, now);
         let table: Table =
             self.seen.iter().map(|(&server, seen)| (server, seen.encode_to_vec().into())).collect();
@@ -70,40 +77,49 @@
 
     /// A planner was lost and is back as another process: both tables begin anew.
     pub fn reconnect(&mut self, place: usize) {
-        self.sides[place] = Side { until: self.sides[place].until, ..Side::default() };
+        self.sides[place] = Side { heard: self.sides[place].heard, ..Side::default() };
     }
 
-    /// A plan has come; the advice of all planners together, where it is in force. What any of them advises against is
-    /// advised against.
-    pub fn plan(&mut self, place: usize, bytes: &[u8], now: Nanos) -> Option<Advice> {
+    /// A plan has come; tells whether it is taken.
+    pub fn plan(&mut self, place: usize, bytes: &[u8], now: Nanos) -> bool {
         let mut frames = Frames::default();
         frames.feed(bytes);
-        let Ok(Some(Body::Plan(plan))) = frames.next_message() else { return None };
-        let granting = Granting::from(&plan);
-        let lease = Terms::at_least(TERMS.lease);
-        self.holder.hear(place, &granting, now).ok()?;
-        let side = &mut self.sides[place];
-        side.until = now + lease;
-        if let Some(changes) = plan.servers
-            && side.advice.apply(&Delta::from(changes)).is_err()
-        {
-            return None;
+        let Ok(Some(Body::Plan(plan))) = frames.next_message() else { return false };
+        if self.holder.hear(place, &Granting::from(&plan), now).is_err() {
+            return false;
         }
-        let mut avoid = BTreeSet::new();
-        let mut draining = BTreeMap::new();
-        for side in self.sides.iter().filter(|side| now < side.until) {
-            for (&server, value) in side.advice.table() {
-                let Ok(said) = Sighting::decode(value.clone()) else { continue };
-                if said.failed > 0 {
-                    avoid.insert(ServerId(server));
-                }
-                if said.draining {
-                    draining.insert(ServerId(server), said.born);
-                }
+        let side = &mut self.sides[place];
+        side.heard = now;
+        plan.servers.is_none_or(|changes| side.advice.apply(&Delta::from(changes)).is_ok())
+    }
+
+    /// What all planners together advise now: what any of them advises against is advised against.
+    pub fn advice(&self, now: Nanos) -> Advice {
+        let lease = Terms::at_least(TERMS.lease);
+        let (mut avoid, mut draining) = (BTreeSet::new(), BTreeMap::new());
+        let live = self.sides.iter().filter(|side| side.heard > 0 && now < side.heard + lease);
+        let latest = live.clone().map(|side| side.heard).max().unwrap_or(now);
+        for (&server, value) in live.flat_map(|side| side.advice.table()) {
+            let Ok(said) = Sighting::decode(value.clone()) else { continue };
+            if said.failed > 0 {
+                avoid.insert(ServerId(server));
             }
+            if said.draining {
+                draining.insert(ServerId(server), said.born);
+            }
+        }
+        let rates =
+            |rates: BTreeMap<ServerId, Rate>| rates.into_iter().map(|(id, rate)| (id, rate.requests()));
+        let (granted, granted_for) = self.holder.granted(now);
+        Advice {
+            age: now - latest,
+            lasts: lease,
+            avoid: avoid.into_iter().collect(),
+            draining: draining.into_iter().collect(),
+            lent: rates(self.holder.all_lent(now)).collect(),
+            granted: rates(granted).collect(),
+            granted_for,
         }
-        let (avoid, draining) = (avoid.into_iter().collect(), draining.into_iter().collect());
-        Some(Advice { lasts: lease, avoid, draining })
     }
 }
 
@@ -160,7 +176,8 @@
             self.table = (now, merged.map(entry).collect());
         }
         let changes = source.delta(&self.table.1, MOST_CHANGES).map(Into::into);
-        let granting = self.ledger.plan(from, &[], now)?;
+        let wishes = self.ledger.wishes(from, now);
+        let granting = self.ledger.plan(from, &wishes, now)?;
         Some(frame(Body::Plan(Plan { servers: changes, ..Plan::from(&granting) })))
     }
 }
--- a/crates/rig/src/world/mod.rs
+++ b/crates/rig/src/world/mod.rs
@@ -75,6 +75,8 @@
     pub attempts: u64,
     /// Attempts by the second they were sent in, at servers that are failing then.
     pub at_failing: BTreeMap<u64, u64>,
+    /// Plans by which a node was granted more of a cold server than it had lent.
+    pub grants: u64,
     /// Bytes between the levels.
     pub bytes: u64,
     /// Pairs of nodes and servers with an attempt, by the second.
@@ -357,7 +359,11 @@
             Due::Report { node, place } => {
                 self.push(self.now + levels::PACE, Due::Report { node, place });
                 if self.planners[place].is_some() {
-                    let bytes = self.forwarders[node].report(place, self.now);
+                    let shares = self.nodes[node].balancer.cold_shares();
+                    let bytes = self.forwarders[node].report(place, shares, self.now);
+                    // What is lent is done without before anybody hears of it.
+                    let advice = self.forwarders[node].advice(self.now);
+                    self.tell(node, Event::Advice(advice));
                     let message = self.carry(bytes);
                     self.push(self.now + HOP, Due::Told { node, place, message });
                 }
@@ -372,7 +378,13 @@
             }
             Due::Planned { node, place, message } => {
                 let Some(bytes) = self.messages.remove(&message) else { return };
-                if let Some(advice) = self.forwarders[node].plan(place, &bytes, self.now) {
+                if self.forwarders[node].plan(place, &bytes, self.now) {
+                    let advice = self.forwarders[node].advice(self.now);
+                    let lent = |server| {
+                        advice.lent.iter().find(|(id, _)| *id == server).map_or(0.0, |(_, rate)| *rate)
+                    };
+                    self.tally.grants +=
+                        u64::from(advice.granted.iter().any(|&(server, rate)| rate > lent(server)));
                     self.tell(node, Event::Advice(advice));
                 }
             }
--- a/crates/rig/tests/world.rs
+++ b/crates/rig/tests/world.rs
@@ -107,6 +107,23 @@
     assert!(guided * 2 < alone, "{guided} attempts with planners, {alone} without");
 }
 
+/// Guards a start of many servers at one instant, announced to all, while rights to them are lent and granted: it is of use
+/// only if some get more than they lend, and none is pushed over.
+#[test]
+fn servers_that_start_at_once_are_asked_by_right_and_not_pushed_over() {
+    for seed in 0..4 {
+        let mut world = World::new(Day { nodes: 200, servers: 60, load: 0.7, ..day(seed, 3) });
+        world.run(8 * SECOND);
+        (0..12).for_each(|server| world.restart(server));
+        world.run(5 * SECOND);
+        // Mid-way all planners go: what they granted ends, what was lent comes back.
+        world.stop_planners();
+        world.run(8 * SECOND);
+        check(&world.tally, seed);
+        assert!(world.tally.grants > 100, "seed {seed}: {} grants", world.tally.grants);
+    }
+}
+
 /// Guards the checks themselves: the model does fall when it is pushed, and only while it is cold.
 #[test]
 fn a_cold_server_falls_when_it_is_pushed() {
