Calls on a second address, servers out by hand, emptying, upgrades on a held socket

- crates/ops: calls, figures, the book of servers out by hand; no I/O, no clock.
- platform/admin, keep, inherited: the second address, the book's file shared by a node's processes, the socket that the platform holds (listenfd, by a restart of the same process; no unsafe).
- A server out by hand is listed as draining to the module; one back in is dated to the call back unless the list knows of a later start.
- An attempt counts when its last byte is written, in the socket's own count.

--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -19,7 +19,7 @@
     // The platform starts it with no arguments; what is wrong there is told by the missing variable, not by usage.
     let on_platform = env::args_os().len() <= 1 && env::var_os("EDGE_CONFIG").is_some();
     let done = if on_platform {
-        block_on(platform::serve()).map(|()| ExitCode::SUCCESS)
+        platform::inherited::announce().and_then(|()| block_on(platform::serve())).map(|()| ExitCode::SUCCESS)
     } else {
         cli::carry_out(cli::Arguments::parse().command)
     };
--- a/crates/node/src/net/ask.rs
+++ b/crates/node/src/net/ask.rs
@@ -8,12 +8,13 @@
 use bytes::Bytes;
 use hyper::header::HeaderMap;
 use hyper::{Method, StatusCode, Uri};
+use pumicehead_ops::figures::Outcome;
 use pumicehead_policy::interface::{Nanos, RequestId, Settings};
 use rustc_hash::FxHashSet;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::Instant;
 
-use super::core::Message;
+use super::core::{Members, Message};
 use super::discovery::List;
 
 /// A request as it goes on to a server.
@@ -71,6 +72,18 @@
     Late,
 }
 
+impl Answer {
+    /// What it counts as.
+    pub fn outcome(&self) -> Outcome {
+        match self {
+            Self::Served(served) if served.status.is_server_error() => Outcome::Failed,
+            Self::Served(_) => Outcome::Completed,
+            Self::Refused(_) => Outcome::Rejected,
+            Self::Failed | Self::Late => Outcome::Failed,
+        }
+    }
+}
+
 /// Requests without a final answer, by their names: one set for all loops of a node.
 #[derive(Clone, Default)]
 pub struct Held(Rc<RefCell<FxHashSet<Box<str>>>>);
@@ -154,6 +167,18 @@
         let _ = self.messages.send(Message::Retire { gone });
     }
 
+    /// The book of servers taken out has changed for these names.
+    pub fn restate(&self, names: Vec<String>) {
+        let _ = self.messages.send(Message::Restate(names));
+    }
+
+    /// The servers as the loop sees them now; none where it has ended.
+    pub async fn look(&self) -> Members {
+        let (reply, members) = oneshot::channel();
+        let _ = self.messages.send(Message::Look(reply));
+        members.await.unwrap_or_default()
+    }
+
     /// Has all that is still open fail now: the process is about to end.
     pub fn give_up(&self) {
         let _ = self.messages.send(Message::GiveUp);
--- a/crates/node/src/net/core.rs
+++ b/crates/node/src/net/core.rs
@@ -19,6 +19,7 @@
 
 use super::ask::{Answer, Ask, Call, Handle, Held, Served};
 use super::discovery::{self, List, WatchError};
+use super::hands::Hands;
 use super::roster::{Roster, UnknownSite, hash};
 use super::transport::{End, Transport};
 
@@ -58,20 +59,42 @@
     pub source: Source,
     /// How attempts travel.
     pub transport: Rc<dyn Transport>,
+    /// Servers taken out by hand.
+    pub hands: Rc<Hands>,
+}
+
+/// Servers in the list.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Members {
+    /// All of them.
+    pub listed: usize,
+    /// Those that get nothing new, by hand or by choice.
+    pub unavailable: usize,
 }
 
 /// What a loop is told.
 pub(super) enum Message {
     Request(RequestId, Box<Ask>, Instant, oneshot::Sender<Answer>),
     ClientGone(RequestId),
-    Ended { id: RequestId, attempt: AttemptNo, server: ServerId, sent: Nanos, end: End },
+    Ended {
+        id: RequestId,
+        attempt: AttemptNo,
+        server: ServerId,
+        sent: Nanos,
+        end: End,
+    },
     List(u64, List),
     WatchEnded(u64, WatchError),
     Moved(SocketAddr),
     Servers(List),
     Retune(Box<Settings>),
-    Retire { gone: bool },
+    Retire {
+        gone: bool,
+    },
     GiveUp,
+    /// The book of servers taken out has changed for these.
+    Restate(Vec<String>),
+    Look(oneshot::Sender<Members>),
 }
 
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -137,7 +160,7 @@
         let mut core = Self {
             pushed: setup.settings.discovery == Discovery::Push,
             balancer: Balancer::new(setup.settings, setup.seed),
-            roster: Roster::new(setup.zones, setup.transport),
+            roster: Roster::new(setup.zones, setup.transport, setup.hands),
             messages,
             to_self,
             start: Instant::now(),
@@ -278,6 +301,19 @@
                     self.timers.insert((self.now() + GRACE, Due::Empty));
                 }
             }
+            Message::Restate(names) => {
+                if let Some(change) = self.roster.restate(&names) {
+                    self.events.push_back(Event::Members(change));
+                }
+            }
+            Message::Look(reply) => {
+                let ids = self.roster.ids();
+                let listed = ids.clone().count();
+                let unavailable =
+                    ids.filter(|&id| !self.roster.is_ready(id) || self.balancer.avoids(id)).count();
+                // Whoever asked may have gone.
+                let _ = reply.send(Members { listed, unavailable });
+            }
             Message::GiveUp => {
                 let open: Vec<_> = self.open.keys().copied().collect();
                 for id in open {
--- a/crates/node/src/net/front/drain.rs
+++ b/crates/node/src/net/front/drain.rs
@@ -16,7 +16,12 @@
 /// ... after this.
 const ACCEPT_MOST: Duration = Duration::from_millis(1_500);
 /// A new connection that has asked nothing for so long is idle.
-const FRESH: Duration = Duration::from_millis(700);
+pub(super) const FRESH: Duration = Duration::from_millis(700);
+/// Where another process goes on accepting, idle connections are left alone for so long: each client asks again
+/// within that, and closes with the answer.
+const LEFT_ALONE: Duration = Duration::from_millis(1_000);
+/// From then on all idle ones close: what was asked before still has the longest deadline to be answered.
+const LAST_CALL: Duration = Duration::from_millis(2_000);
 /// What is still open so long after the last deadline fails.
 const LAST_MARGIN: Duration = Duration::from_millis(400);
 
@@ -30,30 +35,27 @@
 }
 
 impl Front {
-    /// Goes on accepting while new connections come, answers with `Connection: close`, closes what is idle,
-    /// and returns when all that was taken has been answered.
+    /// Goes on accepting while new connections come, unless another process does, answers with `Connection: close`,
+    /// closes what is idle, and returns when all that was taken has been answered.
     pub(super) async fn drain(self: Rc<Self>, listener: TcpListener, ending: Ending) {
         self.draining.set(true);
         let start = Instant::now();
-        let mut last = start;
-        loop {
-            self.close_idle();
-            let until = (start + ACCEPT_ON).max(last + ACCEPT_QUIET).min(start + ACCEPT_MOST);
-            let soon = (Instant::now() + ACCEPT_PAUSE).min(until);
-            match timeout_at(soon, self.accept(&listener)).await {
-                Ok((stream, peer)) => {
-                    last = Instant::now();
-                    self.clone().take(stream, peer);
-                }
-                Err(_) if soon == until => break,
-                Err(_) => {}
-            }
+        if self.shared.get() {
+            // Who connects from now on is another process's, also those that wait in the socket.
+            drop(listener);
+        } else {
+            self.accept_last(listener, start).await;
         }
-        drop(listener);
         let end = start + self.options.get().last_deadline + LAST_MARGIN;
         while self.open() > 0 {
-            self.close_idle();
             let now = Instant::now();
+            if !self.shared.get() {
+                self.close_idle(RESTED, FRESH);
+            } else if now >= start + LEFT_ALONE {
+                // A request that crosses a close was turned back unheard: those that have long said nothing first.
+                let quiet = if now >= start + LAST_CALL { RESTED } else { LEFT_ALONE };
+                self.close_idle(quiet, quiet);
+            }
             // A front that ends alone has no say over the requests of others; its own end by their deadlines.
             if now >= end && ending == Ending::Process {
                 (self.give_up)();
@@ -66,6 +68,24 @@
         }
     }
 
+    /// Goes on accepting while new connections come.
+    async fn accept_last(self: &Rc<Self>, listener: TcpListener, start: Instant) {
+        let mut last = start;
+        loop {
+            self.close_idle(RESTED, FRESH);
+            let until = (start + ACCEPT_ON).max(last + ACCEPT_QUIET).min(start + ACCEPT_MOST);
+            let soon = (Instant::now() + ACCEPT_PAUSE).min(until);
+            match timeout_at(soon, self.accept(&listener)).await {
+                Ok((stream, peer)) => {
+                    last = Instant::now();
+                    self.clone().take(stream, peer);
+                }
+                Err(_) if soon == until => break,
+                Err(_) => {}
+            }
+        }
+    }
+
     /// Its connections.
     fn open(&self) -> usize {
         let mut count = 0;
@@ -73,10 +93,11 @@
         count
     }
 
-    fn close_idle(&self) {
+    /// Closes connections on which nothing is asked, `rested` after their last answer or `fresh` after they came up.
+    pub(super) fn close_idle(&self, rested: Duration, fresh: Duration) {
         self.budget.each_of(self, |conn| {
             // The last answer must have arrived by now.
-            let rested = if conn.used() { RESTED } else { FRESH };
+            let rested = if conn.used() { rested } else { fresh };
             if conn.is_idle() && conn.since.get().elapsed() > rested {
                 conn.cut();
             }
--- a/crates/node/src/net/front/mod.rs
+++ b/crates/node/src/net/front/mod.rs
@@ -23,6 +23,7 @@
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use pumicehead_lang::model::Protocol;
+use pumicehead_ops::figures::{Figures, Outcome};
 use pumicehead_policy::interface::{Nanos, SECOND};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::task;
@@ -34,8 +35,9 @@
 use super::http::upstream::LONGEST_HEAD;
 use super::link::Link;
 use budget::Budget;
-use conn::{Conn, Stage};
+use conn::{Conn, RESTED, Stage};
 pub use drain::Ending;
+use drain::FRESH;
 use read::{Framing, collect};
 
 /// Connections that wait in the kernel are already taken, so it should never have to turn one away.
@@ -52,6 +54,9 @@
 const TOO_SLOW: &[u8] = b"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
 /// Advice with a refusal that is the node's own.
 const RETRY_AFTER: Nanos = SECOND / 2;
+/// A node that staff empty leaves idle connections to their next answer for so long: by then those who send to it have
+/// seen that it says no, and a close crosses few requests.
+const LAME: Duration = Duration::from_secs(1);
 /// Pause before the next look for a place, where there is none.
 const FULL_PAUSE: Duration = Duration::from_millis(5);
 
@@ -80,6 +85,11 @@
     options: Rc<Cell<Options>>,
     budget: Rc<Budget>,
     draining: Cell<bool>,
+    /// Since when the node is to be empty, where staff have said so.
+    lame: Cell<Option<Instant>>,
+    /// Other processes accept from the same socket.
+    shared: Cell<bool>,
+    figures: Rc<Figures>,
     /// What new connections speak.
     protocol: Cell<Protocol>,
     /// Has all that is open in the node fail.
@@ -115,6 +125,7 @@
         options: Options,
         budget: Rc<Budget>,
         give_up: impl Fn() + 'static,
+        figures: Rc<Figures>,
     ) -> Rc<Self> {
         Rc::new(Self {
             admission,
@@ -122,6 +133,9 @@
             options: Rc::new(Cell::new(options)),
             budget,
             draining: Cell::new(false),
+            lame: Cell::new(None),
+            shared: Cell::new(false),
+            figures,
             protocol: Cell::new(Protocol::Http),
             give_up: Box::new(give_up),
         })
@@ -137,6 +151,26 @@
         self.protocol.set(protocol);
     }
 
+    /// Empties the node, or takes it back to work. Requests are served all along: it is the way to it that is to end.
+    pub fn set_lame(&self, lame: bool) {
+        self.lame.set(lame.then(|| self.lame.get().unwrap_or_else(Instant::now)));
+    }
+
+    /// Whether staff have it empty.
+    pub fn is_lame(&self) -> bool {
+        self.lame.get().is_some()
+    }
+
+    /// Whether it takes no more connections.
+    pub fn is_draining(&self) -> bool {
+        self.draining.get()
+    }
+
+    /// Other processes accept from the same socket: what waits there at its end is theirs.
+    pub fn set_shared(&self) {
+        self.shared.set(true);
+    }
+
     fn owns(&self, conn: &Conn) -> bool {
         Rc::ptr_eq(&self.options, &conn.options)
     }
@@ -168,6 +202,9 @@
                 conn.cut();
             }
         });
+        if self.lame.get().is_some_and(|since| now >= since + LAME) {
+            self.close_idle(RESTED, FRESH);
+        }
     }
 
     /// The next connection. Where there is no place for one, others make way, or it waits for an end.
@@ -255,9 +292,8 @@
         conn.link.skip(framing.body());
         let expects = request.headers().contains_key(header::EXPECT);
         let mut response = if self.options.get().healthz && request.uri().path() == "/healthz" {
-            let draining = self.draining.get();
-            let status =
-                if draining { hyper::StatusCode::SERVICE_UNAVAILABLE } else { hyper::StatusCode::OK };
+            let away = self.draining.get() || self.is_lame();
+            let status = if away { hyper::StatusCode::SERVICE_UNAVAILABLE } else { hyper::StatusCode::OK };
             answer::plain(status, "")
         } else {
             let until = begun + self.options.get().patience;
@@ -269,7 +305,12 @@
         let crowded = conn.extra || self.budget.is_crowded();
         // A client that was told before it wrote its body may write it all the same, or the next request.
         let unread = expects && response.status().as_u16() >= 400;
-        if self.draining.get() || crowded || unread || !matches!(framing, Framing::Length(_)) {
+        if self.draining.get()
+            || self.is_lame()
+            || crowded
+            || unread
+            || !matches!(framing, Framing::Length(_))
+        {
             answer::close(&mut response);
         }
         response
@@ -286,15 +327,20 @@
             Ok(admitted) => admitted,
             Err(bad) => return answer::bad(&bad),
         };
+        let class = ask.class;
         if bodiless && !body.is_empty() {
             return answer::bad(&Bad::Method(Vec::new()));
         }
         if extra || self.is_full() {
+            self.figures.ended(class, Outcome::Rejected);
             return answer::refusal(&manner, Some(RETRY_AFTER));
         }
         ask.call.body = body;
         match core.ask(ask).await {
-            Some(given) => answer::response(&manner, given),
+            Some(given) => {
+                self.figures.ended(class, given.outcome());
+                answer::response(&manner, given)
+            }
             None => answer::bad(&Bad::Twice),
         }
     }
--- a/crates/node/src/net/http/upstream.rs
+++ b/crates/node/src/net/http/upstream.rs
@@ -22,7 +22,7 @@
 use super::answer::Reader;
 use crate::net::ask::Call;
 use crate::net::connections::{Connections, IDLE_SHARE, Idle, Place};
-use crate::net::link::{Link, Unread};
+use crate::net::link::{Counter, Link, Unread};
 use crate::net::transport::{Attempt, End, Server, Transport};
 
 /// Longest head of a message.
@@ -55,6 +55,8 @@
     dial_timeout: Duration,
     idle_for: Duration,
     reader: Reader,
+    /// Attempts written whole.
+    written: Counter,
 }
 
 /// A pool's way to its servers.
@@ -62,15 +64,16 @@
 
 impl Upstream {
     /// With the times of a pool: a connection that is not up by `dial_timeout` has failed, and servers close idle
-    /// ones after `conn_idle`.
+    /// ones after `conn_idle`. `written` counts attempts that are written whole.
     pub fn new(
         connections: Rc<Connections>,
         dial_timeout: Duration,
         conn_idle: Duration,
         reader: Reader,
+        written: Counter,
     ) -> Rc<Self> {
         let idle_for = conn_idle.mul_f64(IDLE_SHARE);
-        Rc::new(Self(Rc::new(Shared { connections, dial_timeout, idle_for, reader })))
+        Rc::new(Self(Rc::new(Shared { connections, dial_timeout, idle_for, reader, written })))
     }
 }
 
@@ -224,6 +227,7 @@
         }
         let (request, size) = call.request(left);
         let before = conn.link.written();
+        conn.link.count_at(size, &self.written);
         begun.set(true);
         let answer = conn.sender.send_request(request).await;
         let response = match answer {
--- a/crates/node/src/net/link.rs
+++ b/crates/node/src/net/link.rs
@@ -77,9 +77,14 @@
     }
 }
 
+/// A counter that others read.
+pub type Counter = Rc<Cell<u64>>;
+
 struct Shared {
     stream: Socket,
     written: Cell<u64>,
+    /// Once so much is written, the counter goes up by one.
+    mark: RefCell<Option<(u64, Counter)>>,
     tap: Option<RefCell<Tap>>,
 }
 
@@ -125,7 +130,12 @@
 
     /// The same of this machine's own kind.
     pub fn unix(stream: UnixStream) -> Self {
-        Self(Rc::new(Shared { stream: Socket::Unix(stream), written: Cell::new(0), tap: None }))
+        Self(Rc::new(Shared {
+            stream: Socket::Unix(stream),
+            written: Cell::new(0),
+            mark: RefCell::default(),
+            tap: None,
+        }))
     }
 
     /// One that requests come in on: their heads can be had as they came.
@@ -137,7 +147,12 @@
         // Small messages must not wait for acknowledgements. A socket that can't be set up is dead, which
         // its first use will tell.
         let _ = stream.set_nodelay(true);
-        Self(Rc::new(Shared { stream: Socket::Tcp(stream), written: Cell::new(0), tap }))
+        Self(Rc::new(Shared {
+            stream: Socket::Tcp(stream),
+            written: Cell::new(0),
+            mark: RefCell::default(),
+            tap,
+        }))
     }
 
     /// The head that has come in whole, as it came; what follows is the body.
@@ -177,6 +192,11 @@
         self.0.written.get()
     }
 
+    /// Counts one more once `size` bytes from now on are written.
+    pub fn count_at(&self, size: u64, counter: &Counter) {
+        *self.0.mark.borrow_mut() = Some((self.written() + size, counter.clone()));
+    }
+
     /// Asks the kernel, not the event loop, which may not have seen the latest yet.
     pub fn unread(&self) -> Unread {
         match self.0.stream.as_ref().peek(&mut [MaybeUninit::uninit()]) {
@@ -258,7 +278,11 @@
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                 done => {
                     let count = *done.as_ref().unwrap_or(&0) as u64;
-                    self.0.written.set(self.0.written.get() + count);
+                    let written = self.0.written.get() + count;
+                    self.0.written.set(written);
+                    if let Some((_, counter)) = self.0.mark.borrow_mut().take_if(|(at, _)| written >= *at) {
+                        counter.set(counter.get() + 1);
+                    }
                     return Poll::Ready(done);
                 }
             }
--- a/crates/node/src/net/mod.rs
+++ b/crates/node/src/net/mod.rs
@@ -13,6 +13,7 @@
 pub mod fastcgi;
 pub mod fields;
 pub mod front;
+pub mod hands;
 pub mod http;
 pub mod link;
 pub mod room;
--- a/crates/node/src/net/roster.rs
+++ b/crates/node/src/net/roster.rs
@@ -4,11 +4,13 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
+use pumicehead_ops::book::Stand;
 use pumicehead_policy::interface::{CellId, Condition, ListChange, Nanos, ServerId, ServerInfo, ZoneId};
 use rustc_hash::{FxHashMap, FxHashSet, FxHasher};
 use thiserror::Error;
 
 use super::discovery::{Health, Host, List};
+use super::hands::Hands;
 use super::transport::{Server, Transport};
 
 /// An entry that can't be used.
@@ -18,6 +20,8 @@
 
 struct Known {
     name: String,
+    /// As it was listed, whatever staff have said since.
+    listed: Host,
     born_ms: u64,
     server: Rc<dyn Server>,
     /// As the module was told last.
@@ -32,14 +36,44 @@
     transport: Rc<dyn Transport>,
     servers: FxHashMap<ServerId, Known>,
     ids: FxHashMap<String, ServerId>,
+    hands: Rc<Hands>,
     /// The version of the list.
     pub seq: u64,
 }
 
 impl Roster {
     /// No servers yet.
-    pub fn new(zones: Vec<String>, transport: Rc<dyn Transport>) -> Self {
-        Self { zones, transport, servers: FxHashMap::default(), ids: FxHashMap::default(), seq: 0 }
+    pub fn new(zones: Vec<String>, transport: Rc<dyn Transport>, hands: Rc<Hands>) -> Self {
+        Self { zones, transport, servers: FxHashMap::default(), ids: FxHashMap::default(), hands, seq: 0 }
+    }
+
+    /// All servers.
+    pub fn ids(&self) -> impl Iterator<Item = ServerId> + Clone {
+        self.servers.keys().copied()
+    }
+
+    /// Whether a server takes work, as far as the list and staff say.
+    pub fn is_ready(&self, id: ServerId) -> bool {
+        self.servers.get(&id).is_some_and(|known| known.info.condition == Condition::Ready)
+    }
+
+    /// The book has changed for these names: what that means for those that are listed.
+    pub fn restate(&mut self, names: &[String]) -> Option<ListChange> {
+        let known = names.iter().filter_map(|name| self.servers.get(self.ids.get(name)?));
+        let known: Vec<_> = known.map(|known| (known.listed.clone(), known.info.zone)).collect();
+        let infos: Arc<[ServerInfo]> = known.into_iter().map(|(host, zone)| self.learn(host, zone)).collect();
+        (!infos.is_empty()).then_some(ListChange::Delta(infos))
+    }
+
+    /// A listed server as staff have it.
+    fn by_hand(&self, listed: &Host) -> Host {
+        let mut host = listed.clone();
+        match self.hands.book.borrow().stand(&host.host, host.born_ms) {
+            Stand::Out if host.health == Health::Active => host.health = Health::Leaving,
+            Stand::Out => {}
+            Stand::In { born_ms } => host.born_ms = born_ms,
+        }
+        host
     }
 
     /// How attempts travel to its servers.
@@ -102,11 +136,14 @@
             return None;
         }
         known.born_ms = now_ms;
+        known.listed.born_ms = now_ms;
         known.info.started_at = millis(now_ms);
         Some(ListChange::Delta(Arc::from([known.info.clone()])))
     }
 
-    fn learn(&mut self, host: Host, zone: ZoneId) -> ServerInfo {
+    fn learn(&mut self, listed: Host, zone: ZoneId) -> ServerInfo {
+        self.hands.listed.borrow_mut().add(&listed.host);
+        let host = self.by_hand(&listed);
         let id = self.id(&host.host);
         let info = ServerInfo {
             id,
@@ -123,6 +160,7 @@
         let transport = &self.transport;
         let fresh = || Known {
             name: host.host.clone(),
+            listed: listed.clone(),
             born_ms: host.born_ms,
             server: transport.server(&host.dial),
             info: info.clone(),
@@ -135,6 +173,7 @@
             *known = fresh();
         }
         known.info = info.clone();
+        known.listed = listed.clone();
         self.ids.insert(host.host.clone(), id);
         if host.health != Health::Active {
             known.server.retire();
--- a/crates/node/src/platform/config.rs
+++ b/crates/node/src/platform/config.rs
@@ -55,6 +55,7 @@
     name: Option<String>,
     listen: Option<String>,
     discovery: Option<String>,
+    admin: Option<String>,
     seed: Option<String>,
     #[serde(default)]
     limits: Limits,
@@ -84,6 +85,8 @@
     pub listen: SocketAddr,
     /// Where discovery is.
     pub discovery: SocketAddr,
+    /// Where staff call, if anywhere.
+    pub admin: Option<SocketAddr>,
     /// For random numbers.
     pub seed: u64,
     /// Descriptors that it may hold.
@@ -117,6 +120,10 @@
             name: env::var("EDGE_NAME").ok().or(file.name).unwrap_or_default(),
             listen: address("listen", "EDGE_LISTEN", file.listen)?,
             discovery: address("discovery", "EDGE_DISCOVERY", file.discovery)?,
+            admin: match env::var("EDGE_ADMIN").ok().or(file.admin) {
+                Some(text) => Some(parse("admin", &text)?),
+                None => None,
+            },
             seed: u64::from_str_radix(&seed, 16).map_err(|error| fault("seed", &error.to_string()))?,
             sockets,
             memory: file.limits.memory_mb.saturating_mul(1 << 20),
--- a/crates/node/src/platform/mod.rs
+++ b/crates/node/src/platform/mod.rs
@@ -1,14 +1,20 @@
 //! The platform's node: told by `EDGE_CONFIG` and the environment, one pool that discovery lists, clients that send
 //! the platform's headers.
 
+mod admin;
 pub mod admission;
 pub mod config;
+pub mod inherited;
+mod keep;
 
+use std::env;
 use std::error::Error;
 use std::rc::Rc;
 use std::time::Duration;
 
+use pumicehead_ops::figures::{Figures, count};
 use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::Mutex;
 use tokio::task;
 
 use crate::net::ask::Held;
@@ -16,13 +22,16 @@
 use crate::net::core::{Core, Setup, Source};
 use crate::net::front::budget::Budget;
 use crate::net::front::{self, Ending, Front, Options};
+use crate::net::hands::Hands;
 use crate::net::http::answer::Reader;
 use crate::net::http::upstream::Upstream;
 use crate::net::room::Room;
 use crate::net::verdict::Reading;
 use crate::places::Places;
+use admin::{Admin, MOST_CALLERS};
 use admission::Platform;
 use config::Config;
+use keep::Keep;
 
 /// Longest body of a request.
 const LONGEST_BODY: usize = 64 << 10;
@@ -45,10 +54,30 @@
     let config = Config::load()?;
     let mut term = signal(SignalKind::terminate())?;
     let mut hangup = signal(SignalKind::hangup())?;
-    let listener =
-        front::listen(config.listen).map_err(|error| format!("listen on {}: {error}", config.listen))?;
+    let inherited = inherited::listener()?;
+    let shared = inherited.is_some();
+    let on = |address, error| format!("listen on {address}: {error}");
+    let listener = match inherited {
+        Some(listener) => listener,
+        None => front::listen(config.listen).map_err(|error| on(config.listen, error))?,
+    };
+    let calls = config.admin.map(|address| front::listen(address).map_err(|error| on(address, error)));
+    let calls = calls.transpose()?;
     eprintln!("{} listens on {}", config.name, listener.local_addr()?);
-    let places = Places::of(config.sockets, 1);
+    if let Some(calls) = &calls {
+        eprintln!("{} takes calls on {}", config.name, calls.local_addr()?);
+    }
+    let others = if calls.is_some() { 1 + MOST_CALLERS } else { 0 };
+    let places = Places::of(config.sockets, 1 + others);
+    let figures = Rc::new(Figures::new(config.boot.classes.iter().map(|class| class.name.clone())));
+    let hands = Rc::new(Hands::default());
+    let mut keep = env::var_os("TMPDIR").map(|folder| Keep::new(folder.into(), &config.name));
+    if let Some(keep) = keep.as_mut().filter(|_| calls.is_some()) {
+        match keep.changed() {
+            Ok(book) => *hands.book.borrow_mut() = book.unwrap_or_default(),
+            Err(error) => eprintln!("servers taken out: {error}"),
+        }
+    }
     let ceilings = &config.boot.ceilings;
     let span = Duration::from_nanos;
     let reader = Reader {
@@ -64,7 +93,8 @@
         seed: config.seed,
         zones: config.boot.zones.clone(),
         source: Source::Watch { discovery: config.discovery, known: Some(config.known.clone()) },
-        transport: Upstream::new(connections, dial, idle, reader),
+        transport: Upstream::new(connections, dial, idle, reader, figures.upstream_requests.clone()),
+        hands: hands.clone(),
     };
     let held = Held::default();
     let (core, handle) = Core::new(setup, held.clone());
@@ -80,16 +110,37 @@
     let admission = Rc::new(Platform::new(&config, handle.clone()));
     let budget = Budget::new(places.clients, config.sockets);
     let to_core = handle.clone();
-    let front = Front::new(admission, held, options, budget, move || to_core.give_up());
+    let front =
+        Front::new(admission, held.clone(), options, budget, move || to_core.give_up(), figures.clone());
+    if shared {
+        front.set_shared();
+    }
     let core = task::spawn_local(core.run());
+    if let Some(calls) = calls {
+        let admin = Admin {
+            core: handle.clone(),
+            front: front.clone(),
+            held,
+            figures: figures.clone(),
+            hands,
+            keep: Mutex::new(keep),
+        };
+        let admin = Rc::new(admin);
+        task::spawn_local(admin.clone().follow());
+        task::spawn_local(admin.serve(calls));
+    }
     task::spawn_local(async move {
         while hangup.recv().await.is_some() {
             match config::moved() {
                 Ok(address) => {
+                    count(&figures.config_reloads);
                     eprintln!("configuration read again: discovery at {address}");
                     handle.move_discovery(address);
                 }
-                Err(error) => eprintln!("the old configuration stays: {error}"),
+                Err(error) => {
+                    count(&figures.config_reload_errors);
+                    eprintln!("the old configuration stays: {error}");
+                }
             }
         }
     });
--- a/crates/node/src/standalone/site.rs
+++ b/crates/node/src/standalone/site.rs
@@ -272,7 +272,8 @@
                 }
             };
             let (gateway, held) = (self.gateway.clone(), self.held.clone());
-            let front = Front::new(gateway, held, options(config), self.budget.clone(), give_up);
+            let front =
+                Front::new(gateway, held, options(config), self.budget.clone(), give_up, Rc::default());
             let (stop, stopped) = oneshot::channel();
             let stopped = async move { stopped.await.unwrap_or(Ending::Process) };
             let done = task::spawn_local(front.clone().run(listener, stopped));
@@ -363,7 +364,7 @@
                 longest_unstated: footing.answer_body,
                 room: room.clone(),
             };
-            http::upstream::Upstream::new(connections.clone(), dial, idle, reader)
+            http::upstream::Upstream::new(connections.clone(), dial, idle, reader, Rc::default())
         }
         Protocol::FastCgi => {
             let settings = fastcgi::upstream::Settings {
@@ -386,6 +387,7 @@
             Members::Discovery { address, .. } => Source::Watch { discovery: *address, known: None },
         },
         transport,
+        hands: Rc::default(),
     };
     let (core, handle) = Core::new(setup, held.clone());
     task::spawn_local(core.run());
--- /dev/null
+++ b/crates/node/tests/operations.rs
@@ -0,0 +1,228 @@
+//! Daily operation on loopback sockets: staff call a running node, take servers out, empty it, start a new version.
+
+use std::io::Write;
+use std::net::TcpListener;
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use pumicehead_rig::scripted::*;
+
+/// A new empty folder.
+fn folder() -> PathBuf {
+    static NEXT: AtomicUsize = AtomicUsize::new(0);
+    let number = NEXT.fetch_add(1, Ordering::SeqCst);
+    let path = std::env::temp_dir().join(format!("pumicehead-operations-{}-{number}", std::process::id()));
+    let _ = std::fs::remove_dir_all(&path);
+    std::fs::create_dir_all(&path).unwrap();
+    path
+}
+
+fn with_calls(backends: &[&Backend]) -> Setup {
+    Setup { folder: Some(folder()), ..Setup::of(backends) }
+}
+
+/// Guards that calls are answered by their words, and what is none with a reason, while others hold their connections
+/// and say nothing, or half a line.
+#[test]
+fn calls_are_answered_beside_callers_that_say_nothing() {
+    let backend = Backend::start(|_| ok("done"));
+    let node = with_calls(&[&backend]).start();
+    let holding: Vec<_> = (0..40)
+        .map(|n| {
+            let mut caller = node.caller();
+            if n % 2 == 0 {
+                caller.write_all(b"DETACH s-0").unwrap();
+            }
+            caller
+        })
+        .collect();
+    assert_eq!(node.call("PING"), "OK\n");
+    assert_eq!(node.call("PING\r"), "OK\n");
+    for bad in ["", "ping", "DETACH", "DETACH s-9", "ATTACH s-9", "LAMEDUCK now", &"x".repeat(100_000)] {
+        let answer = node.call(bad);
+        assert!(
+            answer.starts_with("ERR ") && answer.ends_with('\n') && answer.lines().count() == 1,
+            "{answer}"
+        );
+    }
+    drop(holding);
+    // Half a name is nobody's: had it been taken, the one server would be out.
+    assert_eq!(node.ask(&request("read", "")).status(), 200);
+}
+
+/// Guards that figures tell what happened.
+#[test]
+fn figures_are_true() {
+    let backend = Backend::start(|message| {
+        if message.first.contains("submit") { Act::Write(answer("500 Oh", "", "")) } else { ok("done") }
+    });
+    let node = with_calls(&[&backend]).start();
+    for _ in 0..5 {
+        assert_eq!(node.ask(&request("read", "")).status(), 200);
+    }
+    assert_eq!(node.ask(&request("submit", "x")).status(), 502);
+    let figure = |name: &str| node.figure(&format!("node.{name}"));
+    assert_eq!(figure("downstream_requests.read.completed"), Some(5));
+    assert_eq!(figure("downstream_requests.submit.failed"), Some(1));
+    assert_eq!(figure("downstream_requests.submit.completed"), Some(0));
+    assert_eq!((figure("upstream_requests"), figure("pending")), (Some(6), Some(0)));
+    assert_eq!((figure("members"), figure("members_unavailable")), (Some(1), Some(0)));
+    let config = node.config();
+    node.reload("{");
+    wait_for("the bad configuration", || figure("config_reload_errors") == Some(1));
+    node.reload(&config);
+    wait_for("the good one", || figure("config_reloads") == Some(1));
+}
+
+/// Guards that an attempt counts once it is written, not when it ends, and that what waits for it is pending.
+#[test]
+fn what_is_under_way_is_counted() {
+    let backend = Backend::start(|_| Act::Hang);
+    let node = with_calls(&[&backend]).start();
+    let mut client = node.connect();
+    client.write(&request("submit", "x"));
+    wait_for("the attempt", || node.figure("node.upstream_requests") == Some(1));
+    assert_eq!(node.figure("node.pending"), Some(1));
+    drop(client);
+    wait_for("its end", || node.figure("node.pending") == Some(0));
+}
+
+/// Guards that a server out by hand gets nothing, whatever discovery says, until the one call back.
+#[test]
+fn a_server_out_by_hand_gets_nothing_until_it_is_called_back() {
+    let (one, other) = (Backend::start(|_| ok("done")), Backend::start(|_| ok("done")));
+    let discovery = Discovery::start();
+    let node = Setup { discovery: discovery.address, ..with_calls(&[&one, &other]) }.start();
+    let (_, lines) = discovery.next();
+    let ask = |count| (0..count).for_each(|_| assert_eq!(node.ask(&request("read", "")).status(), 200));
+    // One that is asked one thing at a time may do with one server.
+    let crowd = Crowd::start(&node, 8, "read");
+    wait_for("both in use", || one.count() > 0 && other.count() > 0);
+    drop(crowd);
+    assert_eq!(node.call("DETACH s-0"), "OK\n");
+    assert_eq!(node.call("DETACH s-0"), "OK\n", "may be repeated");
+    assert_eq!(node.figure("node.members_unavailable"), Some(1));
+    let before = one.count();
+    ask(30);
+    // Listed again, as good as new, as ready: staff have the last word.
+    let [a, b] = [host("s-0", one.address, "active"), host("s-1", other.address, "active")];
+    let born = a.replace("\"born_ms\":0", "\"born_ms\":77");
+    lines.send(list(2, true, &[born, b.clone()])).unwrap();
+    ask(30);
+    // It leaves the list, and returns.
+    lines.send(list(3, true, &[b])).unwrap();
+    wait_for("one server", || node.figure("node.members") == Some(1));
+    lines.send(list(4, false, &[a])).unwrap();
+    wait_for("two servers", || node.figure("node.members") == Some(2));
+    ask(30);
+    assert_eq!(one.count(), before);
+    assert_eq!(node.call("ATTACH s-0"), "OK\n");
+    let crowd = Crowd::start(&node, 8, "read");
+    wait_for("work again", || one.count() > before);
+    drop(crowd);
+}
+
+/// Guards that a node whose servers are all out refuses, and does not send.
+#[test]
+fn with_all_servers_out_requests_are_refused() {
+    let backend = Backend::start(|_| ok("done"));
+    let node = Setup { aim_ms: 300, ..with_calls(&[&backend]) }.start();
+    assert_eq!(node.call("DETACH s-0"), "OK\n");
+    let answer = node.ask(&request("read", ""));
+    assert!(matches!(answer.status(), 429 | 503) && answer.header("retry-after").is_some(), "{answer:?}");
+    assert_eq!(backend.count(), 0);
+}
+
+/// Guards that a node which is emptied says no, still serves, closes every connection, and comes back.
+#[test]
+fn a_node_is_emptied_and_comes_back() {
+    let backend = Backend::start(|_| ok("done"));
+    let mut node = with_calls(&[&backend]).start();
+    let health = || node.ask("GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n").status();
+    assert_eq!(health(), 200);
+    let (mut asking, mut idle) = (node.connect(), node.connect());
+    for client in [&mut asking, &mut idle] {
+        client.write(&request("read", ""));
+        assert_eq!(client.read().unwrap().header("connection"), None);
+    }
+    let mut fresh = node.connect();
+    assert_eq!(node.call("LAMEDUCK"), "OK\n");
+    assert_eq!(health(), 503);
+    asking.write(&request("read", ""));
+    let answer = asking.read().unwrap();
+    assert_eq!((answer.status(), answer.header("connection")), (200, Some("close")));
+    assert!(asking.at_end() && idle.at_end() && fresh.at_end());
+    // The front may still send for a moment.
+    assert_eq!(node.ask(&request("read", "")).status(), 200);
+    assert!(node.is_running());
+    assert_eq!(node.call("REJOIN"), "OK\n");
+    let mut client = node.connect();
+    client.write(&request("read", ""));
+    assert_eq!(client.read().unwrap().header("connection"), None);
+    assert_eq!(node.ask("GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n").status(), 200);
+}
+
+/// Guards an upgrade: two processes on the platform's socket, no connection refused, no request lost, and what staff said
+/// to either holds for both, also once the first is gone.
+#[test]
+fn a_new_version_takes_over_under_load() {
+    let (one, other) = (Backend::start(|_| ok("done")), Backend::start(|_| ok("done")));
+    let socket = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = socket.local_addr().unwrap();
+    let kept = folder();
+    let start = || {
+        let socket = Some(socket.try_clone().unwrap());
+        Setup { folder: Some(kept.clone()), socket, ..Setup::of(&[&one, &other]) }.start()
+    };
+    let mut old = start();
+    assert_eq!(old.address, address);
+    assert_eq!(old.call("DETACH s-0"), "OK\n");
+    let before = one.count();
+    let crowd = Crowd::asking(address, 8, || request("read", ""));
+    wait_for("load", || other.count() > 100);
+    let new = start();
+    wait_for("the new one's yes", || new.call("PING") == "OK\n");
+    let quiet = Client::connect(address);
+    old.terminate();
+    assert!(old.wait().success());
+    let served = other.count();
+    wait_for("load on the new one", || other.count() > served + 100);
+    assert_eq!(one.count(), before, "out, also for the new one");
+    // A call to one is heard by another that runs beside it.
+    let mut third = start();
+    wait_for("the third one's yes", || third.call("PING") == "OK\n");
+    assert_eq!(new.call("ATTACH s-0"), "OK\n");
+    wait_for("both in use at the third", || third.figure("node.members_unavailable") == Some(0));
+    wait_for("work for it", || one.count() > before);
+    third.terminate();
+    assert!(third.wait().success());
+    drop(quiet);
+    let statuses = crowd.end();
+    let lost: Vec<_> = statuses.iter().filter(|&&status| status != 200 && status != 503).collect();
+    assert!(lost.is_empty() && statuses.iter().filter(|&&status| status == 200).count() > 200, "{lost:?}");
+}
+
+/// Guards that a process without a place to keep the book, or with a damaged one, still serves and takes calls.
+#[test]
+fn a_damaged_book_does_not_keep_a_node_from_its_work() {
+    let backend = Backend::start(|_| ok("done"));
+    let kept = folder();
+    let first = Setup { folder: Some(kept.clone()), ..Setup::of(&[&backend]) }.start();
+    assert_eq!(first.call("DETACH s-0"), "OK\n");
+    let book = std::fs::read_dir(&kept).unwrap().map(|entry| entry.unwrap().path());
+    let book = book.into_iter().find(|path| path.extension().is_some_and(|end| end == "out")).unwrap();
+    std::fs::write(&book, "{\"v\":1,").unwrap();
+    // Who knows what was said goes on with it, who does not begins without.
+    std::thread::sleep(Duration::from_millis(500));
+    assert_eq!(first.figure("node.members_unavailable"), Some(1));
+    let second = Setup { folder: Some(kept.clone()), ..Setup::of(&[&backend]) }.start();
+    assert_eq!(second.ask(&request("read", "")).status(), 200);
+    assert_eq!(first.call("ATTACH s-0"), "OK\n");
+    // It is cold, and the only one.
+    wait_for("work again", || first.ask(&request("read", "")).status() == 200);
+    std::fs::remove_dir_all(&kept).unwrap();
+    let answer = first.call("DETACH s-0");
+    assert!(answer.starts_with("ERR "), "{answer}");
+    wait_for("work, a no changes nothing", || first.ask(&request("read", "")).status() == 200);
+}
--- /dev/null
+++ b/crates/ops/src/call.rs
@@ -0,0 +1,99 @@
+//! The calls, one line each, and how they are answered.
+
+use thiserror::Error;
+
+/// Longest line of a call, its end included: the longest call and a name of [`LONGEST_NAME`] fit well.
+pub const LONGEST_LINE: usize = 512;
+/// Longest name of a server; list entries have some ten bytes.
+pub const LONGEST_NAME: usize = 255;
+
+/// What is asked.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Call {
+    /// Whether this process serves.
+    Ping,
+    /// The figures.
+    Info,
+    /// Take this server out.
+    Detach(String),
+    /// This server may serve again.
+    Attach(String),
+    /// Empty the node.
+    LameDuck,
+    /// Back to work.
+    Rejoin,
+}
+
+/// Why a line is no call.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum CallError {
+    /// It has too many bytes.
+    #[error("a line has at most {LONGEST_LINE} bytes")]
+    TooLong,
+    /// Not text.
+    #[error("not UTF-8")]
+    NotText,
+    /// Nothing there.
+    #[error("an empty line; calls are PING, INFO, DETACH ID, ATTACH ID, LAMEDUCK, REJOIN")]
+    Empty,
+    /// No call of that name.
+    #[error("no call `{0}`; calls are PING, INFO, DETACH ID, ATTACH ID, LAMEDUCK, REJOIN")]
+    Unknown(String),
+    /// The server is missing.
+    #[error("{0} takes the id of one server")]
+    NeedsServer(&'static str),
+    /// More words than it takes.
+    #[error("{0} takes nothing more")]
+    TakesNothing(&'static str),
+    /// The server's name can't be one.
+    #[error("an id has at most {LONGEST_NAME} bytes, none of them a control character")]
+    BadName,
+}
+
+impl Call {
+    /// Reads a line, with or without its end.
+    ///
+    /// # Errors
+    /// Why it is no call.
+    pub fn parse(line: &[u8]) -> Result<Self, CallError> {
+        if line.len() > LONGEST_LINE {
+            return Err(CallError::TooLong);
+        }
+        let line = str::from_utf8(line).map_err(|_| CallError::NotText)?;
+        let mut words = line.split_ascii_whitespace();
+        let Some(name) = words.next() else { return Err(CallError::Empty) };
+        let (server, rest) = (words.next(), words.next());
+        let alone = |name, call| if server.is_some() { Err(CallError::TakesNothing(name)) } else { Ok(call) };
+        let about = |name| match (server, rest) {
+            (Some(server), None) if is_name(server) => Ok(server.to_owned()),
+            (Some(_), None) => Err(CallError::BadName),
+            _ => Err(CallError::NeedsServer(name)),
+        };
+        match name {
+            "PING" => alone("PING", Self::Ping),
+            "INFO" => alone("INFO", Self::Info),
+            "LAMEDUCK" => alone("LAMEDUCK", Self::LameDuck),
+            "REJOIN" => alone("REJOIN", Self::Rejoin),
+            "DETACH" => about("DETACH").map(Self::Detach),
+            "ATTACH" => about("ATTACH").map(Self::Attach),
+            // What was sent goes back to a terminal: no longer than it helps, and nothing that steers it.
+            other => Err(CallError::Unknown(other.chars().filter(|c| !c.is_control()).take(20).collect())),
+        }
+    }
+}
+
+fn is_name(text: &str) -> bool {
+    text.len() <= LONGEST_NAME && !text.chars().any(char::is_control)
+}
+
+/// A yes, with what there is to say.
+#[must_use]
+pub fn yes(about: &str) -> String {
+    if about.is_empty() { "OK\n".into() } else { format!("OK {about}\n") }
+}
+
+/// A no, with its reason.
+#[must_use]
+pub fn no(why: &str) -> String {
+    format!("ERR {why}\n")
+}
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -526,6 +526,12 @@
         (f64::from(self.settings.nodes) * self.pools.width as f64 / servers.max(1) as f64).max(1.0)
     }
 
+    /// Whether a server gets nothing new for now: it is not ready, set aside or silent.
+    #[must_use]
+    pub fn avoids(&self, id: ServerId) -> bool {
+        self.slots.get(&id).is_none_or(|&slot| !self.servers[slot].ready || self.out_of_order(slot))
+    }
+
     /// Set aside, or silent for so long that it may be hung: a hung server gives no samples, so the
     /// age of what is outstanding counts as its latency.
     fn out_of_order(&self, slot: usize) -> bool {
--- a/crates/rig/src/scripted.rs
+++ b/crates/rig/src/scripted.rs
@@ -307,6 +307,10 @@
     pub aim_ms: u64,
     /// More of `ceilings`.
     pub ceilings: &'static str,
+    /// Where staff's calls are kept; `None`: they can't call.
+    pub folder: Option<PathBuf>,
+    /// A socket for clients that the platform holds, in place of one that the node opens.
+    pub socket: Option<TcpListener>,
 }
 
 impl Setup {
@@ -320,23 +324,26 @@
             mode: "subscribe",
             aim_ms: 10_000,
             ceilings: "",
+            folder: None,
+            socket: None,
         }
     }
 
     /// Has the environment name discovery as well, as a deployment does.
     pub fn start_by_environment(self) -> Node {
-        Node::start(&self.text(), Some(self.discovery))
+        Node::start(&self, Some(self.discovery))
     }
 
     /// Starts it.
     pub fn start(self) -> Node {
-        Node::start(&self.text(), None)
+        Node::start(&self, None)
     }
 
     fn text(&self) -> String {
         format!(
-            r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{}","seed":"8c1f30d27a5be964",
+            r#"{{"name":"n0","listen":"127.0.0.1:0"{},"discovery":"{}","seed":"8c1f30d27a5be964",
             "limits":{{"cores":1.0,"memory_mb":192,"sockets":256}},"known":{},"settings":{}}}"#,
+            if self.folder.is_some() { ",\"admin\":\"127.0.0.1:0\"" } else { "" },
             self.discovery,
             self.known,
             settings(self.mode, self.aim_ms, self.ceilings)
@@ -357,11 +364,15 @@
 
 fn command(config: &Path) -> Command {
     let mut command = Command::new(built("pumicehead").unwrap());
+    with_environment(&mut command, config);
+    command
+}
+
+fn with_environment(command: &mut Command, config: &Path) {
     command.env("EDGE_CONFIG", config).stderr(Stdio::piped());
-    for name in ["EDGE_NAME", "EDGE_LISTEN", "EDGE_DISCOVERY"] {
+    for name in ["EDGE_NAME", "EDGE_LISTEN", "EDGE_DISCOVERY", "EDGE_ADMIN", "EDGE_FD"] {
         command.env_remove(name);
     }
-    command
 }
 
 /// Runs a node that is to end by itself at once: its code and what it said.
@@ -376,23 +387,64 @@
     config: PathBuf,
     /// Where it listens.
     pub address: SocketAddr,
+    /// Where it takes calls, if it does.
+    calls: Option<SocketAddr>,
 }
 
 impl Node {
-    fn start(text: &str, discovery: Option<SocketAddr>) -> Self {
-        let config = config_file(text);
-        let mut command = command(&config);
+    fn start(setup: &Setup, discovery: Option<SocketAddr>) -> Self {
+        let config = config_file(&setup.text());
+        let mut command = match &setup.socket {
+            None => command(&config),
+            Some(socket) => {
+                // The shell puts it where the platform does.
+                let mut command = Command::new("sh");
+                let socket = std::os::fd::OwnedFd::from(socket.try_clone().unwrap());
+                command.args(["-c", "exec \"$0\" 7<&0 0</dev/null"]).arg(built("pumicehead").unwrap());
+                with_environment(&mut command, &config);
+                command.env("EDGE_FD", "7").stdin(Stdio::from(socket));
+                command
+            }
+        };
+        if let Some(folder) = &setup.folder {
+            command.env("TMPDIR", folder);
+        }
         if let Some(address) = discovery {
             command.env("EDGE_DISCOVERY", address.to_string());
         }
         let mut child = command.spawn().unwrap();
         let mut log = BufReader::new(child.stderr.take().unwrap());
-        let mut first = String::new();
-        log.read_line(&mut first).unwrap();
-        let address = first.trim().rsplit(' ').next().and_then(|text| text.parse().ok());
-        let address = address.unwrap_or_else(|| panic!("no address in `{first}`"));
+        let mut address = || {
+            let mut line = String::new();
+            log.read_line(&mut line).unwrap();
+            let address = line.trim().rsplit(' ').next().and_then(|text| text.parse().ok());
+            address.unwrap_or_else(|| panic!("no address in `{line}`"))
+        };
+        let (address, calls) = (address(), setup.folder.is_some().then(&mut address));
         thread::spawn(move || std::io::copy(&mut log, &mut std::io::sink()));
-        Self { child, config, address }
+        Self { child, config, address, calls }
+    }
+
+    /// A connection to where staff call.
+    pub fn caller(&self) -> TcpStream {
+        let stream = TcpStream::connect(self.calls.expect("it takes calls")).unwrap();
+        stream.set_read_timeout(Some(LIMIT)).unwrap();
+        stream
+    }
+
+    /// The whole answer to a call.
+    pub fn call(&self, line: &str) -> String {
+        let mut caller = self.caller();
+        caller.write_all(format!("{line}\n").as_bytes()).unwrap();
+        std::io::read_to_string(caller).unwrap()
+    }
+
+    /// One of its figures; `None` where it has none of that name.
+    pub fn figure(&self, name: &str) -> Option<u64> {
+        let text = self.call("INFO");
+        assert!(text.ends_with("\nEND\n"), "{text}");
+        let value = text.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix(':'))?;
+        value.split('|').next()?.parse().ok()
     }
 
     /// A new connection.
