A new version takes over what the old one has learned, and asks discovery at once

(3) 15 to 20% refused after each start beside itself.

- What the book or an earlier process knows was listed once.
- A process on an inherited socket asks discovery at once.
- policy/knowledge.rs: classes, limits, latency, what is set aside, handed on by a file each second; believed less with age, not of servers started since.

--- a/crates/node/src/net/ask.rs
+++ b/crates/node/src/net/ask.rs
@@ -10,6 +10,7 @@
 use hyper::{Method, StatusCode, Uri};
 use pumicehead_ops::figures::Outcome;
 use pumicehead_policy::interface::{Nanos, RequestId, Settings};
+use pumicehead_policy::policy::Knowledge;
 use rustc_hash::FxHashSet;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::Instant;
@@ -200,6 +201,13 @@
         members.await.unwrap_or_default()
     }
 
+    /// What the module has learned; none where the loop has ended.
+    pub async fn knowledge(&self) -> Option<Knowledge> {
+        let (reply, learned) = oneshot::channel();
+        let _ = self.messages.send(Message::Learned(reply));
+        learned.await.ok()
+    }
+
     /// Has all that is still open fail now: the process is about to end.
     pub fn give_up(&self) {
         let _ = self.messages.send(Message::GiveUp);
--- a/crates/node/src/net/core.rs
+++ b/crates/node/src/net/core.rs
@@ -11,7 +11,7 @@
     Action, AttemptNo, ClassId, Discovery, Ended, Event, ListChange, Nanos, NewRequest, Outcome, RequestId,
     SECOND, ServerId, Settings, TenantId, TimerToken,
 };
-use pumicehead_policy::policy::Balancer;
+use pumicehead_policy::policy::{Balancer, Knowledge};
 use rustc_hash::FxHashMap;
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::{self, AbortHandle};
@@ -28,6 +28,8 @@
 const OVERDUE: Nanos = SECOND / 100;
 /// Advice with a refusal of what could not be sent again.
 const RETRY_AFTER: Nanos = SECOND / 2;
+/// What an earlier process has learned is taken over for so long.
+const WORTH: Nanos = 30 * SECOND;
 /// How often idle connections are looked over.
 const SWEEP: Nanos = SECOND;
 /// Pause before an agent that pushes the list is asked again.
@@ -44,6 +46,9 @@
         discovery: SocketAddr,
         /// The list as it was known last; where there is none, the service is asked at once.
         known: Option<List>,
+        /// It is asked at once all the same, and not when the module thinks best: this process takes over from another,
+        /// whose news bind it.
+        at_once: bool,
     },
     /// The configuration has it.
     Fixed(List),
@@ -63,6 +68,8 @@
     pub transport: Rc<dyn Transport>,
     /// Servers taken out by hand.
     pub hands: Rc<Hands>,
+    /// What an earlier process of this node has learned.
+    pub learned: Option<Knowledge>,
 }
 
 /// Servers in the list.
@@ -99,6 +106,7 @@
     /// The book of servers taken out has changed for these.
     Restate(Vec<String>),
     Look(oneshot::Sender<Members>),
+    Learned(oneshot::Sender<Knowledge>),
 }
 
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -152,6 +160,8 @@
     /// Ways to this loop that are left: a request may still be on its way to be asked.
     handles: Weak<Cell<u32>>,
     retired: bool,
+    /// Taken over as servers become known, for as long as it is worth anything.
+    learned: Option<Knowledge>,
 }
 
 impl Core {
@@ -160,9 +170,9 @@
         let (to_self, messages) = mpsc::unbounded_channel();
         let (handle, handles) = Handle::new(to_self.clone(), held);
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        let (discovery, known, fixed) = match setup.source {
-            Source::Watch { discovery, known } => (Some(discovery), known, None),
-            Source::Fixed(list) => (None, None, Some(list)),
+        let (discovery, known, at_once, fixed) = match setup.source {
+            Source::Watch { discovery, known, at_once } => (Some(discovery), known, at_once, None),
+            Source::Fixed(list) => (None, None, false, Some(list)),
         };
         let mut core = Self {
             pushed: setup.settings.discovery == Discovery::Push,
@@ -182,13 +192,14 @@
             watches: 0,
             handles,
             retired: false,
+            learned: setup.learned,
         };
         core.timers.insert((core.now() + SWEEP, Due::Sweep));
         if let Some(list) = fixed {
             core.set_servers(list);
             return (core, handle);
         }
-        let ask_now = core.pushed || known.is_none();
+        let ask_now = core.pushed || at_once || known.is_none();
         if let Some(known) = known
             && let Err(error) = core.on_list(known, true)
         {
@@ -241,7 +252,15 @@
     fn feed(&mut self) {
         let mut actions = Vec::new();
         while let Some(event) = self.events.pop_front() {
+            let listed = matches!(event, Event::Members(_));
             self.balancer.handle(self.now(), event, &mut actions);
+            let now = self.now();
+            if let Some(learned) = self.learned.take_if(|learned| listed || learned.age(now) > WORTH)
+                && learned.age(now) <= WORTH
+            {
+                self.balancer.inherit(&learned, now);
+                self.learned = Some(learned);
+            }
             for action in actions.drain(..) {
                 self.act(action);
             }
@@ -332,6 +351,7 @@
                 // Whoever asked may have gone.
                 let _ = reply.send(Members { listed, unavailable });
             }
+            Message::Learned(reply) => drop(reply.send(self.balancer.knowledge(self.now()))),
             Message::GiveUp => {
                 let open: Vec<_> = self.open.keys().copied().collect();
                 for id in open {
--- a/crates/node/src/platform/admin.rs
+++ b/crates/node/src/platform/admin.rs
@@ -15,6 +15,7 @@
 use tokio::task::{self, AbortHandle};
 use tokio::time::{sleep, timeout};
 
+use super::handover::{Handover, Left};
 use super::keep::Keep;
 use crate::net::ask::{Handle, Held};
 use crate::net::front::Front;
@@ -31,6 +32,8 @@
 const TURN_WAIT: Duration = Duration::from_millis(800);
 /// How often the file of the book is looked at: another process of this node may have been called.
 const LOOK: Duration = Duration::from_millis(200);
+/// How often what was learned is written down: a new version believes it less the older it is, and starts at any time.
+const HAND_OVER: Duration = Duration::from_secs(1);
 /// Pause after an accept that failed for lack of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -48,6 +51,8 @@
     pub hands: Rc<Hands>,
     /// Where that is kept; without a place for it, in memory alone. One call changes it at a time.
     pub keep: Mutex<Option<Keep>>,
+    /// What the next process is to know of this one, where there may be one.
+    pub handover: Option<Handover>,
 }
 
 /// A caller's task; whoever has waited longest is first.
@@ -89,6 +94,20 @@
         }
     }
 
+    /// Leaves what this process has learned for the next one, until it ends.
+    pub async fn hand_over(self: Rc<Self>) {
+        let Some(handover) = &self.handover else { return };
+        while !self.front.is_draining() {
+            sleep(HAND_OVER).await;
+            let Some(knowledge) = self.core.knowledge().await else { return };
+            let listed = self.hands.listed.borrow().names().map(str::to_owned).collect();
+            if let Err(error) = handover.write(&Left { listed, knowledge }) {
+                eprintln!("what this process has learned is not left for the next: {error}");
+                return;
+            }
+        }
+    }
+
     async fn take(&self, mut stream: TcpStream) -> io::Result<()> {
         let Ok(line) = timeout(PATIENCE, line(&mut stream)).await else { return Ok(()) };
         let answer = match line? {
@@ -136,7 +155,10 @@
     }
 
     async fn set_out(&self, server: &str, out: bool) -> String {
-        if let Err(error) = self.hands.listed.borrow().check(server) {
+        let known = self.hands.book.borrow().knows(server);
+        if let Err(error) = self.hands.listed.borrow().check(server)
+            && !known
+        {
             return no(&error.to_string());
         }
         let Ok(mut keep) = timeout(TURN_WAIT, self.keep.lock()).await else {
--- a/crates/node/src/platform/mod.rs
+++ b/crates/node/src/platform/mod.rs
@@ -4,11 +4,13 @@
 mod admin;
 pub mod admission;
 pub mod config;
+mod handover;
 pub mod inherited;
 mod keep;
 
 use std::env;
 use std::error::Error;
+use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -31,6 +33,7 @@
 use admin::{Admin, MOST_CALLERS};
 use admission::Platform;
 use config::Config;
+use handover::Handover;
 use keep::Keep;
 
 /// Bodies of requests up to this are always read whole.
@@ -71,7 +74,14 @@
     let places = Places::of(config.sockets, 1 + others);
     let figures = Rc::new(Figures::new(config.boot.classes.iter().map(|class| class.name.clone())));
     let hands = Rc::new(Hands::default());
-    let mut keep = env::var_os("TMPDIR").map(|folder| Keep::new(folder.into(), &config.name));
+    let folder = env::var_os("TMPDIR").map(PathBuf::from);
+    // Only where a next process may start beside this one.
+    let handover = folder.as_ref().filter(|_| shared).map(|folder| Handover::new(folder, &config.name));
+    let left = handover.as_ref().and_then(Handover::read);
+    for name in left.iter().flat_map(|left| &left.listed) {
+        hands.listed.borrow_mut().add(name);
+    }
+    let mut keep = folder.map(|folder| Keep::new(folder, &config.name));
     if let Some(keep) = keep.as_mut().filter(|_| calls.is_some()) {
         match keep.changed() {
             Ok(book) => *hands.book.borrow_mut() = book.unwrap_or_default(),
@@ -94,9 +104,14 @@
         settings: config.settings.clone(),
         seed: config.seed,
         zones: config.boot.zones.clone(),
-        source: Source::Watch { discovery: config.discovery, known: Some(config.known.clone()) },
+        source: Source::Watch {
+            discovery: config.discovery,
+            known: Some(config.known.clone()),
+            at_once: shared,
+        },
         transport: Upstream::new(connections, dial, idle, reader, figures.upstream_requests.clone()),
         hands: hands.clone(),
+        learned: left.map(|left| left.knowledge),
     };
     let held = Held::default();
     let (core, handle) = Core::new(setup, held.clone());
@@ -134,9 +149,11 @@
             figures: figures.clone(),
             hands,
             keep: Mutex::new(keep),
+            handover,
         };
         let admin = Rc::new(admin);
         task::spawn_local(admin.clone().follow());
+        task::spawn_local(admin.clone().hand_over());
         task::spawn_local(admin.serve(calls));
     }
     task::spawn_local(async move {
--- a/crates/node/src/standalone/site.rs
+++ b/crates/node/src/standalone/site.rs
@@ -393,10 +393,13 @@
         zones: footing.zones.clone(),
         source: match &pool.members {
             Members::Static(_) => Source::Fixed(servers(config, pool)),
-            Members::Discovery { address, .. } => Source::Watch { discovery: *address, known: None },
+            Members::Discovery { address, .. } => {
+                Source::Watch { discovery: *address, known: None, at_once: false }
+            }
         },
         transport,
         hands: Rc::default(),
+        learned: None,
     };
     let (core, handle) = Core::new(setup, held.clone());
     task::spawn_local(core.run());
--- a/crates/node/tests/operations.rs
+++ b/crates/node/tests/operations.rs
@@ -203,6 +203,45 @@
     assert!(lost.is_empty() && statuses.iter().filter(|&&status| status == 200).count() > 200, "{lost:?}");
 }
 
+/// Guards that a process which takes over asks discovery at once: what its predecessor was told binds it. And that what was
+/// listed to that one is known to it.
+#[test]
+fn a_new_version_hears_of_drains_at_once() {
+    let (one, other) = (Backend::start(|_| ok("done")), Backend::start(|_| ok("done")));
+    let discovery = Discovery::start();
+    let socket = TcpListener::bind("127.0.0.1:0").unwrap();
+    let kept = folder();
+    let start = || {
+        let socket = Some(socket.try_clone().unwrap());
+        let folder = Some(kept.clone());
+        Setup {
+            folder,
+            socket,
+            discovery: discovery.address,
+            slow_to_ask: true,
+            ..Setup::of(&[&one, &other])
+        }
+        .start()
+    };
+    let old = start();
+    let (_, lines) = discovery.next();
+    let third = host("s-2", other.address, "active");
+    lines.send(list(2, false, &[third])).unwrap();
+    wait_for("three servers", || old.figure("node.members") == Some(3));
+    assert_eq!(old.call("DETACH s-2"), "OK\n");
+    let gone = host("s-2", other.address, "left");
+    lines.send(list(3, false, &[gone])).unwrap();
+    wait_for("two servers", || old.figure("node.members") == Some(2));
+    let new = start();
+    let (_, lines) = discovery.next();
+    let leaving = host("s-0", one.address, "leaving");
+    lines.send(list(4, false, &[leaving])).unwrap();
+    wait_for("the news", || new.figure("node.members_unavailable") == Some(1));
+    // Never listed to this process, but to the one before.
+    assert_eq!(new.call("ATTACH s-2"), "OK\n");
+    assert!(new.call("ATTACH s-3").starts_with("ERR "));
+}
+
 /// Guards that a process without a place to keep the book, or with a damaged one, still serves and takes calls.
 #[test]
 fn a_damaged_book_does_not_keep_a_node_from_its_work() {
--- a/crates/ops/src/book.rs
+++ b/crates/ops/src/book.rs
@@ -147,6 +147,12 @@
         }
     }
 
+    /// Whether it says anything about a server: then that was listed once, if only to an earlier process.
+    #[must_use]
+    pub fn knows(&self, server: &str) -> bool {
+        self.hands.contains_key(server)
+    }
+
     /// Names whose entries differ between two books.
     #[must_use]
     pub fn changed(&self, other: &Self) -> BTreeSet<String> {
@@ -171,6 +177,11 @@
         self.0.insert(name.to_owned());
     }
 
+    /// All of them.
+    pub fn names(&self) -> impl Iterator<Item = &str> {
+        self.0.iter().map(String::as_str)
+    }
+
     /// Whether it was ever there.
     ///
     /// # Errors
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -15,6 +15,7 @@
 //! 6. `on_ended` learns the server's latency and limit, then answers, retries or waits (`settle`).
 //! 7. Every final answer of ours comes from `finish`, which asks `may_refuse` whether it may be a refusal.
 
+mod knowledge;
 mod retune;
 
 use std::sync::Arc;
@@ -33,6 +34,7 @@
 use crate::state::{Attempt, ClassState, Flow, Pools, Queues, RATE_S, Ran, Request, Server, TenantState};
 use crate::timer::{T_AGAIN, T_ASK, T_GIVE_UP, T_HANG_UP, T_HEDGE, T_PUMP, T_TURN};
 use crate::turns::Turns;
+pub use knowledge::Knowledge;
 
 /// Servers compared for one pick: enough to avoid a bad one, few enough for 10 us and against herding.
 const SAMPLE: usize = 5;
@@ -526,12 +528,6 @@
         (f64::from(self.settings.nodes) * self.pools.width as f64 / servers.max(1) as f64).max(1.0)
     }
 
-    /// Whether a server gets nothing new for now: it is not ready, set aside or silent.
-    #[must_use]
-    pub fn avoids(&self, id: ServerId) -> bool {
-        self.slots.get(&id).is_none_or(|&slot| !self.servers[slot].ready || self.out_of_order(slot))
-    }
-
     /// Set aside, or silent for so long that it may be hung: a hung server gives no samples, so the
     /// age of what is outstanding counts as its latency.
     fn out_of_order(&self, slot: usize) -> bool {
--- a/crates/policy/src/policy/retune.rs
+++ b/crates/policy/src/policy/retune.rs
@@ -32,6 +32,12 @@
         cold.map(|server| (server.id, self.pools.warm_rate))
     }
 
+    /// Whether a server gets nothing new for now: it is not ready, set aside or silent.
+    #[must_use]
+    pub fn avoids(&self, id: ServerId) -> bool {
+        self.slots.get(&id).is_none_or(|&slot| !self.servers[slot].ready || self.out_of_order(slot))
+    }
+
     /// Goes on with other settings; they should have passed [`Settings::check`]. Requests that are held keep their worth
     /// and their aim. Tells whether [`Settings::retunes_to`] allows it; where not, nothing is changed.
     pub fn retune(&mut self, settings: Settings) -> bool {
--- /dev/null
+++ b/crates/policy/tests/knowledge.rs
@@ -0,0 +1,164 @@
+//! What one process hands to the next, and how far it is believed.
+
+use pumicehead_policy::interface::*;
+use pumicehead_policy::policy::{Balancer, Knowledge};
+
+const HOUR: Nanos = 3_600 * SECOND;
+
+fn settings() -> Settings {
+    let boot: pumicehead_policy::boot::Boot = serde_json::from_str(
+        r#"{"classes":[{"name":"read","effect":"pure","deadline_ns":2000000000,"target_ns":400000000}],
+        "zones":["a"],"ceilings":{"max_attempts":3,"cancel":true}}"#,
+    )
+    .unwrap();
+    boot.settings().unwrap()
+}
+
+fn info(id: u32, started_at: Nanos) -> ServerInfo {
+    let (zone, cell) = (ZoneId(0), CellId(0));
+    ServerInfo { id: ServerId(id), zone, cell, condition: Condition::Ready, weight: 1.0, started_at }
+}
+
+fn listing(servers: &[ServerInfo]) -> Event {
+    Event::Members(ListChange::Full(servers.into()))
+}
+
+/// One that has served from `start` on for some seconds, two servers, 25 ms each.
+fn learned(start: Nanos, answer: Outcome) -> (Balancer, Nanos) {
+    let mut balancer = Balancer::new(settings(), 7);
+    let (mut actions, mut now) = (Vec::new(), start);
+    balancer.handle(now, listing(&[info(1, 5), info(2, 5)]), &mut actions);
+    for id in 0..400 {
+        now += SECOND / 100;
+        let request = NewRequest {
+            id: RequestId(id),
+            class: ClassId(0),
+            tenant: None,
+            hint: None,
+            key: None,
+            not_after: now + 2 * SECOND,
+        };
+        actions.clear();
+        balancer.handle(now, Event::Request(request), &mut actions);
+        let sent: Vec<_> = actions
+            .iter()
+            .filter_map(|action| match action {
+                Action::Send { id, server, .. } => Some((*id, *server)),
+                _ => None,
+            })
+            .collect();
+        now += SECOND / 40;
+        for (id, server) in sent {
+            let (attempt, took) = (AttemptNo(0), SECOND / 40);
+            let outcome = if server.0 == 2 { answer } else { Outcome::Ok };
+            let ended = Ended { id, attempt, server, outcome, took, complete: true };
+            balancer.handle(now, Event::Ended(ended), &mut Vec::new());
+        }
+    }
+    (balancer, now)
+}
+
+fn text(knowledge: &Knowledge) -> serde_json::Value {
+    serde_json::to_value(knowledge).unwrap()
+}
+
+fn limit(balancer: &Balancer, now: Nanos, id: u32) -> f64 {
+    let known = text(&balancer.knowledge(now));
+    let server = known["servers"].as_array().unwrap().iter().find(|server| server["id"] == id);
+    server.map_or(0.0, |server| server["limit"].as_f64().unwrap())
+}
+
+/// A newcomer that has been told of the servers, and of what was learned `later`.
+fn newcomer(known: &Knowledge, now: Nanos, servers: &[ServerInfo]) -> Balancer {
+    let mut balancer = Balancer::new(settings(), 8);
+    balancer.handle(now, listing(servers), &mut Vec::new());
+    balancer.inherit(known, now);
+    balancer
+}
+
+#[test]
+fn a_newcomer_knows_what_was_known_and_believes_it_less_with_age() {
+    let (old, now) = learned(SECOND, Outcome::Ok);
+    let known = old.knowledge(now);
+    let back: Knowledge = serde_json::from_value(text(&known)).unwrap();
+    assert_eq!(back, known);
+    let servers = [info(1, 5), info(2, 5)];
+    let cold = Balancer::new(settings(), 8);
+    let plain = {
+        let mut plain = cold;
+        plain.handle(now, listing(&servers), &mut Vec::new());
+        limit(&plain, now, 1)
+    };
+    let limits: Vec<f64> = [0, SECOND, 5 * SECOND, 30 * SECOND, HOUR]
+        .map(|later| limit(&newcomer(&known, now + later, &servers), now + later, 1))
+        .into();
+    assert!(limit(&old, now, 1) > plain, "it has learned that there is room");
+    assert_eq!(limits[0], limit(&old, now, 1));
+    assert!(limits.is_sorted_by(|a, b| a >= b), "{limits:?}");
+    assert_eq!(limits[4], plain, "an hour old it is worth nothing");
+}
+
+#[test]
+fn what_has_started_since_is_unknown() {
+    let (old, now) = learned(SECOND, Outcome::Ok);
+    let new = newcomer(&old.knowledge(now), now, &[info(1, now), info(2, 5)]);
+    let plain = newcomer(&Balancer::new(settings(), 1).knowledge(now), now, &[info(1, now), info(2, 5)]);
+    assert_eq!(limit(&new, now, 1), limit(&plain, now, 1));
+    assert!(limit(&new, now, 2) > limit(&plain, now, 2));
+}
+
+#[test]
+fn a_server_set_aside_is_so_for_the_newcomer_too() {
+    let (old, now) = learned(SECOND, Outcome::Reset);
+    let aside =
+        |balancer: &Balancer, now| balancer.avoids(ServerId(2)) && !balancer.avoids(ServerId(1)) && now > 0;
+    let until = text(&old.knowledge(now))["servers"][1]["aside_until"].as_u64().unwrap();
+    assert!(until > 0, "its failures have set it aside");
+    let at = until - 1;
+    let new = newcomer(&old.knowledge(at), at, &[info(1, 5), info(2, 5)]);
+    assert!(aside(&new, at));
+}
+
+#[test]
+fn what_can_not_be_true_is_passed_over() {
+    let (old, now) = learned(SECOND, Outcome::Ok);
+    let servers = [info(1, 5), info(2, 5)];
+    let plain = newcomer(&Balancer::new(settings(), 1).knowledge(now), now, &servers).knowledge(now);
+    let good = text(&old.knowledge(now));
+    let changes: [(&str, serde_json::Value); 5] = [
+        ("/v", 2.into()),
+        ("/classes", serde_json::json!([])),
+        ("/classes/0/mean", (-1.0).into()),
+        ("/demand", 1e12.into()),
+        ("/calms/0/calm", 1e300.into()),
+    ];
+    for (at, value) in changes {
+        let mut bad = good.clone();
+        *bad.pointer_mut(at).unwrap() = value;
+        let bad: Knowledge = serde_json::from_value(bad).unwrap();
+        assert_eq!(newcomer(&bad, now, &servers).knowledge(now), plain, "{at}");
+    }
+    // One server's own nonsense is that server's alone.
+    let mut bad = good;
+    bad["servers"][0]["limit"] = 1e9.into();
+    let bad: Knowledge = serde_json::from_value(bad).unwrap();
+    let new = newcomer(&bad, now, &servers);
+    assert!(limit(&new, now, 1) < 100.0 && limit(&new, now, 2) > 0.0);
+    // A misled donor can't keep a server aside for longer than this module would by itself.
+    let mut bad = text(&old.knowledge(now));
+    bad["servers"][0]["aside_until"] = u64::MAX.into();
+    let bad: Knowledge = serde_json::from_value(bad).unwrap();
+    let mut new = newcomer(&bad, now, &servers);
+    assert!(new.avoids(ServerId(1)));
+    new.handle(now + 9 * SECOND, listing(&servers), &mut Vec::new());
+    assert!(!new.avoids(ServerId(1)));
+}
+
+#[test]
+fn own_answers_are_never_overridden() {
+    let (old, now) = learned(SECOND, Outcome::Ok);
+    let (mut own, later) = learned(now, Outcome::Reset);
+    let before = own.knowledge(later);
+    own.inherit(&old.knowledge(now), later);
+    assert_eq!(own.knowledge(later), before);
+}
--- a/crates/rig/src/scripted.rs
+++ b/crates/rig/src/scripted.rs
@@ -307,6 +307,8 @@
     pub aim_ms: u64,
     /// More of `ceilings`.
     pub ceilings: &'static str,
+    /// It may take a minute and more before it asks discovery.
+    pub slow_to_ask: bool,
     /// Where staff's calls are kept; `None`: they can't call.
     pub folder: Option<PathBuf>,
     /// A socket for clients that the platform holds, in place of one that the node opens.
@@ -324,6 +326,7 @@
             mode: "subscribe",
             aim_ms: 10_000,
             ceilings: "",
+            slow_to_ask: false,
             folder: None,
             socket: None,
         }
@@ -340,6 +343,7 @@
     }
 
     fn text(&self) -> String {
+        let ask_every = if self.slow_to_ask { 600_000_000_000u64 } else { 200_000_000 };
         format!(
             r#"{{"name":"n0","listen":"127.0.0.1:0"{},"discovery":"{}","seed":"8c1f30d27a5be964",
             "limits":{{"cores":1.0,"memory_mb":192,"sockets":256}},"known":{},"settings":{}}}"#,
@@ -347,6 +351,7 @@
             self.discovery,
             self.known,
             settings(self.mode, self.aim_ms, self.ceilings)
+                .replace("\"ask_every_ns\":200000000", &format!("\"ask_every_ns\":{ask_every}"))
         )
     }
 }
