--- a/crates/node/tests/streaming.rs
+++ b/crates/node/tests/streaming.rs
@@ -301,7 +301,7 @@
     assert_eq!(backend.count(), 1);
 }
 
-/// Guards the bound: what says that it is too long is told so at once, what does not when it is.
+/// Guards the bound: what says that it is too long is told so at once.
 #[test]
 fn what_is_too_long_is_turned_away() {
     let backend = Backend::start(|_| ok("done"));
