Module: its reasons are told as notes beside the actions, in place of worded log lines

Whoever asked why a request was refused had to add lines to the log and build anew. The module now notes the rule of each final answer of its own, the reason not to retry, each pick with its runner-up and what stood in the way of the servers passed over, limits as they move and why, servers aside and back. Words and the pause between log lines are no decisions and moved to note.rs; the action Log is gone. Without a listener only news are kept.

--- a/crates/node/src/net/core.rs
+++ b/crates/node/src/net/core.rs
@@ -11,6 +11,7 @@
     Action, AttemptNo, ClassId, Discovery, Ended, Event, ListChange, Nanos, NewRequest, Outcome, RequestId,
     SECOND, ServerId, Settings, TenantId, TimerToken,
 };
+use pumicehead_policy::note::News;
 use pumicehead_policy::policy::{Balancer, Knowledge};
 use rustc_hash::FxHashMap;
 use tokio::sync::{mpsc, oneshot};
@@ -141,6 +142,7 @@
 /// The event loop's state.
 pub struct Core {
     balancer: Balancer,
+    news: News,
     roster: Roster,
     messages: mpsc::UnboundedReceiver<Message>,
     to_self: mpsc::UnboundedSender<Message>,
@@ -179,6 +181,7 @@
             full_unproven: setup.settings.full_unproven,
             retry_after: setup.settings.retry_after,
             balancer: Balancer::new(setup.settings, setup.seed),
+            news: News::default(),
             roster: Roster::new(setup.zones, setup.transport, setup.hands),
             messages,
             to_self,
@@ -253,7 +256,13 @@
         let mut actions = Vec::new();
         while let Some(event) = self.events.pop_front() {
             let listed = matches!(event, Event::Members(_));
-            self.balancer.handle(self.now(), event, &mut actions);
+            let now = self.now();
+            self.balancer.handle(now, event, &mut actions);
+            for note in self.balancer.notes() {
+                if let Some(line) = self.news.line(note, now) {
+                    eprintln!("{line}");
+                }
+            }
             let now = self.now();
             if let Some(learned) = self.learned.take_if(|learned| listed || learned.age(now) > WORTH)
                 && learned.age(now) <= WORTH
@@ -528,7 +537,6 @@
                 }
             }
             Action::Subscribe => self.subscribe(),
-            Action::Log(line) => eprintln!("{line}"),
             // There is no way to other nodes here; the configuration keeps notes off.
             Action::Tell { .. } => {}
         }
--- a/crates/policy/src/interface.rs
+++ b/crates/policy/src/interface.rs
@@ -407,6 +407,4 @@
     FreeLinks(ServerId),
     /// Have changes of the list delivered from now on.
     Subscribe,
-    /// A line for the node's log.
-    Log(String),
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod boot;
 pub mod interface;
 pub mod meter;
+pub mod note;
 pub mod peers;
 pub mod policy;
 mod state;
@@ -15,4 +16,5 @@
 pub mod turns;
 
 pub use interface::{Action, Event, Settings};
+pub use note::Note;
 pub use policy::Balancer;
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -16,6 +16,7 @@
 //! 7. Every final answer of ours comes from `finish`, which asks `may_refuse` whether it may be a refusal.
 
 mod knowledge;
+mod listen;
 mod retune;
 
 use std::sync::Arc;
@@ -30,6 +31,7 @@
     NewRequest, Outcome, RequestId, SECOND, ServerId, ServerInfo, Settings, TenantId, TimerToken, ZoneId,
 };
 use crate::meter::{mix, nanos, ring, seconds};
+use crate::note::{Hurdle, Look, Moved, Note, Rule, Stop};
 use crate::peers::{self, Peers};
 use crate::state::{Attempt, ClassState, Flow, Pools, Queues, RATE_S, Ran, Request, Server, TenantState};
 use crate::timer::{T_AGAIN, T_ASK, T_GIVE_UP, T_HANG_UP, T_HEDGE, T_PUMP, T_TURN};
@@ -121,8 +123,6 @@
 const REFRESH: Nanos = SECOND / 20;
 /// Between two tries to place held requests when no event frees a place.
 const PUMP: Nanos = SECOND / 50;
-/// Least time between two log lines of one kind.
-const LOG_EVERY: Nanos = 5 * SECOND;
 
 /// Tiers, highest first, as indices of the queues.
 const HIGHEST: usize = 0;
@@ -160,7 +160,9 @@
     queues: Queues,
     pumping: bool,
     overload: bool,
-    logged: [Nanos; 6],
+    /// What the event at hand was decided by, for whoever listens.
+    notes: Vec<Note>,
+    telling: bool,
 }
 
 impl Balancer {
@@ -191,15 +193,17 @@
             queues: Queues::default(),
             pumping: false,
             overload: false,
-            logged: [0; 6],
+            notes: Vec::new(),
+            telling: false,
         }
     }
 
     /// Decides on one event at `now` and appends what is to be done to `actions`.
     pub fn handle(&mut self, now: Nanos, event: Event, actions: &mut Vec<Action>) {
         self.now = self.now.max(now);
+        self.notes.clear();
         if self.now >= self.pools.refreshed + REFRESH {
-            self.refresh(actions);
+            self.refresh();
         }
         while let Some(key) = self.turns.rested(self.now) {
             self.next_turn(key);
@@ -229,13 +233,6 @@
         &self.settings.classes[usize::from(class.0)]
     }
 
-    fn log(&mut self, kind: usize, line: &str, actions: &mut Vec<Action>) {
-        if self.logged[kind] == 0 || self.now >= self.logged[kind] + LOG_EVERY {
-            self.logged[kind] = self.now;
-            actions.push(Action::Log(line.into()));
-        }
-    }
-
     // ---- Membership -----------------------------------------------------------------------------
 
     fn on_members(&mut self, change: &ListChange, actions: &mut Vec<Action>) {
@@ -249,7 +246,7 @@
             ListChange::Failed => {
                 self.subscribed = false;
                 self.ask_fails += 1;
-                self.log(0, "list of servers lost, going on with the last one", actions);
+                self.notes.push(Note::ListLost);
             }
         }
         if self.settings.discovery == Discovery::Ask {
@@ -259,7 +256,7 @@
             self.hang_up(slot, actions);
         }
         self.rerank();
-        self.refresh(actions);
+        self.refresh();
     }
 
     /// A draining server waits for its connections to end: idle ones are closed at the notice, and again
@@ -284,7 +281,7 @@
             }
             _ => {
                 if !self.subscribed && self.ask_fails > 0 {
-                    self.log(5, "list of servers regained", actions);
+                    self.notes.push(Note::ListRegained);
                 }
                 self.subscribed = true;
                 self.ask_fails = 0;
@@ -403,7 +400,7 @@
     // ---- Server health and limits ---------------------------------------------------------------
 
     /// Looks over the servers in use: who is out of order, how many are needed, what room they give.
-    fn refresh(&mut self, actions: &mut Vec<Action>) {
+    fn refresh(&mut self) {
         self.pools.refreshed = self.now;
         self.note_out();
         let means = self.classes.iter().map(|class| class.mean).sum::<f64>() / self.classes.len() as f64;
@@ -456,13 +453,13 @@
         let most = bad * 2 > all;
         if most != self.pools.most_aside {
             self.pools.most_aside = most;
-            self.log(1, &format!("{bad} of {all} servers look out of order; most in doubt: {most}"), actions);
+            self.notes.push(Note::Doubt { bad, all, most });
         }
         self.move_limits();
         self.sum_up();
         if self.overload && self.queues.order.is_empty() {
             self.overload = false;
-            self.log(3, "overload left", actions);
+            self.notes.push(Note::Calm);
         }
     }
 
@@ -607,8 +604,10 @@
         self.flow.load += since * (load - self.flow.load);
         let error = (self.flow.load - server.load) * sure(count);
         let gain = if error < 0.0 { GAIN.1 } else { GAIN.0 };
-        server.limit =
-            (server.limit * (gain * gap.clamp(0.01, 0.5) * error.max(-1.0)).exp()).clamp(least, 1e4);
+        let (id, from) = (server.id, server.limit);
+        let to = (from * (gain * gap.clamp(0.01, 0.5) * error.max(-1.0)).exp()).clamp(least, 1e4);
+        server.limit = to;
+        self.note(|_| Note::Limit { server: id, from: from as f32, to: to as f32, why: Moved::Compared });
     }
 
     /// Moves all limits by the smoothed latency of all servers: down when it is over its mark, slowly up
@@ -624,6 +623,7 @@
         if error < 0.0 || used {
             let gain = sure(count) * if error < 0.0 { GAIN.1 } else { GAIN.0 };
             let factor = (gain * span * error.max(-1.0)).exp();
+            self.note(|me| Note::Limits { factor: factor as f32, load: me.flow.load as f32 });
             let nodes = self.nodes_per_server();
             let (least, start) = (LEAST_PLACES / nodes, START_PLACES / nodes);
             // Few nodes start with a place a server, under the share that many take untried. While latency is
@@ -649,7 +649,7 @@
     /// off. Covers any fault of the way or of all servers alike (a device that drops connections, errors
     /// of one kind of request). Could hurt where all servers are so crowded that they break off, and fast:
     /// then only what they turn away and late answers damp.
-    fn learn_failure(&mut self, slot: usize, count: u32, broke: bool, actions: &mut Vec<Action>) {
+    fn learn_failure(&mut self, slot: usize, count: u32, broke: bool) {
         let least = LEAST_PLACES / self.nodes_per_server();
         let luck = 0.5 + self.chance();
         let common = self.common_break(slot);
@@ -658,7 +658,9 @@
         server.broken += BROKEN * (1.0 - server.broken);
         let own = ((server.broken - OWN_FAULT.0 * common) / OWN_FAULT.1).clamp(0.0, 1.0);
         let fault = if broke { own } else { 1.0 };
-        server.limit = (server.limit * CUT.powf(fault)).max(least);
+        let (id, from) = (server.id, server.limit);
+        server.limit = (from * CUT.powf(fault)).max(least);
+        let to = server.limit;
         server.failures += count;
         // Failing fast must not look like being fast.
         server.stretch = server.faded(self.now).max(3.0 * fault);
@@ -668,9 +670,9 @@
             server.aside_until = self.now + nanos(span);
             server.aside_times += 1;
             server.trial = true;
-            let id = server.id.0;
-            self.log(1, &format!("server {id} set aside for {span:.1} s"), actions);
+            self.notes.push(Note::Aside { server: id, span: nanos(span) });
         }
+        self.note(|_| Note::Limit { server: id, from: from as f32, to: to as f32, why: Moved::Failure });
     }
 
     // ---- Cold ramp ------------------------------------------------------------------------------
@@ -814,7 +816,8 @@
             done: false,
             key,
         };
-        let tier = request.tier;
+        let (tier, aim_at) = (request.tier, request.aim_at);
+        self.note(|_| Note::Taken { id, tier: tier as u8, worth: worth as f32, aim_at });
         self.requests.insert(id, request);
         if let Some(key) = key {
             self.turns.join(key, id);
@@ -825,9 +828,10 @@
         self.dispatch(actions);
         if self.requests.get(&id).is_some_and(|request| request.attempts.is_empty()) {
             if self.requests[&id].held.is_some() && tier >= MEDIUM && self.overloaded(id) {
-                self.note_overload(actions);
-                self.finish(id, true, actions);
+                self.finish(id, Rule::WaitShare, actions);
             } else {
+                let held = self.queues.order.len() as u32;
+                self.note(|_| Note::Held { id, held });
                 self.arm_give_up(id, actions);
             }
         }
@@ -846,12 +850,17 @@
     /// of the bound chance decides, so that nodes neither refuse in step nor let all back at once.
     fn overloaded(&mut self, id: RequestId) -> bool {
         let luck = 0.7 + 0.3 * self.chance();
-        let Some(request) = self.requests.get(&id) else { return false };
+        self.requests.get(&id).is_some_and(|request| self.pressure(request) > WAIT_SHARE * luck)
+    }
+
+    /// The wait of a request's tier over the time that it has left to wait.
+    fn pressure(&self, request: &Request) -> f64 {
         let all: f64 = self.queues.released.iter().map(|rate| rate.get(self.now)).sum();
         let drain = self.queues.released[request.tier].get(self.now).max(0.05 * all);
         let left = seconds(request.aim_at.min(request.not_after).saturating_sub(self.now));
         let left = left - self.expected(request.class, request.work);
-        self.queues.held[request.tier] as f64 > drain * left * WAIT_SHARE * luck
+        let wait = self.queues.held[request.tier] as f64 / drain;
+        if left > 0.0 { wait / left } else { f64::INFINITY }
     }
 
     /// Until when an answer is worth anything.
@@ -875,15 +884,6 @@
         }
     }
 
-    fn note_overload(&mut self, actions: &mut Vec<Action>) {
-        if !self.overload {
-            self.overload = true;
-            let held = self.queues.order.len();
-            let line = format!("overload entered: {held} requests held, refusing the lowest tiers");
-            self.log(2, &line, actions);
-        }
-    }
-
     // ---- Pick -----------------------------------------------------------------------------------
 
     /// The sum of limits bounds the node's attempts, so that fractions of a place count.
@@ -915,26 +915,27 @@
         two && !self.fits(self.pools.out[pool], self.pools.limits[pool])
     }
 
-    fn room(&mut self, slot: usize, id: RequestId) -> bool {
+    fn room(&mut self, slot: usize, id: RequestId) -> Result<(), Hurdle> {
         let server = &self.servers[slot];
         let nodes = if self.informed() { self.nodes_per_server() } else { 1.0 };
         let out = if self.informed() { self.known_out(slot) } else { server.out.len() };
         if out as f64 >= (server.limit * nodes).ceil().max(1.0) {
-            return false;
+            return Err(Hurdle::Full);
         }
         if !self.pools.most_aside {
             if self.out_of_order(slot) {
-                return false;
+                return Err(Hurdle::OutOfOrder);
             }
             // On trial after it was set aside: one at a time, and only what may be tried elsewhere then.
             // Behind unsafe requests in line nothing else is sent, so where the server only turned away
             // they are the trial, or there is none.
             let once = || self.told(self.requests[&id].class).effect == Effect::Unsafe && !server.turned_away;
             if server.trial && (!server.out.is_empty() || once()) {
-                return false;
+                return Err(Hurdle::OnTrial);
             }
         }
-        self.cold_room(slot) && self.may_send(id, slot)
+        let room = self.cold_room(slot).then_some(()).ok_or(Hurdle::Cold);
+        room.and_then(|()| self.may_send(id, slot).then_some(()).ok_or(Hurdle::Barred))
     }
 
     fn score(&mut self, slot: usize) -> f64 {
@@ -948,33 +949,31 @@
     /// Among servers with room the least smoothed peak latency x (own in-flight + 1); on many servers
     /// a sample of them. Own zone first while it has room.
     fn pick(&mut self, id: RequestId) -> Option<usize> {
+        let mut look = Look::default();
         for pool in 0..2 {
             if self.own_zone_full(pool) {
                 continue;
             }
             let count = self.pools.active[pool].len();
-            let mut best: Option<(f64, usize)> = None;
             let all = count <= SAMPLE;
-            let mut found = 0;
             // A few more looks where the sample meets full servers; never a scan of a large fleet.
-            for look in 0..if all { count } else { 4 * SAMPLE } {
-                let at = if all { look } else { (self.chance() * count as f64) as usize };
+            for at in 0..if all { count } else { 4 * SAMPLE } {
+                let at = if all { at } else { (self.chance() * count as f64) as usize };
                 let slot = self.pools.active[pool][at];
-                if self.room(slot, id) {
-                    let score = self.score(slot);
-                    if best.is_none_or(|(least, _)| score < least) {
-                        best = Some((score, slot));
-                    }
-                    found += 1;
-                    if found >= SAMPLE {
-                        break;
-                    }
+                match self.room(slot, id) {
+                    Ok(()) => look.offer(self.score(slot), slot),
+                    Err(hurdle) => look.hurdles.add(hurdle),
+                }
+                if look.found >= SAMPLE {
+                    break;
                 }
             }
-            if let Some((_, slot)) = best {
+            if let Some((score, slot)) = look.best {
+                self.note(|me| me.picked(id, slot, score, &look));
                 return Some(slot);
             }
         }
+        self.note(|_| Note::NoneFits { id, hurdles: look.hurdles });
         None
     }
 
@@ -1099,7 +1098,7 @@
             // Exact again at the next refresh, should the server be out of order.
             let far = usize::from(self.is_far(self.servers[slot].zone));
             self.pools.out[far] = self.pools.out[far].saturating_sub(1);
-            self.learn_outcome(slot, (class, work), ended, actions);
+            self.learn_outcome(slot, (class, work), ended);
             self.hang_up(slot, actions);
         }
         if ended.complete {
@@ -1109,7 +1108,7 @@
         }
     }
 
-    fn learn_outcome(&mut self, slot: usize, of: (ClassId, f64), ended: &Ended, actions: &mut Vec<Action>) {
+    fn learn_outcome(&mut self, slot: usize, of: (ClassId, f64), ended: &Ended) {
         let ((class, work), took) = (of, ended.took);
         let (sent, expected) = (self.now.saturating_sub(took), self.expected(class, work));
         match ended.outcome {
@@ -1121,8 +1120,7 @@
                 server.broken -= BROKEN * server.broken;
                 server.failures = 0;
                 if std::mem::take(&mut server.trial) {
-                    let id = server.id.0;
-                    self.log(4, &format!("server {id} is back"), actions);
+                    self.notes.push(Note::Back { server: server.id });
                 } else {
                     server.aside_times = 0;
                 }
@@ -1132,18 +1130,16 @@
             Outcome::Cancelled | Outcome::TimedOut if self.servers[slot].overtook(sent, expected) => {}
             // A hung server whose attempts are all called back for a faster copy would never show.
             Outcome::Cancelled if seconds(took) <= HEDGE * expected => {}
-            Outcome::Error | Outcome::Reset | Outcome::Cancelled => {
-                self.learn_failure(slot, 1, true, actions);
-            }
+            Outcome::Error | Outcome::Reset | Outcome::Cancelled => self.learn_failure(slot, 1, true),
             // It would have taken longer; from answers alone, what is sent too late stays unseen.
             Outcome::TimedOut => {
                 self.learn_latency(slot, class, work, 2 * took);
-                self.learn_failure(slot, 1, true, actions);
+                self.learn_failure(slot, 1, true);
             }
             // A server that only turns away may be draining without the list saying so.
-            Outcome::Full => self.learn_failure(slot, 1, false, actions),
+            Outcome::Full => self.learn_failure(slot, 1, false),
             Outcome::Moot => {}
-            Outcome::ConnectFailed => self.learn_failure(slot, 2, false, actions),
+            Outcome::ConnectFailed => self.learn_failure(slot, 2, false),
         }
     }
 
@@ -1159,15 +1155,17 @@
         let first = request.attempts.iter().find(|a| a.ran != Ran::Never);
         let unrun = first.is_none();
         let price = if unrun { 0.3 } else { 1.0 };
-        let again = request.attempts.len() < self.settings.max_attempts as usize
-            && first.is_none_or(|first| self.may_repeat(request.class, first, None))
+        let end = self.give_up_at(request);
+        let stops = [
+            (request.attempts.len() >= self.settings.max_attempts as usize, Stop::Attempts),
+            (!first.is_none_or(|first| self.may_repeat(request.class, first, None)), Stop::Effect),
             // The same moment as for a held request: a later one would have it wait without a next step.
-            && self.now + 1 < self.give_up_at(request)
-            && self.flow.retry_budget >= price;
-        if !again {
-            return self.finish(id, true, actions);
+            (self.now + 1 >= end, Stop::Time),
+            (self.flow.retry_budget < price, Stop::Budget),
+        ];
+        if let Some((_, stop)) = stops.into_iter().find(|(holds, _)| *holds) {
+            return self.finish(id, Rule::NoRetry(stop), actions);
         }
-        let end = self.give_up_at(request);
         if let Some(slot) = if self.has_places() { self.pick(id) } else { None } {
             self.flow.retry_budget -= price;
             self.send(id, slot, actions);
@@ -1181,14 +1179,20 @@
 
     /// Every final answer of ours. A refusal promises that nothing happened; where that is not certain
     /// the answer is a failure.
-    fn finish(&mut self, id: RequestId, refuse: bool, actions: &mut Vec<Action>) {
+    fn finish(&mut self, id: RequestId, rule: Rule, actions: &mut Vec<Action>) {
         let Some(request) = self.requests.get(&id).filter(|request| !request.done) else { return };
-        if refuse && self.may_refuse(request) {
+        let pressure = if rule == Rule::WaitShare { self.pressure(request) as f32 } else { 0.0 };
+        if self.may_refuse(request) {
             let retry_after = self.settings.retry_after.then_some(self.settings.max_retry_after / 4);
             actions.push(Action::Refuse { id, retry_after });
         } else {
             actions.push(Action::Fail(id));
         }
+        let held = matches!(rule, Rule::WaitShare | Rule::NearlyOut);
+        if held && !std::mem::replace(&mut self.overload, true) {
+            self.notes.push(Note::Overload { held: self.queues.order.len() as u32 });
+        }
+        self.note(|_| Note::Over { id, rule, pressure });
         self.on_over(id, None, actions);
     }
 
@@ -1243,10 +1247,8 @@
         let Some(request) = self.requests.get(&id) else { return };
         let no_turn = request.key.is_some() && request.attempts.is_empty();
         if request.held.is_some() || no_turn {
-            if request.held.is_some() {
-                self.note_overload(actions);
-            }
-            self.finish(id, true, actions);
+            let rule = if request.held.is_some() { Rule::NearlyOut } else { Rule::NoTurn };
+            self.finish(id, rule, actions);
         }
     }
 }
--- a/crates/policy/tests/common/mod.rs
+++ b/crates/policy/tests/common/mod.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 
 use pumicehead_policy::interface::*;
+use pumicehead_policy::note::Note;
 use pumicehead_policy::policy::Balancer;
 
 pub const MS: Nanos = 1_000_000;
@@ -108,6 +109,7 @@
     pub requests: BTreeMap<u32, Known>,
     pub servers: HashMap<ServerId, ServerInfo>,
     pub log: Vec<Action>,
+    pub notes: Vec<Note>,
     /// Rules that were broken, in words.
     pub broken: Vec<String>,
     /// When idle connections to a server were closed, and when it was last told of or used.
@@ -128,6 +130,7 @@
             requests: BTreeMap::new(),
             servers: HashMap::new(),
             log: Vec::new(),
+            notes: Vec::new(),
             broken: Vec::new(),
             freed: HashMap::new(),
             used: HashMap::new(),
@@ -150,6 +153,7 @@
             self.check(action);
         }
         self.log.extend(actions.iter().cloned());
+        self.notes.extend(self.balancer.notes());
         // A withdrawn attempt ends so at once.
         for action in &actions {
             if let Action::Cancel { id, attempt } = *action {
@@ -331,7 +335,7 @@
                 assert!(usize::from(attempt.0) < known.tries.len(), "cancel of an attempt never made");
             }
             Action::FreeLinks(server) => drop(self.freed.insert(server, self.now)),
-            Action::Subscribe | Action::Tell { .. } | Action::Log(_) => {}
+            Action::Subscribe | Action::Tell { .. } => {}
         }
     }
 
--- a/crates/policy/tests/mechanism.rs
+++ b/crates/policy/tests/mechanism.rs
@@ -4,6 +4,7 @@
 
 use common::*;
 use pumicehead_policy::interface::*;
+use pumicehead_policy::note::Note;
 
 /// Serves `count` requests one after another, each in `took`.
 fn serve(node: &mut Node, count: usize, took: Nanos) {
@@ -82,7 +83,7 @@
     };
     let (low, high) = (refused(&node, 0), refused(&node, 1));
     assert!(low > 100 && high * 3 < low, "{low} low, {high} high refused");
-    assert!(node.log.iter().any(|a| matches!(a, Action::Log(line) if line.starts_with("overload entered"))));
+    assert!(node.notes.iter().any(|note| matches!(note, Note::Overload { .. })));
     for _ in 0..100 {
         step(&mut node, &[]);
     }
@@ -91,7 +92,7 @@
         step(&mut node, &[0]);
     }
     assert_eq!(refused(&node, 0), before, "traffic is let back");
-    assert!(node.log.iter().any(|a| matches!(a, Action::Log(line) if line == "overload left")));
+    assert!(node.notes.contains(&Note::Calm));
     assert!(node.broken.is_empty());
 }
 
@@ -186,7 +187,7 @@
     let used: std::collections::BTreeSet<_> =
         node.requests.values().rev().take(40).flat_map(|k| &k.tries).map(|t| t.server).collect();
     assert_eq!(used.len(), 4, "all stay in use");
-    assert!(!node.log.iter().any(|a| matches!(a, Action::Log(line) if line.contains("set aside"))));
+    assert!(!node.notes.iter().any(|note| matches!(note, Note::Aside { .. })));
 }
 
 #[test]
--- a/crates/rig/src/world/mod.rs
+++ b/crates/rig/src/world/mod.rs
@@ -454,7 +454,7 @@
                 let note = self.notes.len() - 1;
                 self.push(self.now + HOP, Due::Note { to: to as usize, from: node, note });
             }
-            Action::FreeLinks(_) | Action::Subscribe | Action::Log(_) => {}
+            Action::FreeLinks(_) | Action::Subscribe => {}
         }
     }
 
--- a/crates/sim/src/bin/pumicehead-adapter.rs
+++ b/crates/sim/src/bin/pumicehead-adapter.rs
@@ -3,6 +3,7 @@
 use std::io::{self, BufReader, Write};
 use std::process::ExitCode;
 
+use pumicehead_policy::note::News;
 use pumicehead_policy::policy::Balancer;
 use pumicehead_sim::{Decoder, Input, Instance, Reply, WireError, read_frame};
 use rustc_hash::FxHashMap;
@@ -21,21 +22,23 @@
     let mut input = BufReader::with_capacity(1 << 20, io::stdin().lock());
     let mut output = io::stdout().lock();
     let mut decoder = Decoder::default();
-    let mut instances: FxHashMap<Instance, Balancer> = FxHashMap::default();
+    let mut instances: FxHashMap<Instance, (Balancer, News)> = FxHashMap::default();
     let (mut frame, mut out, mut reply, mut actions) = (Vec::new(), Vec::new(), Reply::default(), Vec::new());
     while read_frame(&mut input, &mut frame)?.is_some() {
         let batch = decoder.decode(&frame)?;
         for (instance, input) in batch.input {
             match input {
                 Input::Begin { seed, settings } => {
-                    instances.insert(instance, Balancer::new(*settings, seed));
+                    instances.insert(instance, (Balancer::new(*settings, seed), News::default()));
                 }
                 Input::Killed => {
                     instances.remove(&instance);
                 }
                 Input::Event(event) => {
-                    if let Some(balancer) = instances.get_mut(&instance) {
-                        balancer.handle(batch.now, event, &mut actions);
+                    let Some((balancer, news)) = instances.get_mut(&instance) else { continue };
+                    balancer.handle(batch.now, event, &mut actions);
+                    for line in balancer.notes().iter().filter_map(|note| news.line(note, batch.now)) {
+                        reply.log(instance, &line);
                     }
                     for action in actions.drain(..) {
                         reply.push(instance, &action);
--- a/crates/sim/src/lib.rs
+++ b/crates/sim/src/lib.rs
@@ -472,19 +472,18 @@
                 self.start(11, 5, instance);
                 self.body.push(1);
             }
-            Action::Log(line) => {
-                let mut end = line.len().min(usize::from(u16::MAX));
-                while !line.is_char_boundary(end) {
-                    end -= 1;
-                }
-                let text = &line.as_bytes()[..end];
-                self.start(9, 6 + u32::try_from(end).unwrap_or_default(), instance);
-                self.body.extend_from_slice(&u16::try_from(end).unwrap_or_default().to_le_bytes());
-                self.body.extend_from_slice(text);
-            }
         }
     }
 
+    /// Adds a line for the log of an instance; a long one is cut.
+    pub fn log(&mut self, instance: Instance, line: &str) {
+        let end = line.floor_char_boundary(usize::from(u16::MAX));
+        self.count += 1;
+        self.start(9, 6 + u32::try_from(end).unwrap_or_default(), instance);
+        self.body.extend_from_slice(&u16::try_from(end).unwrap_or_default().to_le_bytes());
+        self.body.extend_from_slice(&line.as_bytes()[..end]);
+    }
+
     /// Writes the whole frame to `out` and clears this reply.
     pub fn finish(&mut self, seq: u32, out: &mut Vec<u8>) {
         out.extend_from_slice(&self.count.to_le_bytes());
