Streaming: 413 for what proves too long, no wakes for nothing; an emptied node stays so in an upgrade

Every attempt woke the loop each 0.1 s, though only one whose request passes through needs it: one without an upload now sleeps to its time (expiry, http/upstream.rs; a test counts the polls, seen to fail without the change). An upload without a stated length past 40 MiB got 408 as if it were slow, now 413. The last hook of a stream spawned a task also where the process was ending; it keeps the connection at once where that is ready, and drops it where there is no runtime. LAMEDUCK and REJOIN are handed to the next process before the caller has its answer; a word older than 30 s is not believed.

New tests: 413 on the way, a client given up for reading nothing, a server silent mid-answer, SIGTERM and a reload with streams open, all of the room taken, an emptied node across two upgrades. The one for the stream at the process's end was not seen to fail with the old hook.

--- a/crates/node/src/net/answer.rs
+++ b/crates/node/src/net/answer.rs
@@ -39,6 +39,7 @@
         (Answer::Failed, _) => plain(StatusCode::BAD_GATEWAY, ""),
         (Answer::Late, _) => plain(StatusCode::GATEWAY_TIMEOUT, ""),
         (Answer::Broken, _) => bad(&Bad::Slow),
+        (Answer::TooLong, _) => bad(&Bad::TooLong),
     }
 }
 
--- a/crates/node/src/net/ask.rs
+++ b/crates/node/src/net/ask.rs
@@ -75,8 +75,10 @@
     Failed,
     /// It failed since its time is up.
     Late,
-    /// Its body was too slow, too long or broke off on its way to a server.
+    /// Its body was too slow or broke off on its way to a server.
     Broken,
+    /// Its body proved too long on its way to a server.
+    TooLong,
 }
 
 impl Answer {
@@ -86,7 +88,7 @@
             Self::Served(served) if served.status.is_server_error() => Outcome::Failed,
             Self::Served(_) => Outcome::Completed,
             Self::Refused(_) => Outcome::Rejected,
-            Self::Failed | Self::Late | Self::Broken => Outcome::Failed,
+            Self::Failed | Self::Late | Self::Broken | Self::TooLong => Outcome::Failed,
         }
     }
 }
--- a/crates/node/src/net/core.rs
+++ b/crates/node/src/net/core.rs
@@ -30,7 +30,7 @@
 /// Advice with a refusal of what could not be sent again.
 const RETRY_AFTER: Nanos = SECOND / 2;
 /// What an earlier process has learned is taken over for so long.
-const WORTH: Nanos = 30 * SECOND;
+pub const WORTH: Nanos = 30 * SECOND;
 /// How often idle connections are looked over.
 const SWEEP: Nanos = SECOND;
 /// Pause before an agent that pushes the list is asked again.
@@ -139,6 +139,11 @@
     }
 }
 
+/// The machine's clock.
+pub fn unix_ns() -> Nanos {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_nanos() as Nanos
+}
+
 /// The event loop's state.
 pub struct Core {
     balancer: Balancer,
@@ -171,7 +176,6 @@
     pub fn new(setup: Setup, held: Held) -> (Self, Handle) {
         let (to_self, messages) = mpsc::unbounded_channel();
         let (handle, handles) = Handle::new(to_self.clone(), held);
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let (discovery, known, at_once, fixed) = match setup.source {
             Source::Watch { discovery, known, at_once } => (Some(discovery), known, at_once, None),
             Source::Fixed(list) => (None, None, false, Some(list)),
@@ -186,7 +190,7 @@
             messages,
             to_self,
             start: Instant::now(),
-            start_unix: unix.as_nanos() as Nanos,
+            start_unix: unix_ns(),
             timers: BTreeSet::new(),
             events: VecDeque::new(),
             open: FxHashMap::default(),
@@ -448,8 +452,10 @@
         let Some(open) = self.open.get_mut(&id) else { return };
         let Some(upload) = open.call.rest.as_ref().filter(|upload| upload.is_bound()) else { return };
         let (again, broken) = (outcome.never_ran(self.full_unproven), upload.is_broken());
+        let too_long = upload.is_too_long();
         let error = open.error.take().map(Answer::Served);
         let given = error.unwrap_or(match outcome {
+            _ if too_long => Answer::TooLong,
             _ if broken => Answer::Broken,
             _ if again => Answer::Refused(self.retry_after.then_some(RETRY_AFTER)),
             Outcome::TimedOut => Answer::Late,
--- a/crates/node/src/net/http/upstream.rs
+++ b/crates/node/src/net/http/upstream.rs
@@ -15,6 +15,7 @@
 use pumicehead_lang::model::Address;
 use pumicehead_policy::interface::Outcome;
 use tokio::net::TcpStream;
+use tokio::runtime::Handle;
 use tokio::sync::oneshot;
 use tokio::task::{self, JoinSet};
 use tokio::time::{Instant, sleep_until, timeout};
@@ -186,6 +187,10 @@
 /// The end of an attempt that takes too long, by its stage: a time-out before anything was written proves that nothing
 /// ran. Of a body that passes through, the time counts from its last byte.
 async fn expiry(call: &Call, deadline: Instant, stage: &Cell<Stage>) -> Outcome {
+    if call.rest.is_none() {
+        // Its time means the same all along: it is looked at once, when it is up.
+        sleep_until(deadline).await;
+    }
     let wait = |until| sleep_until(Instant::min(until, Instant::now() + LOOK));
     loop {
         if stage.get() == Stage::Begun {
@@ -316,7 +321,13 @@
         let (shared, backend) = (self.clone(), backend.clone());
         // The connection is the stream's until that has ended, which may be long after the attempt has.
         served.0.body.at_end(move |ended| {
-            if ended == Ended::Whole {
+            if ended != Ended::Whole {
+                return;
+            }
+            if conn.sender.is_ready() {
+                backend.keep(&shared.connections, conn);
+            } else if Handle::try_current().is_ok() {
+                // Not where the process is ending: its streams are dropped as the runtime is, which takes no more tasks.
                 task::spawn_local(async move { shared.settle(&backend, conn).await });
             }
         });
@@ -360,3 +371,24 @@
         (request, head as u64 + body)
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use std::future::{Future, poll_fn};
+    use std::pin::pin;
+
+    use super::*;
+
+    /// Guards the loop's rest: most attempts end long before their time is up, and each wake is work for nothing.
+    #[tokio::test(start_paused = true)]
+    async fn an_attempt_without_an_upload_wakes_nobody_before_its_time() {
+        let (call, stage) = (Call::default(), Cell::new(Stage::Written));
+        let mut waiting = pin!(expiry(&call, Instant::now() + Duration::from_secs(60), &stage));
+        let mut polls = 0;
+        let outcome = poll_fn(|cx| {
+            polls += 1;
+            waiting.as_mut().poll(cx)
+        });
+        assert_eq!((outcome.await, polls), (Outcome::TimedOut, 2));
+    }
+}
--- a/crates/node/src/net/upload.rs
+++ b/crates/node/src/net/upload.rs
@@ -33,8 +33,10 @@
     Going,
     /// Its last byte has gone, then.
     Done(Instant),
-    /// It broke off, or was too long.
+    /// It broke off.
     Broken,
+    /// It is longer than it may be.
+    TooLong,
 }
 
 /// The part of a body that is not held.
@@ -75,7 +77,12 @@
 
     /// Whether the client is to blame for its end.
     pub fn is_broken(&self) -> bool {
-        self.stage.get() == Stage::Broken
+        matches!(self.stage.get(), Stage::Broken | Stage::TooLong)
+    }
+
+    /// Whether it is longer than it may be: no length was stated, or it would have been told so at once.
+    pub fn is_too_long(&self) -> bool {
+        self.stage.get() == Stage::TooLong
     }
 
     /// Whether it goes on: has begun, and has no end yet.
@@ -114,8 +121,8 @@
         loop {
             let polled = Pin::new(&mut *body).poll_frame(cx);
             let now = Instant::now();
-            let broken = |fault: io::Error| {
-                self.stage.set(Stage::Broken);
+            let broken = |stage, fault: io::Error| {
+                self.stage.set(stage);
                 Poll::Ready(Some(Err(fault)))
             };
             return match polled {
@@ -128,11 +135,11 @@
                     *rest = None;
                     Poll::Ready(None)
                 }
-                Poll::Ready(Some(Err(error))) => broken(io::Error::other(error)),
+                Poll::Ready(Some(Err(error))) => broken(Stage::Broken, io::Error::other(error)),
                 Poll::Ready(Some(Ok(frame))) => {
                     let Ok(data) = frame.into_data() else { continue };
                     let Some(allowed) = self.allowed.get().checked_sub(data.len() as u64) else {
-                        return broken(io::ErrorKind::FileTooLarge.into());
+                        return broken(Stage::TooLong, io::ErrorKind::FileTooLarge.into());
                     };
                     self.allowed.set(allowed);
                     self.pace.borrow_mut().moved(data.len() as u64, now);
--- a/crates/node/src/platform/admin.rs
+++ b/crates/node/src/platform/admin.rs
@@ -99,15 +99,33 @@
         let Some(handover) = &self.handover else { return };
         while !self.front.is_draining() {
             sleep(HAND_OVER).await;
-            let Some(knowledge) = self.core.knowledge().await else { return };
-            let listed = self.hands.listed.borrow().names().map(str::to_owned).collect();
-            if let Err(error) = handover.write(&Left { listed, knowledge }) {
+            if let Err(error) = self.leave(handover).await {
                 eprintln!("what this process has learned is not left for the next: {error}");
                 return;
             }
         }
     }
 
+    async fn leave(&self, handover: &Handover) -> io::Result<()> {
+        let Some(knowledge) = self.core.knowledge().await else { return Ok(()) };
+        let listed = self.hands.listed.borrow().names().map(str::to_owned).collect();
+        handover.write(&Left { listed, knowledge, lame: self.front.is_lame() })
+    }
+
+    /// Empties the node or takes it back to work. The next process must know before the caller does: it may start at
+    /// any time from then on.
+    async fn set_lame(&self, lame: bool) -> String {
+        self.front.set_lame(lame);
+        let left = match &self.handover {
+            Some(handover) => self.leave(handover).await,
+            None => Ok(()),
+        };
+        match left {
+            Ok(()) => yes(""),
+            Err(error) => yes(&format!("but a next process will not know: {error}")),
+        }
+    }
+
     async fn take(&self, mut stream: TcpStream) -> io::Result<()> {
         let Ok(line) = timeout(PATIENCE, line(&mut stream)).await else { return Ok(()) };
         let answer = match line? {
@@ -141,14 +159,8 @@
                 };
                 self.figures.text(now) + "END\n"
             }
-            Call::LameDuck => {
-                self.front.set_lame(true);
-                yes("")
-            }
-            Call::Rejoin => {
-                self.front.set_lame(false);
-                yes("")
-            }
+            Call::LameDuck => self.set_lame(true).await,
+            Call::Rejoin => self.set_lame(false).await,
             Call::Detach(server) => self.set_out(&server, true).await,
             Call::Attach(server) => self.set_out(&server, false).await,
         }
--- a/crates/node/src/platform/handover.rs
+++ b/crates/node/src/platform/handover.rs
@@ -17,6 +17,9 @@
     pub listed: Vec<String>,
     /// What the module has learned. Its times are Unix time, of the one machine.
     pub knowledge: Knowledge,
+    /// Staff have the node empty. Files of versions that did not say so have none.
+    #[serde(default)]
+    pub lame: bool,
 }
 
 /// The file.
--- a/crates/node/src/platform/mod.rs
+++ b/crates/node/src/platform/mod.rs
@@ -21,7 +21,7 @@
 
 use crate::net::ask::Held;
 use crate::net::connections::Connections;
-use crate::net::core::{Core, Setup, Source};
+use crate::net::core::{Core, Setup, Source, WORTH, unix_ns};
 use crate::net::front::budget::Budget;
 use crate::net::front::{self, Ending, Front, Options};
 use crate::net::hands::Hands;
@@ -78,6 +78,8 @@
     // Only where a next process may start beside this one.
     let handover = folder.as_ref().filter(|_| shared).map(|folder| Handover::new(folder, &config.name));
     let left = handover.as_ref().and_then(Handover::read);
+    // A word that has long been left is nobody's: whoever left it has ended, and staff have gone on.
+    let lame = left.as_ref().is_some_and(|left| left.lame && left.knowledge.age(unix_ns()) <= WORTH);
     for name in left.iter().flat_map(|left| &left.listed) {
         hands.listed.borrow_mut().add(name);
     }
@@ -139,6 +141,7 @@
     );
     if shared {
         front.set_shared();
+        front.set_lame(lame);
     }
     let core = task::spawn_local(core.run());
     if let Some(calls) = calls {
--- a/crates/node/tests/operations.rs
+++ b/crates/node/tests/operations.rs
@@ -265,3 +265,28 @@
     assert!(answer.starts_with("ERR "), "{answer}");
     wait_for("work, a no changes nothing", || first.ask(&request("read", "")).status() == 200);
 }
+
+/// Guards that a node which staff empty stays so across an upgrade, and comes back to work in one.
+#[test]
+fn a_new_version_knows_that_the_node_is_emptied() {
+    let backend = Backend::start(|_| ok("done"));
+    let socket = TcpListener::bind("127.0.0.1:0").unwrap();
+    let kept = folder();
+    let start = || {
+        let socket = Some(socket.try_clone().unwrap());
+        Setup { folder: Some(kept.clone()), socket, ..Setup::of(&[&backend]) }.start()
+    };
+    let lame = |node: &Node| node.call("PING").contains("emptied");
+    let mut first = start();
+    wait_for("the first one's yes", || first.call("PING") == "OK\n");
+    assert_eq!(first.call("LAMEDUCK"), "OK\n");
+    let mut second = start();
+    assert!(lame(&second));
+    first.terminate();
+    assert!(first.wait().success());
+    assert_eq!(second.call("REJOIN"), "OK\n");
+    let third = start();
+    assert!(!lame(&third));
+    second.terminate();
+    assert!(second.wait().success());
+}
--- a/crates/node/tests/streaming.rs
+++ b/crates/node/tests/streaming.rs
@@ -328,3 +328,148 @@
     assert_eq!((answer.status(), answer.body.as_slice()), (200, &b"enough"[..]));
     assert_eq!(answer.header("connection"), Some("close"));
 }
+
+/// Guards the bound where no length is stated: an upload that passes it on its way to a server is told that it is too long.
+#[test]
+fn what_proves_too_long_on_its_way_is_told_so() {
+    let server = raw(|_, mut input, _| drop(std::io::copy(&mut input, &mut std::io::sink())));
+    let node = node_of(&[server, server]);
+    let (mut input, mut stream) = connect(&node);
+    stream.write_all(upload("Transfer-Encoding: chunked\r\n").as_bytes()).unwrap();
+    let chunk = format!("100000\r\n{}\r\n", body(MIB));
+    for _ in 0..41 {
+        // It may be told so, and the connection closed, before all of it is written.
+        if stream.write_all(chunk.as_bytes()).is_err() {
+            break;
+        }
+    }
+    assert_eq!(Message::read_head(&mut input).unwrap().status(), 413);
+}
+
+/// Guards memory and places: a client that reads nothing of a long answer is given up, and its server's connection with it.
+#[test]
+fn a_client_that_reads_nothing_is_given_up() {
+    let whole = body(30 * MIB);
+    let backend = Backend::start(move |_| ok(&whole));
+    let node = Setup::of(&[&backend]).start();
+    let (mut input, mut stream) = connect(&node);
+    stream.write_all(request("submit", "x").as_bytes()).unwrap();
+    assert_eq!(Message::read_head(&mut input).unwrap().status(), 200);
+    wait_for("the end of the server's connection", || backend.closed() == 1);
+    assert!(input.read_exact(&mut vec![0; 30 * MIB]).is_err(), "the answer is cut");
+    assert_eq!(node.ask(&request("read", "")).status(), 200);
+}
+
+/// Guards against servers that fall silent in the middle of an answer: the client sees a cut one, in bounded time.
+#[test]
+fn a_server_that_falls_silent_mid_answer_is_given_up() {
+    let server = raw(|_, _, mut stream| {
+        let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 1000000\r\n\r\nsome");
+        let _ = stream.read(&mut [0; 8]);
+    });
+    let node = node_of(&[server]);
+    let (mut input, mut stream) = connect(&node);
+    stream.write_all(request("submit", "x").as_bytes()).unwrap();
+    assert_eq!(Message::read_head(&mut input).unwrap().status(), 200);
+    let mut got = Vec::new();
+    let ended = input.read_to_end(&mut got);
+    assert!(got == b"some" && ended.is_ok_and(|count| count == 4));
+}
+
+/// Guards the orderly end: a stream that is under way at SIGTERM is passed on to its end, one that nobody reads is dropped
+/// with the process, and the process ends well.
+#[test]
+fn streams_at_the_end_of_the_process() {
+    let whole = body(MIB);
+    let (go_on, wait) = mpsc::channel::<()>();
+    let wait = std::sync::Mutex::new(wait);
+    let sent = whole.clone();
+    let server = raw(move |head, _, mut stream| {
+        let _ = write!(stream, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", sent.len());
+        if head.first.contains("read") {
+            // All that there is lies ready, and nobody takes it.
+            let _ = stream.write_all(sent.as_bytes());
+            return drop(stream.read(&mut [0; 8]));
+        }
+        let _ = stream.write_all(&sent.as_bytes()[..MIB / 2]);
+        let _ = wait.lock().unwrap().recv_timeout(LIMIT);
+        let _ = stream.write_all(&sent.as_bytes()[MIB / 2..]);
+        let _ = stream.read(&mut [0; 8]);
+    });
+    let mut node = node_of(&[server, server]);
+    let (_unread, mut unread) = connect(&node);
+    unread.write_all(request("read", "").as_bytes()).unwrap();
+    let (mut input, mut stream) = connect(&node);
+    stream.write_all(request("submit", "x").as_bytes()).unwrap();
+    assert_eq!(Message::read_head(&mut input).unwrap().status(), 200);
+    let mut got = vec![0; MIB];
+    input.read_exact(&mut got[..1000]).unwrap();
+    node.terminate();
+    go_on.send(()).unwrap();
+    input.read_exact(&mut got[1000..]).unwrap();
+    assert!(got == whole.as_bytes());
+    assert!(node.wait().success());
+}
+
+/// Guards a configuration that is read again in the middle of a stream.
+#[test]
+fn a_stream_outlives_a_reload() {
+    let whole = body(MIB);
+    let (go_on, wait) = mpsc::channel::<()>();
+    let wait = std::sync::Mutex::new(wait);
+    let sent = whole.clone();
+    let server = raw(move |_, _, mut stream| {
+        write!(stream, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", sent.len()).unwrap();
+        stream.write_all(&sent.as_bytes()[..1000]).unwrap();
+        wait.lock().unwrap().recv_timeout(LIMIT).unwrap();
+        stream.write_all(&sent.as_bytes()[1000..]).unwrap();
+        let _ = stream.read(&mut [0]);
+    });
+    let node = node_of(&[server]);
+    let (mut input, mut stream) = connect(&node);
+    stream.write_all(request("submit", "x").as_bytes()).unwrap();
+    assert_eq!(Message::read_head(&mut input).unwrap().status(), 200);
+    let mut got = vec![0; MIB];
+    input.read_exact(&mut got[..1000]).unwrap();
+    let discovery = Discovery::start();
+    let config = node.config();
+    let old = config.split("\"discovery\":\"").nth(1).unwrap().split('"').next().unwrap().to_owned();
+    node.reload(&config.replace(&old, &discovery.address.to_string()));
+    // It has been read: discovery is asked where it is now.
+    let _watch = discovery.next();
+    go_on.send(()).unwrap();
+    input.read_exact(&mut got[1000..]).unwrap();
+    assert!(got == whole.as_bytes());
+}
+
+/// Guards memory: where all of the room for long answers is taken, one more fails at once, short ones are served, and
+/// there is room again once streams end.
+#[test]
+fn long_answers_beyond_the_room_fail_and_short_ones_do_not() {
+    let whole = body(8 * MIB);
+    let backend = Backend::start(
+        move |message| if message.first.contains("submit") { ok(&whole) } else { ok("short") },
+    );
+    let mut setup = Setup::of(&[&backend]);
+    setup.memory_mb = 4;
+    let node = setup.start();
+    let mut open = Vec::new();
+    let refused = loop {
+        let (mut input, mut stream) = connect(&node);
+        stream.write_all(request("submit", "x").as_bytes()).unwrap();
+        let status = Message::read_head(&mut input).unwrap().status();
+        if status != 200 {
+            break status;
+        }
+        open.push((input, stream));
+        assert!(open.len() < 100, "the room has no end");
+    };
+    assert!(!open.is_empty() && refused >= 500, "{} {refused}", open.len());
+    assert_eq!(node.ask(&request("read", "")).status(), 200);
+    drop(open);
+    wait_for("room again", || {
+        let (mut input, mut stream) = connect(&node);
+        stream.write_all(request("submit", "x").as_bytes()).unwrap();
+        Message::read_head(&mut input).unwrap().status() == 200
+    });
+}
--- a/crates/rig/src/scripted.rs
+++ b/crates/rig/src/scripted.rs
@@ -309,6 +309,8 @@
     pub ceilings: &'static str,
     /// It may take a minute and more before it asks discovery.
     pub slow_to_ask: bool,
+    /// Memory that it may hold.
+    pub memory_mb: usize,
     /// Where staff's calls are kept; `None`: they can't call.
     pub folder: Option<PathBuf>,
     /// A socket for clients that the platform holds, in place of one that the node opens.
@@ -327,6 +329,7 @@
             aim_ms: 10_000,
             ceilings: "",
             slow_to_ask: false,
+            memory_mb: 192,
             folder: None,
             socket: None,
         }
@@ -346,9 +349,10 @@
         let ask_every = if self.slow_to_ask { 600_000_000_000u64 } else { 200_000_000 };
         format!(
             r#"{{"name":"n0","listen":"127.0.0.1:0"{},"discovery":"{}","seed":"8c1f30d27a5be964",
-            "limits":{{"cores":1.0,"memory_mb":192,"sockets":256}},"known":{},"settings":{}}}"#,
+            "limits":{{"cores":1.0,"memory_mb":{},"sockets":256}},"known":{},"settings":{}}}"#,
             if self.folder.is_some() { ",\"admin\":\"127.0.0.1:0\"" } else { "" },
             self.discovery,
+            self.memory_mb,
             self.known,
             settings(self.mode, self.aim_ms, self.ceilings)
                 .replace("\"ask_every_ns\":200000000", &format!("\"ask_every_ns\":{ask_every}"))
