--- /dev/null
+++ b/crates/trace/src/breakdown.rs
@@ -0,0 +1,168 @@
+//! What was lost in a span, by cause, server, class and moment. Each view adds up to the same sum, exactly.
+
+use std::collections::BTreeMap;
+use std::fmt;
+
+use pumicehead_policy::interface::Nanos;
+
+use crate::account::{Accounts, Loss, LossKey, NOBODY};
+use crate::dump::{Dump, Head};
+use crate::loss::{Cause, Micro};
+use crate::moment;
+
+/// Rows of a view that are shown.
+const SHOWN: usize = 8;
+
+/// One row.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Part {
+    /// What it is about.
+    pub what: String,
+    /// What was lost.
+    pub lost: Micro,
+    /// By so many requests.
+    pub count: u64,
+}
+
+/// A span's losses.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Breakdown {
+    /// From then on, to where the sums' own slots begin.
+    pub from: Nanos,
+    /// Until then.
+    pub to: Nanos,
+    /// The node's start.
+    pub start: Nanos,
+    /// Requests that ended in it.
+    pub requests: u64,
+    /// What they were worth.
+    pub asked: Micro,
+    /// What was earned.
+    pub earned: Micro,
+    /// Views, with their names.
+    pub views: Vec<(&'static str, Vec<Part>)>,
+}
+
+fn view<K: Ord>(
+    rows: &[(Nanos, LossKey, Loss)],
+    by: impl Fn(Nanos, &LossKey) -> K,
+    shown: impl Fn(&K) -> String,
+) -> Vec<Part> {
+    let mut sums: BTreeMap<K, Loss> = BTreeMap::new();
+    for (at, key, loss) in rows {
+        let sum = sums.entry(by(*at, key)).or_default();
+        sum.lost = sum.lost.saturating_add(loss.lost);
+        sum.count = sum.count.saturating_add(loss.count);
+    }
+    let mut parts: Vec<_> =
+        sums.iter().map(|(key, sum)| Part { what: shown(key), lost: sum.lost, count: sum.count }).collect();
+    parts.sort_by_key(|part| std::cmp::Reverse(part.lost));
+    parts
+}
+
+impl Breakdown {
+    /// Of a dump, from and to the moments named; wider where the sums are coarser.
+    #[must_use]
+    pub fn of(dump: &Dump, from: Nanos, to: Nanos) -> Option<Self> {
+        dump.accounts.as_ref().map(|accounts| Self::sum(&dump.head, accounts, from, to))
+    }
+
+    /// Of sums.
+    #[must_use]
+    pub fn sum(head: &Head, accounts: &Accounts, from: Nanos, to: Nanos) -> Self {
+        let (from, to) = accounts.aligned(from, to);
+        let rows: Vec<_> = accounts.losses.within(from, to).map(|(at, key, loss)| (at, key, *loss)).collect();
+        let mut sum = (0u64, 0u64, 0u64);
+        for (_, _, flow) in accounts.flows.within(from, to) {
+            sum.0 = sum.0.saturating_add(flow.count);
+            sum.1 = sum.1.saturating_add(flow.asked);
+            sum.2 = sum.2.saturating_add(flow.earned);
+        }
+        let server = |key: &(crate::event::PoolId, u32)| match key.1 {
+            NOBODY => "no server".to_owned(),
+            server => head.server(key.0, server),
+        };
+        let views = vec![
+            ("cause", view(&rows, |_, key| Cause::of(key.cause), Cause::to_string)),
+            ("server", view(&rows, |_, key| (key.pool, key.server), server)),
+            (
+                "class",
+                view(
+                    &rows,
+                    |_, key| (key.pool, key.class),
+                    |&(pool, class)| format!("{} in {}", head.class(pool, class), head.pool(pool)),
+                ),
+            ),
+            ("moment", view(&rows, |at, _| at, |at| moment::shown(*at, head.start))),
+        ];
+        Self { from, to, start: head.start, requests: sum.0, asked: sum.1, earned: sum.2, views }
+    }
+
+    /// What was lost.
+    #[must_use]
+    pub fn lost(&self) -> Micro {
+        self.asked.saturating_sub(self.earned)
+    }
+
+    /// The same of two spans side by side, as shares of what each was asked.
+    #[must_use]
+    pub fn beside(&self, other: &Self) -> String {
+        let share = |lost: Micro, of: &Self| 100.0 * lost as f64 / (of.asked as f64).max(1.0);
+        let mut out = format!(
+            "lost of the worth asked: {:.2}% against {:.2}%\n",
+            share(self.lost(), self),
+            share(other.lost(), other)
+        );
+        for ((name, one), (_, two)) in
+            self.views.iter().zip(&other.views).filter(|((name, _), _)| *name != "moment")
+        {
+            let mut all: BTreeMap<&str, (Micro, Micro)> = BTreeMap::new();
+            one.iter().for_each(|part| all.entry(&part.what).or_default().0 = part.lost);
+            two.iter().for_each(|part| all.entry(&part.what).or_default().1 = part.lost);
+            let mut rows: Vec<_> = all
+                .into_iter()
+                .map(|(what, (one, two))| (what, share(one, self), share(two, other)))
+                .collect();
+            rows.sort_by(|a, b| (b.1 - b.2).abs().total_cmp(&(a.1 - a.2).abs()));
+            out += &format!("by {name}:\n");
+            for (what, one, two) in rows.iter().take(SHOWN) {
+                out += &format!("  {one:7.2}%  {two:7.2}%  {:+7.2}  {what}\n", two - one);
+            }
+        }
+        out
+    }
+}
+
+impl fmt::Display for Breakdown {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let worth = |micro: Micro| micro as f64 / 1e6;
+        let share = |lost: Micro| 100.0 * lost as f64 / (self.asked as f64).max(1.0);
+        let until = if self.to == Nanos::MAX { "its end".into() } else { moment::shown(self.to, self.start) };
+        writeln!(out, "from {} to {until}:", moment::shown(self.from, self.start))?;
+        writeln!(
+            out,
+            "{} requests worth {:.1}; earned {:.1}, lost {:.1} ({:.2}%)",
+            self.requests,
+            worth(self.asked),
+            worth(self.earned),
+            worth(self.lost()),
+            share(self.lost())
+        )?;
+        for (name, parts) in &self.views {
+            if parts.is_empty() {
+                continue;
+            }
+            writeln!(out, "by {name}:")?;
+            for part in parts.iter().take(SHOWN) {
+                let Part { what, lost, count } = part;
+                writeln!(out, "  {:10.1} {:6.2}%  {count:7} requests  {what}", worth(*lost), share(*lost))?;
+            }
+            let rest = parts.iter().skip(SHOWN);
+            let (lost, count) = rest.fold((0, 0), |(lost, n), part| (lost + part.lost, n + 1));
+            if count > 0 {
+                writeln!(out, "  {:10.1} {:6.2}%  in {count} more", worth(lost), share(lost))?;
+            }
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/trace/src/bytes.rs
@@ -0,0 +1,96 @@
+//! The smallest parts of the binary form: numbers of seven bits a byte, the lowest first (LEB128), and texts with their
+//! length ahead. Reading never panics: what is not there is `None`.
+
+/// Appends a number.
+pub fn put(out: &mut Vec<u8>, mut value: u64) {
+    while value >= 0x80 {
+        out.push(value as u8 | 0x80);
+        value >>= 7;
+    }
+    out.push(value as u8);
+}
+
+/// Appends a number that may be missing.
+pub fn put_some(out: &mut Vec<u8>, value: Option<u64>) {
+    // None is 0, and the rest one more; the very last number is not needed.
+    put(out, value.map_or(0, |value| value.saturating_add(1)));
+}
+
+/// Appends a fraction, to six digits or so.
+pub fn put_f32(out: &mut Vec<u8>, value: f32) {
+    out.extend_from_slice(&value.to_le_bytes());
+}
+
+/// Appends some bytes with their length.
+pub fn put_bytes(out: &mut Vec<u8>, bytes: &[u8]) {
+    put(out, bytes.len() as u64);
+    out.extend_from_slice(bytes);
+}
+
+/// Reads what was appended.
+#[derive(Clone, Copy, Debug)]
+pub struct Reader<'a>(pub &'a [u8]);
+
+impl<'a> Reader<'a> {
+    /// Whether nothing is left.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
+    /// So many bytes.
+    pub fn take(&mut self, count: usize) -> Option<&'a [u8]> {
+        let (taken, rest) = self.0.split_at_checked(count)?;
+        self.0 = rest;
+        Some(taken)
+    }
+
+    /// One byte.
+    pub fn byte(&mut self) -> Option<u8> {
+        self.take(1).map(|bytes| bytes[0])
+    }
+
+    /// A number.
+    pub fn number(&mut self) -> Option<u64> {
+        let mut value = 0;
+        for shift in (0..64).step_by(7) {
+            let byte = self.byte()?;
+            let bits = u64::from(byte & 0x7f);
+            // The tenth byte has room for one bit.
+            if shift == 63 && bits > 1 {
+                return None;
+            }
+            value |= bits << shift;
+            if byte & 0x80 == 0 {
+                return Some(value);
+            }
+        }
+        None
+    }
+
+    /// A number that fits a smaller type.
+    pub fn small<T: TryFrom<u64>>(&mut self) -> Option<T> {
+        T::try_from(self.number()?).ok()
+    }
+
+    /// A number that may be missing; the outer `None` is a fault.
+    pub fn some(&mut self) -> Option<Option<u64>> {
+        self.number().map(|value| value.checked_sub(1))
+    }
+
+    /// A fraction.
+    pub fn f32(&mut self) -> Option<f32> {
+        self.take(4).and_then(|bytes| bytes.try_into().ok()).map(f32::from_le_bytes)
+    }
+
+    /// Bytes with their length.
+    pub fn bytes(&mut self) -> Option<&'a [u8]> {
+        let length = self.small::<usize>()?;
+        self.take(length)
+    }
+
+    /// A text.
+    pub fn text(&mut self) -> Option<&'a str> {
+        str::from_utf8(self.bytes()?).ok()
+    }
+}
--- /dev/null
+++ b/crates/trace/src/cause.rs
@@ -0,0 +1,433 @@
+//! Why worth was lost: each row of losses is put down to a finding, which names a server, a class, a pool, the node or its
+//! clients, and says what is the matter there.
+//!
+//! A loss whose own request shows the fault goes there: to a server that breaks off far more often than others do, or to
+//! a class whose answers can't come in the time it states. A loss in the queue shows nothing by itself: places were
+//! taken. It is put down to those who took them for nothing, in proportion, where that is a good part of all the time that
+//! places were taken; else to the pool, which was asked for more than its servers hold. Parts are whole numbers and add up.
+
+use std::collections::BTreeMap;
+use std::fmt;
+
+use pumicehead_policy::interface::{Nanos, Outcome};
+
+use crate::account::{Accounts, Flow, LossKey, NOBODY, Served, ServerKey};
+use crate::dump::Head;
+use crate::event::{PoolId, outcome, place};
+use crate::loss::{Cause, Micro, Where, said};
+use crate::moment;
+
+/// A server is at fault where the share of its attempts that end badly in one way is over this multiple of the others' ...
+const OWN_FAULT: f64 = 2.0;
+/// ... by more than this ...
+const OWN_SHARE: f64 = 0.02;
+/// ... and not by a single chance.
+const OWN_COUNT: u64 = 3;
+/// A server is slow whose answers take this multiple of what they take at the others.
+const SLOW: f64 = 1.5;
+/// Time that places were taken for nothing counts as the cause of a queue from this share of all the time on.
+const WASTE: f64 = 0.2;
+/// A class gets no answers where fewer than this share of its attempts are answered ...
+const UNANSWERED: f64 = 0.2;
+/// ... by servers that answer at least this share of the others' attempts.
+const ANSWERING: f64 = 0.8;
+
+/// Who or what a loss is put down to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Subject {
+    /// A server.
+    Server(PoolId, u32),
+    /// A class, by its place in its pool.
+    Class(PoolId, u16),
+    /// All servers of a pool.
+    Pool(PoolId),
+    /// The node itself.
+    Node,
+    /// Clients.
+    Clients(PoolId),
+}
+
+/// What is the matter.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Matter {
+    /// Attempts get no answer.
+    Silent,
+    /// Connections break.
+    Resets,
+    /// It answers with errors.
+    Errors,
+    /// It turns requests away.
+    TurnsAway,
+    /// It takes no connections.
+    Unreachable,
+    /// It answers far more slowly than others.
+    Slow,
+    /// Connections to it take long.
+    SlowToConnect,
+    /// Its answers can't come in the time that it states.
+    TooTight,
+    /// There are too few descriptors.
+    Descriptors,
+    /// It holds as many requests as it may.
+    Held,
+    /// More is asked than there is room for.
+    Crowded,
+    /// Requests of one key wait for each other.
+    Turns,
+    /// Clients leave before their answer.
+    Leave,
+    /// Bodies are slow or break off.
+    Bodies,
+    /// Nothing that has a name here.
+    Other,
+}
+
+/// A cause with what it cost.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Finding {
+    /// Who or what.
+    pub subject: Subject,
+    /// What is the matter.
+    pub matter: Matter,
+    /// Worth put down to it.
+    pub lost: Micro,
+    /// By so many requests, where a request that is put down in parts counts for the largest.
+    pub count: u64,
+    /// In words, with the evidence.
+    pub text: String,
+}
+
+/// Sums of one pool over the span.
+#[derive(Default)]
+struct Pool {
+    servers: BTreeMap<u32, Served>,
+    classes: BTreeMap<u16, Flow>,
+}
+
+impl Pool {
+    /// Share of attempts at one server, and at all others, that end in one of some ways.
+    fn shares(&self, server: u32, ways: &[Outcome]) -> (f64, f64, u64) {
+        let count = |row: &Served| ways.iter().map(|way| row.ended[place(*way)]).sum::<u64>();
+        let (mut own, mut others) = ((0, 0), (0, 0));
+        for (id, row) in &self.servers {
+            let sum = if *id == server { &mut own } else { &mut others };
+            *sum = (sum.0 + count(row), sum.1 + row.attempts());
+        }
+        let share = |(bad, all): (u64, u64)| bad as f64 / (all as f64).max(1.0);
+        (share(own), share(others), own.0)
+    }
+
+    fn is_own(&self, server: u32, ways: &[Outcome]) -> bool {
+        let (own, others, count) = self.shares(server, ways);
+        count >= OWN_COUNT && own > OWN_FAULT * others + OWN_SHARE
+    }
+
+    /// How slow a server's answers are against those of the others.
+    fn slowness(&self, server: u32) -> f64 {
+        let answered = |row: &Served| row.ended[place(Outcome::Ok)];
+        let Some(row) = self.servers.get(&server).filter(|row| answered(row) >= OWN_COUNT) else {
+            return 1.0;
+        };
+        let mean = |row: &Served| row.stretch as f64 / answered(row).max(1) as f64;
+        let mut others: Vec<_> = self
+            .servers
+            .iter()
+            .filter(|(id, row)| **id != server && answered(row) > 0)
+            .map(|(_, row)| mean(row))
+            .collect();
+        others.sort_by(f64::total_cmp);
+        // The median: one other that is slow as well changes little.
+        others.get(others.len() / 2).map_or(1.0, |middle| mean(row) / middle.max(1.0))
+    }
+
+    /// What is the matter with a server, if anything, the gravest first.
+    fn matter(&self, server: u32) -> Option<Matter> {
+        let ways: [(&[Outcome], Matter); 5] = [
+            (&[Outcome::TimedOut, Outcome::Cancelled], Matter::Silent),
+            (&[Outcome::Reset], Matter::Resets),
+            (&[Outcome::ConnectFailed], Matter::Unreachable),
+            (&[Outcome::Error], Matter::Errors),
+            (&[Outcome::Full], Matter::TurnsAway),
+        ];
+        let own = ways.into_iter().filter(|(ways, _)| self.is_own(server, ways));
+        let gravest = own.max_by(|(one, _), (other, _)| {
+            let excess = |ways| {
+                let (own, others, _) = self.shares(server, ways);
+                own - others
+            };
+            excess(one).total_cmp(&excess(other))
+        });
+        let slow = self.slowness(server) >= SLOW;
+        match gravest.map(|(_, matter)| matter) {
+            // Called back for being late, and answering all the same: that is slow, not silent.
+            Some(Matter::Silent) if slow && self.answers(server) > 0.5 => Some(Matter::Slow),
+            None if slow => Some(Matter::Slow),
+            matter => matter,
+        }
+    }
+
+    fn answers(&self, server: u32) -> f64 {
+        self.shares(server, &[Outcome::Ok]).0
+    }
+
+    /// Microseconds for which a server's places were taken for nothing.
+    fn waste(&self, server: u32, row: &Served) -> u64 {
+        if self.matter(server).is_none() {
+            return 0;
+        }
+        let slow = self.slowness(server);
+        let extra = if slow >= SLOW { row.good as f64 * (1.0 - 1.0 / slow) } else { 0.0 };
+        row.bad.saturating_add(extra as u64)
+    }
+
+    /// Whether a class states a time that its answers can't come in, while others are answered.
+    fn is_tight(&self, class: u16, aim: Nanos, deadline: Nanos) -> bool {
+        let Some(flow) = self.classes.get(&class) else { return false };
+        // The aim is what the worth goes by, whatever the deadline.
+        if flow.answered >= OWN_COUNT && flow.least.saturating_sub(1).saturating_mul(1_000) > aim {
+            return true;
+        }
+        let all = flow.answered + flow.unanswered;
+        let others = self.classes.iter().filter(|(other, _)| **other != class);
+        let (answered, tried, took) = others.fold((0, 0, 0), |(a, t, s), (_, other)| {
+            (a + other.answered, t + other.answered + other.unanswered, s + other.took)
+        });
+        let starved = all >= OWN_COUNT && (flow.answered as f64) < UNANSWERED * all as f64;
+        let fine = tried >= OWN_COUNT && answered as f64 >= ANSWERING * tried as f64;
+        // What others are answered in on average is more than it allows.
+        starved && fine && took.saturating_mul(1_000) / answered.max(1) > deadline.min(aim) / 2
+    }
+}
+
+/// The state of one reading.
+struct Reading<'a> {
+    head: &'a Head,
+    short: [u64; 2],
+    pools: BTreeMap<PoolId, Pool>,
+    found: BTreeMap<(Subject, Matter), (Micro, u64)>,
+}
+
+/// The findings of a span, the largest first.
+#[must_use]
+pub fn find(head: &Head, accounts: &Accounts, from: Nanos, to: Nanos) -> Vec<Finding> {
+    let (from, to) = accounts.aligned(from, to);
+    let mut pools: BTreeMap<PoolId, Pool> = BTreeMap::new();
+    for (_, ServerKey { pool, server }, row) in accounts.servers.within(from, to) {
+        crate::account::Row::add(pools.entry(pool).or_default().servers.entry(server).or_default(), row);
+    }
+    for (_, key, row) in accounts.flows.within(from, to) {
+        crate::account::Row::add(
+            pools.entry(key.pool).or_default().classes.entry(key.class).or_default(),
+            row,
+        );
+    }
+    let mut reading = Reading { head, short: accounts.short, pools, found: BTreeMap::new() };
+    for (_, key, loss) in accounts.losses.within(from, to) {
+        reading.put_down(key, loss.lost, loss.count);
+    }
+    reading.note_waste();
+    let mut all: Vec<_> = reading
+        .found
+        .iter()
+        .map(|(&(subject, matter), &(lost, count))| Finding {
+            subject,
+            matter,
+            lost,
+            count,
+            text: reading.say(subject, matter),
+        })
+        .collect();
+    all.sort_by_key(|one| std::cmp::Reverse((one.lost, one.count)));
+    all
+}
+
+impl Reading<'_> {
+    fn book(&mut self, subject: Subject, matter: Matter, lost: Micro, count: u64) {
+        let row = self.found.entry((subject, matter)).or_default();
+        row.0 = row.0.saturating_add(lost);
+        row.1 = row.1.saturating_add(count);
+    }
+
+    fn put_down(&mut self, key: LossKey, lost: Micro, count: u64) {
+        let pool = key.pool;
+        let class =
+            self.head.pools.get(usize::from(pool.0)).and_then(|p| p.classes.get(usize::from(key.class)));
+        let (aim, deadline) =
+            class.map_or((Nanos::MAX, Nanos::MAX), |class| (class.aim_ns, class.deadline_ns));
+        let known = self.pools.get(&pool);
+        let tight = known.is_some_and(|known| known.is_tight(key.class, aim, deadline));
+        let of_server = known.filter(|_| key.server != NOBODY).and_then(|known| known.matter(key.server));
+        let server = Subject::Server(pool, key.server);
+        let (subject, matter) = match Cause::of(key.cause) {
+            Cause::Turned(true) => (Subject::Node, Matter::Descriptors),
+            Cause::Turned(false) => (Subject::Node, Matter::Held),
+            Cause::Body
+            | Cause::Late(Where::Client)
+            | Cause::OutOfTime(Where::Client)
+            | Cause::Left(Where::Client) => (Subject::Clients(pool), Matter::Bodies),
+            Cause::NoTurn => (Subject::Pool(pool), Matter::Turns),
+            Cause::Failed(at) if outcome(usize::from(at)) == Some(Outcome::Moot) && self.short[1] > 0 => {
+                (Subject::Node, Matter::Descriptors)
+            }
+            Cause::Other => (Subject::Pool(pool), Matter::Other),
+            // A class that states too short a time makes every server look silent.
+            _ if tight => (Subject::Class(pool, key.class), Matter::TooTight),
+            Cause::Late(Where::Connect) | Cause::OutOfTime(Where::Connect) | Cause::Left(Where::Connect) => {
+                (server, of_server.unwrap_or(Matter::SlowToConnect))
+            }
+            Cause::Failed(at) => match (of_server, outcome(usize::from(at))) {
+                (Some(matter), _) => (server, matter),
+                (None, Some(Outcome::Full)) => (Subject::Pool(pool), Matter::Crowded),
+                (None, Some(Outcome::TimedOut)) => (Subject::Pool(pool), Matter::Silent),
+                (None, Some(Outcome::Reset)) => (Subject::Pool(pool), Matter::Resets),
+                (None, Some(Outcome::Error)) => (Subject::Pool(pool), Matter::Errors),
+                (None, Some(Outcome::ConnectFailed)) => (Subject::Pool(pool), Matter::Unreachable),
+                _ => (Subject::Pool(pool), Matter::Other),
+            },
+            Cause::Late(Where::Server | Where::Earlier)
+            | Cause::OutOfTime(Where::Server | Where::Earlier)
+            | Cause::Left(Where::Server | Where::Earlier) => match of_server {
+                Some(matter) => (server, matter),
+                None => return self.put_down_queue(pool, lost, count),
+            },
+            Cause::WaitShare | Cause::NearlyOut | Cause::Late(_) | Cause::OutOfTime(_) => {
+                return self.put_down_queue(pool, lost, count);
+            }
+            Cause::Left(Where::Queue) => (Subject::Clients(pool), Matter::Leave),
+        };
+        self.book(subject, matter, lost, count);
+    }
+
+    /// Puts a loss for want of room down to those who took it for nothing.
+    fn put_down_queue(&mut self, pool: PoolId, lost: Micro, count: u64) {
+        let Some(known) = self.pools.get(&pool) else {
+            return self.book(Subject::Pool(pool), Matter::Crowded, lost, count);
+        };
+        let wastes: Vec<_> = known
+            .servers
+            .iter()
+            .filter_map(|(&id, row)| Some((known.waste(id, row), id, known.matter(id)?)))
+            .filter(|(waste, ..)| *waste > 0)
+            .collect();
+        let wasted: u64 = wastes.iter().map(|(waste, ..)| waste).sum();
+        let busy: u64 = known.servers.values().map(|row| row.good.saturating_add(row.bad)).sum();
+        if wasted == 0 || (wasted as f64) < WASTE * busy as f64 {
+            return self.book(Subject::Pool(pool), Matter::Crowded, lost, count);
+        }
+        let mut left = lost;
+        let largest = wastes.iter().max_by_key(|(waste, ..)| *waste).copied();
+        for (waste, id, matter) in wastes.into_iter().filter(|row| Some(*row) != largest) {
+            let part = (u128::from(lost) * u128::from(waste) / u128::from(wasted)) as Micro;
+            left -= part;
+            self.book(Subject::Server(pool, id), matter, part, 0);
+        }
+        if let Some((_, id, matter)) = largest {
+            self.book(Subject::Server(pool, id), matter, left, count);
+        }
+    }
+
+    /// Servers at fault that cost no worth are findings as well: copies and retries made up for them.
+    fn note_waste(&mut self) {
+        let mut more = Vec::new();
+        for (&pool, known) in &self.pools {
+            for &id in known.servers.keys().filter(|id| **id != NOBODY) {
+                more.extend(known.matter(id).map(|matter| (Subject::Server(pool, id), matter)));
+            }
+        }
+        for (subject, matter) in more {
+            self.book(subject, matter, 0, 0);
+        }
+    }
+
+    fn say(&self, subject: Subject, matter: Matter) -> String {
+        let percent = |share: f64| format!("{:.1}%", 100.0 * share);
+        match subject {
+            Subject::Server(pool, id) => {
+                let name = format!("server {} of {}", self.head.server(pool, id), self.head.pool(pool));
+                let Some(known) = self.pools.get(&pool) else { return format!("{name} {matter}") };
+                let beside = |ways: &[Outcome]| {
+                    let (own, others, _) = known.shares(id, ways);
+                    format!("{} of its attempts, {} at the others", percent(own), percent(others))
+                };
+                let evidence = match matter {
+                    Matter::Silent => beside(&[Outcome::TimedOut, Outcome::Cancelled]),
+                    Matter::Resets => beside(&[Outcome::Reset]),
+                    Matter::Errors => beside(&[Outcome::Error]),
+                    Matter::TurnsAway => beside(&[Outcome::Full]),
+                    Matter::Unreachable => beside(&[Outcome::ConnectFailed]),
+                    Matter::Slow => format!("{:.1} times the time that others take", known.slowness(id)),
+                    _ => String::new(),
+                };
+                if evidence.is_empty() {
+                    format!("{name} {matter}")
+                } else {
+                    format!("{name} {matter}: {evidence}")
+                }
+            }
+            Subject::Class(pool, class) => {
+                let head =
+                    self.head.pools.get(usize::from(pool.0)).and_then(|p| p.classes.get(usize::from(class)));
+                let flow = self.pools.get(&pool).and_then(|known| known.classes.get(&class));
+                let (aim, deadline) = head.map_or((0, 0), |class| (class.aim_ns, class.deadline_ns));
+                let least = flow.map_or(0, |flow| flow.least.saturating_sub(1).saturating_mul(1_000));
+                let best = if least > 0 {
+                    format!("the fastest took {}", moment::span(least))
+                } else {
+                    "none came".into()
+                };
+                format!(
+                    "class {} of {} {matter}: aim {}, deadline {}, and of its answers {best}",
+                    self.head.class(pool, class),
+                    self.head.pool(pool),
+                    moment::span(aim),
+                    moment::span(deadline)
+                )
+            }
+            Subject::Pool(pool) => format!("pool {}: {}", self.head.pool(pool), matter.of_all()),
+            Subject::Node => {
+                let [accept, dial] = self.short;
+                let evidence = if matter == Matter::Descriptors {
+                    format!(" (none for a client {accept} times, for a server {dial} times)")
+                } else {
+                    String::new()
+                };
+                format!("the node {matter}{evidence}")
+            }
+            Subject::Clients(pool) => format!("clients of {}: {}", self.head.pool(pool), matter.of_all()),
+        }
+    }
+}
+
+impl Matter {
+    fn of_all(self) -> &'static str {
+        match self {
+            Self::Silent => said(Outcome::TimedOut),
+            Self::Resets => "connections to all servers break alike",
+            Self::Errors => "all servers answer with errors alike",
+            Self::Unreachable => "no server takes connections",
+            Self::Crowded | Self::TurnsAway => "more was asked than its servers had room for",
+            Self::Turns => "requests of one key waited for each other",
+            Self::Leave => "they left before their answer",
+            Self::Bodies => "bodies were slow, too long or broke off",
+            _ => "other causes",
+        }
+    }
+}
+
+impl fmt::Display for Matter {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        out.write_str(match self {
+            Self::Silent => "is silent",
+            Self::Resets => "breaks connections off",
+            Self::Errors => "answers with errors",
+            Self::TurnsAway => "turns requests away",
+            Self::Unreachable => "takes no connections",
+            Self::Slow => "is slow",
+            Self::SlowToConnect => "is slow to take connections",
+            Self::TooTight => "states a time in which its answers can't come",
+            Self::Descriptors => "has too few descriptors",
+            Self::Held => "holds as many requests as it may",
+            other => other.of_all(),
+        })
+    }
+}
--- /dev/null
+++ b/crates/trace/src/dump.rs
@@ -0,0 +1,300 @@
+//! The file that a recorder's contents leave the process in.
+//!
+//! Eight bytes of magic, the version as two bytes (lowest first), then frames: a kind, the length and the CRC-32 (IEEE 802.3)
+//! of kind and contents as four bytes each, and the contents. First the head, as JSON; then sums, stories and pages of events,
+//! what matters most first; last an end. A frame that is damaged ends what can be read, and all before it counts. A
+//! kind that is not known is passed over: a later version may add some without another number.
+
+use pumicehead_policy::interface::Nanos;
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+use crate::account::Accounts;
+use crate::bytes::{Reader, put, put_bytes, put_some};
+use crate::event::PoolId;
+use crate::loss::Cause;
+use crate::recorder::{Class, Story};
+use crate::ring::{Record, records};
+use crate::text::Name;
+
+/// The first bytes.
+pub const MAGIC: &[u8; 8] = b"PHEADREC";
+/// The version that is written, and the last that can be read.
+pub const VERSION: u16 = 1;
+/// Longest file that is read: far more than any recorder's memory.
+pub const LONGEST: usize = 256 << 20;
+/// Servers of a pool that are named; ids are shown for the rest.
+const NAMED: usize = 20_000;
+
+const HEAD: u8 = 1;
+const SUMS: u8 = 2;
+const STORY: u8 = 3;
+const PAGE: u8 = 4;
+const END: u8 = 5;
+
+/// What a dump is of.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Head {
+    /// The node's name.
+    pub node: String,
+    /// The version of the program.
+    pub program: String,
+    /// When it began, in nanoseconds of Unix time.
+    pub start: Nanos,
+    /// When this was written, on the same clock.
+    pub at: Nanos,
+    /// Why.
+    pub reason: String,
+    /// Its pools, by their numbers.
+    pub pools: Vec<PoolHead>,
+    /// Events that had made way in the ring.
+    pub wrapped: u64,
+    /// Requests whose stories were not followed for lack of memory.
+    pub untold: u64,
+}
+
+/// A pool.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct PoolHead {
+    /// Its name.
+    pub name: String,
+    /// Its classes, by their places.
+    pub classes: Vec<ClassHead>,
+    /// Its tenants, by their places.
+    pub tenants: Vec<String>,
+    /// Its servers' names by their ids, in the order in which they were first heard of.
+    pub servers: Vec<(u32, String)>,
+}
+
+/// A class.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct ClassHead {
+    /// Its name.
+    pub name: String,
+    /// Its aim.
+    pub aim_ns: Nanos,
+    /// Its deadline.
+    pub deadline_ns: Nanos,
+    /// Its worth.
+    pub worth: f64,
+    /// The share of it that a late answer earns.
+    pub late_worth: f64,
+}
+
+impl From<&Class> for ClassHead {
+    fn from(class: &Class) -> Self {
+        Self {
+            name: class.name.clone(),
+            aim_ns: class.aim,
+            deadline_ns: class.deadline,
+            worth: class.worth,
+            late_worth: class.late_worth,
+        }
+    }
+}
+
+impl Head {
+    /// Of a node.
+    #[must_use]
+    pub fn new(node: &str, start: Nanos) -> Self {
+        Self { node: node.into(), program: env!("CARGO_PKG_VERSION").into(), start, ..Self::default() }
+    }
+
+    /// A pool's name.
+    #[must_use]
+    pub fn pool(&self, pool: PoolId) -> &str {
+        self.pools.get(usize::from(pool.0)).map_or("other", |pool| &pool.name)
+    }
+
+    /// A class's name.
+    #[must_use]
+    pub fn class(&self, pool: PoolId, class: u16) -> &str {
+        let pool = self.pools.get(usize::from(pool.0));
+        pool.and_then(|pool| pool.classes.get(usize::from(class))).map_or("other", |class| &class.name)
+    }
+
+    /// A server's name, or its id.
+    #[must_use]
+    pub fn server(&self, pool: PoolId, server: u32) -> String {
+        let pool = self.pools.get(usize::from(pool.0));
+        let name = pool.and_then(|pool| pool.servers.iter().find(|(id, _)| *id == server));
+        name.map_or_else(|| format!("#{server}"), |(_, name)| crate::text::plain(name))
+    }
+}
+
+impl PoolHead {
+    pub(crate) fn name_server(&mut self, id: u32, name: &str) {
+        if let Some(known) = self.servers.iter_mut().find(|(known, _)| *known == id) {
+            if known.1 != name {
+                known.1 = name.into();
+            }
+            return;
+        }
+        if self.servers.len() >= NAMED {
+            self.servers.remove(0);
+        }
+        self.servers.push((id, name.into()));
+    }
+}
+
+/// Why a file is no dump.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum DumpError {
+    /// It begins otherwise.
+    #[error("not a recording of pumicehead")]
+    Magic,
+    /// A later version.
+    #[error("a recording of version {0}; this program reads versions up to {VERSION}")]
+    Version(u16),
+    /// Too long.
+    #[error("{0} bytes, more than {LONGEST}")]
+    TooLong(usize),
+    /// Its head is damaged: without it nothing can be named.
+    #[error("the recording's head is damaged")]
+    Head,
+}
+
+/// Where a dump is damaged.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Damage {
+    /// From this byte on nothing could be read.
+    pub at: usize,
+    /// Of so many.
+    pub of: usize,
+}
+
+/// A dump as far as it can be read.
+#[derive(Clone, Debug)]
+pub struct Dump {
+    /// What it is of.
+    pub head: Head,
+    /// Its sums; `None` where they are damaged.
+    pub accounts: Option<Accounts>,
+    /// Its stories, those that matter most first.
+    pub stories: Vec<Story>,
+    /// Its events in the order of their times.
+    pub records: Vec<Record>,
+    /// Where it breaks off, if it does.
+    pub damage: Option<Damage>,
+}
+
+/// Of a frame: CRC-32 (IEEE 802.3) of the kind and the contents.
+#[must_use]
+pub fn sum(kind: u8, contents: &[u8]) -> u32 {
+    let mut hasher = crc32fast::Hasher::new();
+    hasher.update(&[kind]);
+    hasher.update(contents);
+    hasher.finalize()
+}
+
+fn frame(out: &mut Vec<u8>, kind: u8, contents: &[u8]) {
+    out.push(kind);
+    out.extend_from_slice(&(contents.len() as u32).to_le_bytes());
+    out.extend_from_slice(&sum(kind, contents).to_le_bytes());
+    out.extend_from_slice(contents);
+}
+
+/// A dump's bytes. Pages come as they are to be written: the newest first, so that a damaged tail costs the oldest.
+pub fn write<'a>(
+    head: &Head,
+    accounts: &Accounts,
+    stories: impl Iterator<Item = &'a Story>,
+    pages: impl Iterator<Item = &'a [u8]>,
+) -> Vec<u8> {
+    let mut out = MAGIC.to_vec();
+    out.extend_from_slice(&VERSION.to_le_bytes());
+    // Texts and finite numbers alone: this can't fail.
+    frame(&mut out, HEAD, &serde_json::to_vec(head).unwrap_or_default());
+    let mut contents = Vec::new();
+    accounts.write(&mut contents);
+    frame(&mut out, SUMS, &contents);
+    for story in stories {
+        contents.clear();
+        put(&mut contents, u64::from(story.pool.0));
+        put(&mut contents, u64::from(story.class));
+        put(&mut contents, story.at);
+        put_some(&mut contents, story.cause.map(|cause| u64::from(cause.code())));
+        contents.push(u8::from(story.cut));
+        put_bytes(&mut contents, story.name.start.as_bytes());
+        contents.extend_from_slice(&story.name.hash.to_le_bytes());
+        put_bytes(&mut contents, &story.page);
+        frame(&mut out, STORY, &contents);
+    }
+    for page in pages {
+        frame(&mut out, PAGE, page);
+    }
+    frame(&mut out, END, &[]);
+    out
+}
+
+fn story(contents: &[u8]) -> Option<Story> {
+    let mut from = Reader(contents);
+    Some(Story {
+        pool: PoolId(from.small()?),
+        class: from.small()?,
+        at: from.number()?,
+        cause: from.some()?.map(|code| u8::try_from(code).map_or(Cause::Other, Cause::of)),
+        cut: from.byte()? != 0,
+        name: Name { start: from.text()?.into(), hash: u64::from_le_bytes(from.take(8)?.try_into().ok()?) },
+        page: from.bytes()?.into(),
+    })
+}
+
+/// The next frame, if it is whole.
+fn next<'a>(from: &mut Reader<'a>) -> Option<(u8, &'a [u8])> {
+    let kind = from.byte()?;
+    let length = u32::from_le_bytes(from.take(4)?.try_into().ok()?);
+    let told = u32::from_le_bytes(from.take(4)?.try_into().ok()?);
+    let contents = from.take(length as usize)?;
+    (sum(kind, contents) == told).then_some((kind, contents))
+}
+
+impl Dump {
+    /// Reads a file.
+    ///
+    /// # Errors
+    /// Why it is no dump, or none of this version. Damage behind the head is no error, and told in [`Dump::damage`].
+    pub fn read(bytes: &[u8]) -> Result<Self, DumpError> {
+        if bytes.len() > LONGEST {
+            return Err(DumpError::TooLong(bytes.len()));
+        }
+        let mut from = Reader(bytes);
+        if from.take(MAGIC.len()) != Some(MAGIC) {
+            return Err(DumpError::Magic);
+        }
+        let version = from.take(2).map_or(0, |two| u16::from_le_bytes([two[0], two[1]]));
+        if version == 0 || version > VERSION {
+            return Err(DumpError::Version(version));
+        }
+        let Some((HEAD, head)) = next(&mut from) else { return Err(DumpError::Head) };
+        let head = serde_json::from_slice(head).map_err(|_| DumpError::Head)?;
+        let mut dump = Self { head, accounts: None, stories: Vec::new(), records: Vec::new(), damage: None };
+        loop {
+            let at = bytes.len() - from.0.len();
+            match next(&mut from) {
+                Some((END, _)) => break,
+                Some((SUMS, contents)) => dump.accounts = Accounts::read(&mut Reader(contents)),
+                Some((STORY, contents)) => dump.stories.extend(story(contents)),
+                Some((PAGE, contents)) => dump.records.extend(records(contents).0),
+                Some(_) => {}
+                None => {
+                    dump.damage = Some(Damage { at, of: bytes.len() });
+                    break;
+                }
+            }
+        }
+        dump.records.sort_by_key(|record| record.at);
+        Ok(dump)
+    }
+
+    /// The stories of a request by the name that its client gave it, the newest first.
+    #[must_use]
+    pub fn find(&self, name: &str) -> Vec<&Story> {
+        let mut found: Vec<_> = self.stories.iter().filter(|story| story.name.is(name)).collect();
+        found.sort_by_key(|story| std::cmp::Reverse(story.at));
+        found
+    }
+}
--- /dev/null
+++ b/crates/trace/src/event.rs
@@ -0,0 +1,431 @@
+//! What is recorded, and its binary form.
+//!
+//! A record is its length, the microseconds since the record before it, the pool, a tag and the fields. Unknown tags are
+//! passed over by their length: a later version may add some.
+
+use pumicehead_policy::interface::{AttemptNo, Nanos, Outcome, RequestId, ServerId};
+use pumicehead_policy::note::{Hurdles, Moved, Note, Rule, Stop};
+
+use crate::bytes::{Reader, put, put_bytes, put_f32, put_some};
+use crate::text::Name;
+
+/// A pool, by its place in the head of a dump.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct PoolId(pub u16);
+
+/// How a request ended for its client.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum How {
+    /// With a server's answer.
+    Served,
+    /// With a server's answer that speaks of a fault.
+    ServedFault,
+    /// Refused: it may come again.
+    Refused,
+    /// Failed.
+    Failed,
+    /// Failed since its time was up.
+    Late,
+    /// Its body was too slow, too long or broke off.
+    Body,
+    /// The client had left.
+    Left,
+}
+
+impl How {
+    const ALL: [Self; 7] =
+        [Self::Served, Self::ServedFault, Self::Refused, Self::Failed, Self::Late, Self::Body, Self::Left];
+}
+
+/// Why a front turned a request away that no pool has seen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Turned {
+    /// The node holds as many requests as it may.
+    Held,
+    /// There is no place for another connection.
+    Connections,
+}
+
+impl Turned {
+    const ALL: [Self; 2] = [Self::Held, Self::Connections];
+}
+
+/// What a node ran out of.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Short {
+    /// The system gives no descriptor for a client's connection.
+    Accept,
+    /// No place for another connection to a server.
+    Dial,
+}
+
+impl Short {
+    const ALL: [Self; 2] = [Self::Accept, Self::Dial];
+}
+
+/// What a list said of a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Listed {
+    /// It takes work.
+    Ready,
+    /// It drains.
+    Draining,
+    /// It is gone.
+    Gone,
+}
+
+impl Listed {
+    const ALL: [Self; 3] = [Self::Ready, Self::Draining, Self::Gone];
+}
+
+/// An event of a pool.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Event {
+    /// A request came.
+    Asked {
+        /// The pool's number for it.
+        id: RequestId,
+        /// Its class, by its place in the pool.
+        class: u16,
+        /// Its tenant, where there are tenants.
+        tenant: Option<u32>,
+        /// How long its client waits from now on.
+        left: Nanos,
+        /// How long it took the client to send it.
+        sending: Nanos,
+        /// What its client calls it.
+        name: Name,
+    },
+    /// What the module says of its reasons.
+    Note(Note),
+    /// An attempt began.
+    Sent {
+        /// Of this request.
+        id: RequestId,
+        /// The attempt.
+        attempt: AttemptNo,
+        /// To this server.
+        server: ServerId,
+        /// It is given up after so long.
+        timeout: Option<Nanos>,
+    },
+    /// An attempt ended.
+    Ended {
+        /// Of this request.
+        id: RequestId,
+        /// The attempt.
+        attempt: AttemptNo,
+        /// At this server.
+        server: ServerId,
+        /// How.
+        outcome: Outcome,
+        /// It took so long.
+        took: Nanos,
+        /// Of this, to get a connection.
+        dial: Nanos,
+    },
+    /// The answer of an attempt began to pass through.
+    Began {
+        /// Of this request.
+        id: RequestId,
+        /// The attempt.
+        attempt: AttemptNo,
+    },
+    /// The final answer.
+    Over {
+        /// Of this request.
+        id: RequestId,
+        /// How.
+        how: How,
+    },
+    /// The list spoke of a server.
+    Server {
+        /// Which.
+        server: ServerId,
+        /// What it said.
+        listed: Listed,
+    },
+    /// Advice was heard.
+    Advice {
+        /// Servers to avoid.
+        avoid: u32,
+        /// Rights lent and granted.
+        rights: u32,
+    },
+    /// A front turned a request away.
+    Turned {
+        /// Its class, by its place in the pool.
+        class: u16,
+        /// Why.
+        why: Turned,
+    },
+    /// The node ran out of something.
+    Short(Short),
+}
+
+const OUTCOMES: [Outcome; 8] = [
+    Outcome::Ok,
+    Outcome::Error,
+    Outcome::Full,
+    Outcome::TimedOut,
+    Outcome::ConnectFailed,
+    Outcome::Reset,
+    Outcome::Cancelled,
+    Outcome::Moot,
+];
+const STOPS: [Stop; 4] = [Stop::Attempts, Stop::Effect, Stop::Time, Stop::Budget];
+
+/// Place of an outcome in rows of counts.
+#[must_use]
+pub fn place(outcome: Outcome) -> usize {
+    OUTCOMES.iter().position(|&known| known == outcome).unwrap_or_default()
+}
+
+/// The outcome at a place.
+#[must_use]
+pub fn outcome(place: usize) -> Option<Outcome> {
+    OUTCOMES.get(place).copied()
+}
+
+fn at<T: Copy>(all: &[T], place: u8) -> Option<T> {
+    all.get(usize::from(place)).copied()
+}
+
+fn rule_code(rule: Rule) -> u8 {
+    match rule {
+        Rule::WaitShare => 0,
+        Rule::NearlyOut => 1,
+        Rule::NoTurn => 2,
+        Rule::NoRetry(stop) => 3 + STOPS.iter().position(|&known| known == stop).unwrap_or_default() as u8,
+    }
+}
+
+fn rule_of(code: u8) -> Option<Rule> {
+    Some(match code {
+        0 => Rule::WaitShare,
+        1 => Rule::NearlyOut,
+        2 => Rule::NoTurn,
+        code => Rule::NoRetry(at(&STOPS, code - 3)?),
+    })
+}
+
+impl Event {
+    /// The request that it is about.
+    #[must_use]
+    pub fn request(&self) -> Option<RequestId> {
+        match *self {
+            Self::Asked { id, .. }
+            | Self::Sent { id, .. }
+            | Self::Ended { id, .. }
+            | Self::Began { id, .. }
+            | Self::Over { id, .. }
+            | Self::Note(
+                Note::Taken { id, .. }
+                | Note::Held { id, .. }
+                | Note::Picked { id, .. }
+                | Note::NoneFits { id, .. }
+                | Note::Over { id, .. },
+            ) => Some(id),
+            _ => None,
+        }
+    }
+
+    /// Appends the tag and the fields.
+    pub fn encode(&self, out: &mut Vec<u8>) {
+        let mut start = |tag: u8, first: u32| {
+            out.push(tag);
+            put(out, u64::from(first));
+        };
+        match self {
+            Self::Asked { id, class, tenant, left, sending, name } => {
+                start(1, id.0);
+                put(out, u64::from(*class));
+                put_some(out, tenant.map(u64::from));
+                put(out, *left);
+                put(out, *sending);
+                put_bytes(out, name.start.as_bytes());
+                out.extend_from_slice(&name.hash.to_le_bytes());
+            }
+            Self::Sent { id, attempt, server, timeout } => {
+                start(2, id.0);
+                out.push(attempt.0);
+                put(out, u64::from(server.0));
+                put_some(out, *timeout);
+            }
+            Self::Ended { id, attempt, server, outcome, took, dial } => {
+                start(3, id.0);
+                out.push(attempt.0);
+                put(out, u64::from(server.0));
+                out.push(place(*outcome) as u8);
+                put(out, *took);
+                put(out, *dial);
+            }
+            Self::Began { id, attempt } => {
+                start(4, id.0);
+                out.push(attempt.0);
+            }
+            Self::Over { id, how } => {
+                start(5, id.0);
+                out.push(How::ALL.iter().position(|known| known == how).unwrap_or_default() as u8);
+            }
+            Self::Server { server, listed } => {
+                start(6, server.0);
+                out.push(Listed::ALL.iter().position(|known| known == listed).unwrap_or_default() as u8);
+            }
+            Self::Advice { avoid, rights } => {
+                start(7, *avoid);
+                put(out, u64::from(*rights));
+            }
+            Self::Turned { class, why } => {
+                start(8, u32::from(*class));
+                out.push(Turned::ALL.iter().position(|known| known == why).unwrap_or_default() as u8);
+            }
+            Self::Short(what) => {
+                start(9, Short::ALL.iter().position(|known| known == what).unwrap_or_default() as u32);
+            }
+            Self::Note(note) => encode_note(note, out),
+        }
+    }
+
+    /// Reads a tag and its fields; `None` where they are not what they should be, or the tag is not known.
+    #[must_use]
+    pub fn decode(from: &mut Reader<'_>) -> Option<Self> {
+        let tag = from.byte()?;
+        let first = from.small::<u32>()?;
+        let id = RequestId(first);
+        Some(match tag {
+            1 => Self::Asked {
+                id,
+                class: from.small()?,
+                tenant: from.some()?.map(u32::try_from).transpose().ok()?,
+                left: from.number()?,
+                sending: from.number()?,
+                name: Name {
+                    start: from.text()?.into(),
+                    hash: u64::from_le_bytes(from.take(8)?.try_into().ok()?),
+                },
+            },
+            2 => Self::Sent {
+                id,
+                attempt: AttemptNo(from.byte()?),
+                server: ServerId(from.small()?),
+                timeout: from.some()?,
+            },
+            3 => Self::Ended {
+                id,
+                attempt: AttemptNo(from.byte()?),
+                server: ServerId(from.small()?),
+                outcome: at(&OUTCOMES, from.byte()?)?,
+                took: from.number()?,
+                dial: from.number()?,
+            },
+            4 => Self::Began { id, attempt: AttemptNo(from.byte()?) },
+            5 => Self::Over { id, how: at(&How::ALL, from.byte()?)? },
+            6 => Self::Server { server: ServerId(first), listed: at(&Listed::ALL, from.byte()?)? },
+            7 => Self::Advice { avoid: first, rights: from.small()? },
+            8 => Self::Turned { class: u16::try_from(first).ok()?, why: at(&Turned::ALL, from.byte()?)? },
+            9 => Self::Short(at(&Short::ALL, u8::try_from(first).ok()?)?),
+            tag => Self::Note(decode_note(tag, first, from)?),
+        })
+    }
+}
+
+fn encode_note(note: &Note, out: &mut Vec<u8>) {
+    let mut start = |tag: u8, first: u32| {
+        out.push(tag);
+        put(out, u64::from(first));
+    };
+    match *note {
+        Note::Taken { id, tier, worth, aim_at } => {
+            start(32, id.0);
+            out.push(tier);
+            put_f32(out, worth);
+            put(out, aim_at);
+        }
+        Note::Held { id, held } => {
+            start(33, id.0);
+            put(out, u64::from(held));
+        }
+        Note::Picked { id, server, score, next, out: used, limit, hurdles } => {
+            start(34, id.0);
+            put(out, u64::from(server.0));
+            put_f32(out, score);
+            put_some(out, next.map(|(server, _)| u64::from(server.0)));
+            if let Some((_, score)) = next {
+                put_f32(out, score);
+            }
+            put(out, u64::from(used));
+            put_f32(out, limit);
+            out.extend_from_slice(&hurdles.0);
+        }
+        Note::NoneFits { id, hurdles } => {
+            start(35, id.0);
+            out.extend_from_slice(&hurdles.0);
+        }
+        Note::Over { id, rule, pressure } => {
+            start(36, id.0);
+            out.push(rule_code(rule));
+            put_f32(out, pressure);
+        }
+        Note::Limit { server, from, to, why } => {
+            start(37, server.0);
+            put_f32(out, from);
+            put_f32(out, to);
+            out.push(u8::from(why == Moved::Failure));
+        }
+        Note::Limits { factor, load } => {
+            start(38, 0);
+            put_f32(out, factor);
+            put_f32(out, load);
+        }
+        Note::Aside { server, span } => {
+            start(39, server.0);
+            put(out, span);
+        }
+        Note::Back { server } => start(40, server.0),
+        Note::Doubt { bad, all, most } => {
+            start(41, bad);
+            put(out, u64::from(all));
+            out.push(u8::from(most));
+        }
+        Note::Overload { held } => start(42, held),
+        Note::Calm => start(43, 0),
+        Note::ListLost => start(44, 0),
+        Note::ListRegained => start(45, 0),
+    }
+}
+
+fn decode_note(tag: u8, first: u32, from: &mut Reader<'_>) -> Option<Note> {
+    let (id, server) = (RequestId(first), ServerId(first));
+    let hurdles = |from: &mut Reader<'_>| from.take(5).and_then(|counts| counts.try_into().ok()).map(Hurdles);
+    Some(match tag {
+        32 => Note::Taken { id, tier: from.byte()?, worth: from.f32()?, aim_at: from.number()? },
+        33 => Note::Held { id, held: from.small()? },
+        34 => {
+            let (server, score) = (ServerId(from.small()?), from.f32()?);
+            let next = match from.some()? {
+                Some(next) => Some((ServerId(u32::try_from(next).ok()?), from.f32()?)),
+                None => None,
+            };
+            let (out, limit) = (from.small()?, from.f32()?);
+            Note::Picked { id, server, score, next, out, limit, hurdles: hurdles(from)? }
+        }
+        35 => Note::NoneFits { id, hurdles: hurdles(from)? },
+        36 => Note::Over { id, rule: rule_of(from.byte()?)?, pressure: from.f32()? },
+        37 => Note::Limit {
+            server,
+            from: from.f32()?,
+            to: from.f32()?,
+            why: if from.byte()? == 0 { Moved::Compared } else { Moved::Failure },
+        },
+        38 => Note::Limits { factor: from.f32()?, load: from.f32()? },
+        39 => Note::Aside { server, span: from.number()? },
+        40 => Note::Back { server },
+        41 => Note::Doubt { bad: first, all: from.small()?, most: from.byte()? != 0 },
+        42 => Note::Overload { held: first },
+        43 => Note::Calm,
+        44 => Note::ListLost,
+        45 => Note::ListRegained,
+        _ => return None,
+    })
+}
--- /dev/null
+++ b/crates/trace/src/export.rs
@@ -0,0 +1,163 @@
+//! Stories in forms that other viewers open: OTLP/JSON (one `TracesData` a line, as the OpenTelemetry protocol's file
+//! exporter writes it) and Chrome's trace events (the "Trace Event Format", JSON object form).
+
+use pumicehead_policy::interface::{Nanos, Outcome};
+use serde_json::{Value, json};
+
+use crate::dump::Dump;
+use crate::event::{Event, How};
+use crate::loss::said;
+use crate::recorder::Story;
+use crate::ring::{Record, records};
+use crate::text::plain;
+
+/// An attempt as both forms show it.
+struct Attempt {
+    number: u8,
+    server: String,
+    from: Nanos,
+    to: Nanos,
+    outcome: Option<Outcome>,
+}
+
+struct Told {
+    events: Vec<Record>,
+    from: Nanos,
+    to: Nanos,
+    how: Option<How>,
+    attempts: Vec<Attempt>,
+}
+
+fn told(dump: &Dump, story: &Story) -> Told {
+    let (events, _) = records(&story.page);
+    let from = events.first().map_or(story.at, |record| record.at);
+    let mut to = story.at.max(from);
+    let (mut how, mut attempts) = (None, Vec::<Attempt>::new());
+    for record in &events {
+        match &record.event {
+            Event::Sent { attempt, server, .. } => attempts.push(Attempt {
+                number: attempt.0,
+                server: dump.head.server(story.pool, server.0),
+                from: record.at,
+                to: story.at.max(record.at),
+                outcome: None,
+            }),
+            Event::Ended { attempt, outcome, .. } => {
+                for one in attempts.iter_mut().filter(|one| one.number == attempt.0) {
+                    (one.to, one.outcome) = (record.at.max(one.from), Some(*outcome));
+                }
+            }
+            Event::Over { how: ended, .. } => {
+                how.get_or_insert(*ended);
+                to = record.at;
+            }
+            _ => {}
+        }
+    }
+    Told { events, from, to, how, attempts }
+}
+
+/// Eight bytes that name a span: the same dump gives the same ids.
+fn id(story: &Story, from: Nanos, part: u64) -> u64 {
+    pumicehead_policy::meter::mix(
+        story.name.hash ^ from.rotate_left(17) ^ part.wrapping_mul(0x9e37_79b9_7f4a_7c15),
+    )
+    .max(1)
+}
+
+fn attribute(key: &str, value: &str) -> Value {
+    json!({ "key": key, "value": { "stringValue": value } })
+}
+
+/// OTLP/JSON, a line a request.
+#[must_use]
+pub fn otlp(dump: &Dump) -> String {
+    let mut out = String::new();
+    let resource = json!({ "attributes": [
+        attribute("service.name", "pumicehead"),
+        attribute("service.instance.id", &plain(&dump.head.node)),
+        attribute("service.version", &plain(&dump.head.program)),
+    ] });
+    for story in &dump.stories {
+        let one = told(dump, story);
+        let trace = format!("{:016x}{:016x}", story.name.hash, id(story, one.from, u64::MAX));
+        let root = format!("{:016x}", id(story, one.from, 0));
+        let failed = !matches!(one.how, Some(How::Served) | None);
+        let mut attributes = vec![
+            attribute("pumicehead.request", &story.name.shown()),
+            attribute("pumicehead.pool", &plain(dump.head.pool(story.pool))),
+            attribute("pumicehead.class", &plain(dump.head.class(story.pool, story.class))),
+        ];
+        attributes.extend(story.cause.map(|cause| attribute("pumicehead.lost", &cause.to_string())));
+        let notes: Vec<_> = one
+            .events
+            .iter()
+            .filter_map(|record| match &record.event {
+                Event::Note(note) => Some(json!({
+                    "timeUnixNano": record.at.to_string(),
+                    "name": format!("{note:?}"),
+                })),
+                _ => None,
+            })
+            .collect();
+        let mut spans = vec![json!({
+            "traceId": trace, "spanId": root, "name": "request", "kind": 2,
+            "startTimeUnixNano": one.from.to_string(), "endTimeUnixNano": one.to.max(one.from).to_string(),
+            "attributes": attributes, "events": notes, "status": { "code": if failed { 2 } else { 0 } },
+        })];
+        for attempt in &one.attempts {
+            let bad = attempt.outcome.is_some_and(|outcome| outcome != Outcome::Ok);
+            spans.push(json!({
+                "traceId": trace, "spanId": format!("{:016x}", id(story, one.from, u64::from(attempt.number) + 1)),
+                "parentSpanId": root, "name": "attempt", "kind": 3,
+                "startTimeUnixNano": attempt.from.to_string(), "endTimeUnixNano": attempt.to.to_string(),
+                "attributes": [
+                    attribute("server.address", &attempt.server),
+                    attribute("pumicehead.outcome", attempt.outcome.map_or("still out", said)),
+                ],
+                "status": { "code": if bad { 2 } else { 0 } },
+            }));
+        }
+        let line = json!({ "resourceSpans": [{
+            "resource": resource,
+            "scopeSpans": [{ "scope": { "name": "pumicehead-trace" }, "spans": spans }],
+        }] });
+        out += &line.to_string();
+        out.push('\n');
+    }
+    out
+}
+
+/// Chrome's trace events: a row a request, with its attempts below it.
+#[must_use]
+pub fn chrome(dump: &Dump) -> String {
+    let micros = |at: Nanos| at.saturating_sub(dump.head.start) as f64 / 1e3;
+    let mut events = vec![json!({
+        "ph": "M", "name": "process_name", "pid": 1, "tid": 0,
+        "args": { "name": format!("pumicehead {}", plain(&dump.head.node)) },
+    })];
+    for (row, story) in dump.stories.iter().enumerate() {
+        let one = told(dump, story);
+        let tid = row + 1;
+        let span = |name: &str, from: Nanos, to: Nanos, args: Value| {
+            json!({
+                "ph": "X", "cat": "pumicehead", "name": name, "pid": 1, "tid": tid,
+                "ts": micros(from), "dur": to.saturating_sub(from) as f64 / 1e3, "args": args,
+            })
+        };
+        events.push(span(
+            dump.head.class(story.pool, story.class),
+            one.from,
+            one.to,
+            json!({
+                "request": story.name.shown(),
+                "lost": story.cause.map(|cause| cause.to_string()),
+            }),
+        ));
+        for attempt in &one.attempts {
+            let outcome = attempt.outcome.map_or("still out", said);
+            events.push(span(&attempt.server, attempt.from, attempt.to, json!({ "outcome": outcome })));
+        }
+    }
+    json!({ "displayTimeUnit": "ms", "traceEvents": events }).to_string()
+}
--- /dev/null
+++ b/crates/trace/src/metrics.rs
@@ -0,0 +1,278 @@
+//! Figures of the node over its whole life, made of the same events as its recording, on the `metrics` facade, as
+//! OpenMetrics text (version 1.0.0, which Prometheus reads) with exemplars that name a recorded request.
+
+use std::collections::BTreeMap;
+use std::fmt::Write;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+
+use hdrhistogram::Histogram as Hdr;
+use metrics::{
+    Counter, Gauge, Histogram, HistogramFn, Key, KeyName, Label, Level, Metadata, Recorder, SharedString,
+    Unit,
+};
+use pumicehead_policy::interface::{Nanos, Outcome, SECOND};
+
+use crate::event::{How, Turned};
+use crate::loss::said;
+use crate::text::{Name, plain};
+
+/// Classes that have rows of their own; the rest count as "other".
+pub const CLASSES: usize = 32;
+/// Bounds of buckets, in seconds.
+const BOUNDS: [f64; 12] = [0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 10.0];
+/// Longest time that is told apart, in microseconds: clients wait ten minutes at most.
+const LONGEST: u64 = 600_000_000;
+/// Digits that a time keeps.
+const DIGITS: u8 = 2;
+
+const META: Metadata<'static> = Metadata::new(module_path!(), Level::INFO, Some(module_path!()));
+
+/// A request that a bucket is shown by.
+#[derive(Clone)]
+struct Exemplar {
+    name: String,
+    seconds: f64,
+    at: Nanos,
+}
+
+/// Times of one kind.
+struct Times {
+    hdr: Hdr<u32>,
+    sum: f64,
+    exemplars: [Option<Exemplar>; BOUNDS.len() + 1],
+}
+
+/// Shared between the facade and the text.
+struct Shared(Mutex<Times>);
+
+impl Shared {
+    fn add(&self, seconds: f64, exemplar: Option<Exemplar>) {
+        // A holder that panicked left whole numbers behind.
+        let mut times = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        times.hdr.saturating_record((seconds * 1e6).round() as u64);
+        times.sum += seconds;
+        if exemplar.is_some() {
+            let bucket = BOUNDS.iter().position(|bound| seconds <= *bound).unwrap_or(BOUNDS.len());
+            times.exemplars[bucket] = exemplar;
+        }
+    }
+}
+
+impl HistogramFn for Shared {
+    fn record(&self, value: f64) {
+        self.add(value, None);
+    }
+}
+
+/// All series, by key: what `metrics` calls a recorder.
+#[derive(Default)]
+pub struct Registry {
+    counters: Mutex<BTreeMap<Key, Arc<AtomicU64>>>,
+    gauges: Mutex<BTreeMap<Key, Arc<AtomicU64>>>,
+    times: Mutex<BTreeMap<Key, Arc<Shared>>>,
+}
+
+fn of<V>(map: &Mutex<BTreeMap<Key, Arc<V>>>, key: &Key, fresh: impl FnOnce() -> V) -> Arc<V> {
+    let mut map = map.lock().unwrap_or_else(PoisonError::into_inner);
+    map.entry(key.clone()).or_insert_with(|| Arc::new(fresh())).clone()
+}
+
+impl Registry {
+    fn shared(&self, key: &Key) -> Option<Arc<Shared>> {
+        // The bounds are sound: the least is 1, and the longest more than twice that.
+        let hdr = Hdr::new_with_max(LONGEST, DIGITS).ok()?;
+        Some(of(&self.times, key, || {
+            Shared(Mutex::new(Times { hdr, sum: 0.0, exemplars: Default::default() }))
+        }))
+    }
+
+    /// The text.
+    #[must_use]
+    pub fn text(&self) -> String {
+        let mut out = String::new();
+        let mut last = String::new();
+        let mut family = |out: &mut String, name: &str, kind: &str| {
+            if last != name {
+                // Writing to a string does not fail.
+                let _ = writeln!(out, "# TYPE {name} {kind}");
+                last = name.to_owned();
+            }
+        };
+        for (key, value) in self.counters.lock().unwrap_or_else(PoisonError::into_inner).iter() {
+            family(&mut out, key.name(), "counter");
+            let _ =
+                writeln!(out, "{}_total{} {}", key.name(), labels(key, None), value.load(Ordering::Relaxed));
+        }
+        for (key, value) in self.gauges.lock().unwrap_or_else(PoisonError::into_inner).iter() {
+            family(&mut out, key.name(), "gauge");
+            let value = f64::from_bits(value.load(Ordering::Relaxed));
+            let _ = writeln!(out, "{}{} {value}", key.name(), labels(key, None));
+        }
+        for (key, times) in self.times.lock().unwrap_or_else(PoisonError::into_inner).iter() {
+            family(&mut out, key.name(), "histogram");
+            let times = times.0.lock().unwrap_or_else(PoisonError::into_inner);
+            let bounds = BOUNDS.iter().map(|bound| (*bound, bound.to_string()));
+            let all = bounds.chain([(f64::INFINITY, "+Inf".to_owned())]);
+            for ((bound, shown), exemplar) in all.zip(&times.exemplars) {
+                let below = if bound.is_finite() {
+                    times.hdr.count_between(0, (bound * 1e6) as u64)
+                } else {
+                    times.hdr.len()
+                };
+                let _ = write!(out, "{}_bucket{} {below}", key.name(), labels(key, Some(&shown)));
+                if let Some(Exemplar { name, seconds, at }) = exemplar {
+                    let at = *at as f64 / SECOND as f64;
+                    let _ = write!(out, " # {{request=\"{name}\"}} {seconds} {at:.3}");
+                }
+                out.push('\n');
+            }
+            let _ = writeln!(out, "{}_sum{} {}", key.name(), labels(key, None), times.sum);
+            let _ = writeln!(out, "{}_count{} {}", key.name(), labels(key, None), times.hdr.len());
+        }
+        out + "# EOF\n"
+    }
+}
+
+fn labels(key: &Key, bound: Option<&str>) -> String {
+    let known = key.labels().map(|label| format!("{}=\"{}\"", label.key(), plain(label.value())));
+    let all: Vec<_> = known.chain(bound.map(|bound| format!("le=\"{bound}\""))).collect();
+    if all.is_empty() { String::new() } else { format!("{{{}}}", all.join(",")) }
+}
+
+impl Recorder for Registry {
+    fn describe_counter(&self, _: KeyName, _: Option<Unit>, _: SharedString) {}
+
+    fn describe_gauge(&self, _: KeyName, _: Option<Unit>, _: SharedString) {}
+
+    fn describe_histogram(&self, _: KeyName, _: Option<Unit>, _: SharedString) {}
+
+    fn register_counter(&self, key: &Key, _: &Metadata<'_>) -> Counter {
+        Counter::from_arc(of(&self.counters, key, AtomicU64::default))
+    }
+
+    fn register_gauge(&self, key: &Key, _: &Metadata<'_>) -> Gauge {
+        Gauge::from_arc(of(&self.gauges, key, AtomicU64::default))
+    }
+
+    fn register_histogram(&self, key: &Key, _: &Metadata<'_>) -> Histogram {
+        self.shared(key).map_or_else(Histogram::noop, Histogram::from_arc)
+    }
+}
+
+/// One class of one pool.
+struct ClassMeters {
+    ended: [Counter; 7],
+    times: Option<Arc<Shared>>,
+}
+
+/// The node's series.
+#[derive(Default)]
+pub struct Meters {
+    registry: Registry,
+    classes: BTreeMap<(String, String), ClassMeters>,
+    attempts: [Option<Counter>; 8],
+}
+
+const HOWS: [&str; 7] = ["served", "served_fault", "refused", "failed", "late", "body", "left"];
+
+impl Meters {
+    fn class(&mut self, pool: &str, class: &str) -> &mut ClassMeters {
+        let key = (pool.to_owned(), class.to_owned());
+        let full = self.classes.len() >= CLASSES && !self.classes.contains_key(&key);
+        let key = if full { ("other".to_owned(), "other".to_owned()) } else { key };
+        let registry = &self.registry;
+        self.classes.entry(key.clone()).or_insert_with(|| {
+            let labels = vec![Label::new("pool", key.0), Label::new("class", key.1)];
+            let ended = HOWS.map(|how| {
+                let labels = labels.iter().cloned().chain([Label::new("how", how)]).collect::<Vec<_>>();
+                registry.register_counter(&Key::from_parts("pumicehead_requests", labels), &META)
+            });
+            let times = registry.shared(&Key::from_parts("pumicehead_request_seconds", labels));
+            ClassMeters { ended, times }
+        })
+    }
+
+    /// A request has ended.
+    pub fn request(&mut self, (pool, class): (&str, &str), how: How, took: Nanos, name: &Name, at: Nanos) {
+        let meters = self.class(pool, class);
+        meters.ended[how as usize].increment(1);
+        let seconds = took as f64 / SECOND as f64;
+        if let Some(times) = &meters.times {
+            times.add(seconds, Some(Exemplar { name: plain(&name.start), seconds, at }));
+        }
+    }
+
+    /// A front has turned one away.
+    pub fn turned(&mut self, why: Turned) {
+        let why = if why == Turned::Held { "held" } else { "connections" };
+        self.count("pumicehead_turned_away", vec![Label::new("why", why)], 1);
+    }
+
+    /// An attempt has ended.
+    pub fn attempt(&mut self, outcome: Outcome) {
+        let place = crate::event::place(outcome);
+        let registry = &self.registry;
+        let counter = self.attempts[place].get_or_insert_with(|| {
+            let key = Key::from_parts("pumicehead_attempts", vec![Label::new("outcome", said(outcome))]);
+            registry.register_counter(&key, &META)
+        });
+        counter.increment(1);
+    }
+
+    /// Adds to a counter of the node's own.
+    pub fn count(&mut self, name: &'static str, labels: Vec<Label>, more: u64) {
+        self.registry.register_counter(&Key::from_parts(name, labels), &META).increment(more);
+    }
+
+    /// Sets a gauge of the node's own.
+    pub fn gauge(&mut self, name: &'static str, value: f64) {
+        self.registry.register_gauge(&Key::from_name(name), &META).set(value);
+    }
+
+    /// The text.
+    #[must_use]
+    pub fn text(&self) -> String {
+        self.registry.text()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_text_counts_and_points_to_requests() {
+        let mut meters = Meters::default();
+        let name = Name::new("a\"b\n");
+        for took in [3, 30, 30_000] {
+            meters.request(("web", "read"), How::Served, took * 1_000_000, &name, SECOND);
+        }
+        meters.request(("web", "read"), How::Refused, 1_000, &name, SECOND);
+        meters.attempt(Outcome::Reset);
+        meters.gauge("pumicehead_open", 2.0);
+        let text = meters.text();
+        for line in [
+            "pumicehead_requests_total{pool=\"web\",class=\"read\",how=\"served\"} 3",
+            "pumicehead_requests_total{pool=\"web\",class=\"read\",how=\"refused\"} 1",
+            "pumicehead_attempts_total{outcome=\"the connection broke\"} 1",
+            "pumicehead_open 2",
+            "pumicehead_request_seconds_bucket{pool=\"web\",class=\"read\",le=\"0.005\"} 2 # {request=\"a\\\"b\\n\"} 0.003 1.000",
+            "pumicehead_request_seconds_count{pool=\"web\",class=\"read\"} 4",
+        ] {
+            assert!(text.contains(line), "{line}\nnot in\n{text}");
+        }
+        assert!(text.ends_with("# EOF\n"));
+    }
+
+    #[test]
+    fn classes_beyond_the_bound_count_as_other() {
+        let mut meters = Meters::default();
+        for class in 0..1_000 {
+            let class = format!("c{class}");
+            meters.request(("web", &class), How::Served, 1_000, &Name::new("x"), 0);
+        }
+        assert_eq!(meters.classes.len(), CLASSES + 1);
+        assert!(meters.text().contains("{pool=\"other\",class=\"other\",how=\"served\"} 968"));
+    }
+}
--- /dev/null
+++ b/crates/trace/src/moment.rs
@@ -0,0 +1,85 @@
+//! Moments as people write them.
+
+use pumicehead_policy::interface::{Nanos, SECOND};
+use thiserror::Error;
+
+const DAY: u64 = 86_400;
+
+/// A text that names no moment.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+#[error("`{0}` is no moment: seconds since the node's start (12.5), or a time of day in UTC (13:05:20)")]
+pub struct NoMoment(String);
+
+/// Reads seconds since `start`, or the first such time of day in UTC that is not before `start`.
+///
+/// # Errors
+/// [`NoMoment`].
+pub fn parse(text: &str, start: Nanos) -> Result<Nanos, NoMoment> {
+    let fault = || NoMoment(crate::text::plain(&text.chars().take(40).collect::<String>()));
+    let seconds = |part: &str| {
+        let plain = !part.is_empty() && part.bytes().all(|byte| byte.is_ascii_digit() || byte == b'.');
+        part.parse::<f64>().ok().filter(|n| plain && n.is_finite() && *n < 1e9)
+    };
+    let nanos = |seconds: f64| (seconds * SECOND as f64) as Nanos;
+    let parts: Vec<_> = text.split(':').collect();
+    match parts.as_slice() {
+        [one] => {
+            let one = one.strip_suffix('s').unwrap_or(one);
+            Ok(start.saturating_add(nanos(seconds(one).ok_or_else(fault)?)))
+        }
+        [hour, minute, second] => {
+            let (hour, minute) = (hour.parse::<u64>().ok(), minute.parse::<u64>().ok());
+            let (Some(hour), Some(minute)) = (hour.filter(|n| *n < 24), minute.filter(|n| *n < 60)) else {
+                return Err(fault());
+            };
+            let second = seconds(second).filter(|n| *n < 61.0).ok_or_else(fault)?;
+            let of_day = nanos((hour * 3_600 + minute * 60) as f64 + second);
+            let midnight = start / (DAY * SECOND) * (DAY * SECOND);
+            let at = midnight.saturating_add(of_day);
+            // A start is told to the nanosecond, and a moment to the second it was in.
+            let earliest = start / SECOND * SECOND;
+            Ok(if at < earliest { at.saturating_add(DAY * SECOND) } else { at })
+        }
+        _ => Err(fault()),
+    }
+}
+
+/// A moment as seconds since the start and the time of day in UTC.
+#[must_use]
+pub fn shown(at: Nanos, start: Nanos) -> String {
+    let since = at.saturating_sub(start) as f64 / SECOND as f64;
+    let of_day = at / SECOND % DAY;
+    format!("{since:.3} s ({:02}:{:02}:{:02})", of_day / 3_600, of_day / 60 % 60, of_day % 60)
+}
+
+/// A span in the unit that suits it.
+#[must_use]
+pub fn span(span: Nanos) -> String {
+    match span {
+        0..1_000_000 => format!("{} us", span / 1_000),
+        1_000_000..SECOND => format!("{:.1} ms", span as f64 / 1e6),
+        _ => format!("{:.2} s", span as f64 / SECOND as f64),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn both_forms_are_read_and_shown() {
+        let start = (20_000 * DAY + 13 * 3_600 + 5 * 60 + 10) * SECOND + 400_000_000;
+        assert_eq!(parse("12.5", start), Ok(start + 12_500_000_000));
+        assert_eq!(parse("3s", start), Ok(start + 3 * SECOND));
+        assert_eq!(parse("13:05:20", start), Ok(start - 400_000_000 + 10 * SECOND));
+        assert_eq!(parse("13:05:10", start), Ok(start - 400_000_000));
+        assert_eq!(parse("01:00:00", start), Ok((20_001 * DAY + 3_600) * SECOND), "the next day");
+        for bad in
+            ["", "x", "-1", "1e9", "1:2", "24:00:00", "1:60:00", "1:00:99", "nan", "\u{1b}[2J", "1:2:3:4"]
+        {
+            assert!(parse(bad, start).is_err(), "{bad}");
+        }
+        assert_eq!(shown(start + 2 * SECOND, start), "2.000 s (13:05:12)");
+        assert_eq!([span(900), span(1_500_000), span(2 * SECOND)], ["0 us", "1.5 ms", "2.00 s"]);
+    }
+}
--- /dev/null
+++ b/crates/trace/src/page.rs
@@ -0,0 +1,193 @@
+//! A page with the node's day: worth asked and earned, servers set aside, limits, losses. One file, no network.
+
+use std::collections::BTreeMap;
+
+use plotters::prelude::*;
+use pumicehead_policy::interface::{Nanos, SECOND};
+
+use crate::account::{Accounts, NOBODY};
+use crate::breakdown::Breakdown;
+use crate::cause;
+use crate::dump::Dump;
+use crate::event::PoolId;
+use crate::story;
+use crate::text::html;
+
+/// Servers with a line and a band of their own: those with the most attempts.
+const SERVERS: usize = 12;
+/// Stories on the page.
+const STORIES: usize = 10;
+const SIZE: (u32, u32) = (1_000, 260);
+
+/// What keeps a picture from being drawn.
+type Fault = Box<dyn std::error::Error>;
+
+type Points = Vec<(f64, f64)>;
+/// From, to, the share that ended badly, seconds set aside.
+type Span = (f64, f64, f64, f64);
+
+fn seconds(at: Nanos, start: Nanos) -> f64 {
+    at.saturating_sub(start) as f64 / SECOND as f64
+}
+
+fn lines(title: &str, unit: &str, series: &[(String, Points)], end: f64) -> Result<String, Fault> {
+    let mut svg = String::new();
+    {
+        let area = SVGBackend::with_string(&mut svg, SIZE).into_drawing_area();
+        area.fill(&WHITE)?;
+        let most = series.iter().flat_map(|(_, points)| points).fold(0.0, |most: f64, (_, y)| most.max(*y));
+        let mut chart = ChartBuilder::on(&area)
+            .caption(title, ("sans-serif", 16))
+            .margin(8)
+            .x_label_area_size(32)
+            .y_label_area_size(56)
+            .build_cartesian_2d(0.0..end.max(1.0), 0.0..(most * 1.05).max(1.0))?;
+        chart
+            .configure_mesh()
+            .x_desc("seconds since the start")
+            .y_desc(unit)
+            .light_line_style(WHITE)
+            .draw()?;
+        for (number, (name, points)) in series.iter().enumerate() {
+            let colour = Palette99::pick(number).to_rgba();
+            chart
+                .draw_series(LineSeries::new(points.iter().copied(), colour))?
+                .label(name.as_str())
+                .legend(move |(x, y)| PathElement::new([(x, y), (x + 16, y)], colour));
+        }
+        chart
+            .configure_series_labels()
+            .border_style(BLACK.mix(0.2))
+            .background_style(WHITE.mix(0.8))
+            .draw()?;
+        area.present()?;
+    }
+    Ok(svg)
+}
+
+/// A row a server, darker the more of its attempts ended badly, with a line under it while it was set aside.
+fn bands(rows: &[(String, Vec<Span>)], end: f64) -> Result<String, Fault> {
+    let mut svg = String::new();
+    {
+        let height = 48 + 22 * rows.len() as u32;
+        let area = SVGBackend::with_string(&mut svg, (SIZE.0, height)).into_drawing_area();
+        area.fill(&WHITE)?;
+        let count = rows.len() as f64;
+        let mut chart = ChartBuilder::on(&area)
+            .margin(8)
+            .x_label_area_size(28)
+            .y_label_area_size(120)
+            .build_cartesian_2d(0.0..end.max(1.0), 0.0..count.max(1.0))?;
+        let name =
+            |y: &f64| rows.get((*y - 0.5).round() as usize).map_or(String::new(), |(name, _)| name.clone());
+        chart.configure_mesh().disable_mesh().y_labels(0).y_label_formatter(&name).draw()?;
+        for (row, (name, spans)) in rows.iter().enumerate() {
+            let low = row as f64;
+            let area = chart.plotting_area();
+            area.draw(&Text::new(name.clone(), (0.0, low + 0.9), ("sans-serif", 11)))?;
+            for &(from, to, bad, aside) in spans {
+                let shade = RED.mix(0.1 + 0.9 * bad.clamp(0.0, 1.0));
+                let shade = if bad > 0.0 { shade } else { GREEN.mix(0.25) };
+                area.draw(&Rectangle::new([(from, low + 0.25), (to, low + 0.75)], shade.filled()))?;
+                if aside > 0.0 {
+                    area.draw(&Rectangle::new(
+                        [(from, low + 0.08), (from + aside, low + 0.2)],
+                        BLACK.filled(),
+                    ))?;
+                }
+            }
+        }
+        area.present()?;
+    }
+    Ok(svg)
+}
+
+fn busiest(accounts: &Accounts) -> Vec<(PoolId, u32)> {
+    let mut sums: BTreeMap<(PoolId, u32), u64> = BTreeMap::new();
+    for (_, key, row) in accounts.servers.within(0, Nanos::MAX).filter(|(_, key, _)| key.server != NOBODY) {
+        *sums.entry((key.pool, key.server)).or_default() += row.attempts();
+    }
+    let mut all: Vec<_> = sums.into_iter().collect();
+    all.sort_by_key(|&(key, count)| (std::cmp::Reverse(count), key));
+    all.into_iter().take(SERVERS).map(|(key, _)| key).collect()
+}
+
+fn pictures(dump: &Dump, accounts: &Accounts) -> Result<String, Fault> {
+    let start = dump.head.start;
+    let end = seconds(dump.head.at, start);
+    let width = accounts.flows.width() as f64 / SECOND as f64;
+    let mut worth: BTreeMap<Nanos, (f64, f64)> = BTreeMap::new();
+    for (at, _, flow) in accounts.flows.within(0, Nanos::MAX) {
+        let sum = worth.entry(at).or_default();
+        *sum = (sum.0 + flow.asked as f64 / 1e6, sum.1 + flow.earned as f64 / 1e6);
+    }
+    let line = |of: fn(&(f64, f64)) -> f64| -> Points {
+        worth.iter().map(|(at, sums)| (seconds(*at, start), of(sums) / width)).collect()
+    };
+    let both = [("asked".to_owned(), line(|sums| sums.0)), ("earned".to_owned(), line(|sums| sums.1))];
+    let mut out = lines("Worth a second", "worth", &both, end)?;
+    let (mut limits, mut rows) = (Vec::new(), Vec::new());
+    let width = accounts.servers.width() as f64 / SECOND as f64;
+    for (pool, id) in busiest(accounts) {
+        let name = dump.head.server(pool, id);
+        let of = || {
+            let own = move |key: &crate::account::ServerKey| (key.pool, key.server) == (pool, id);
+            accounts.servers.within(0, Nanos::MAX).filter(move |(_, key, _)| own(key))
+        };
+        let points = of().filter(|(_, _, row)| row.limit > 0.0);
+        limits.push((
+            name.clone(),
+            points.map(|(at, _, row)| (seconds(at, start), f64::from(row.limit))).collect(),
+        ));
+        let spans = of().map(|(at, _, row)| {
+            let from = seconds(at, start);
+            let bad = 1.0 - row.ended[0] as f64 / row.attempts().max(1) as f64;
+            (from, from + width, if row.attempts() == 0 { 0.0 } else { bad }, row.aside as f64 / 1e6)
+        });
+        rows.push((name, spans.collect()));
+    }
+    out += &lines("Limits of the busiest servers", "places", &limits, end)?;
+    out += "<p>Servers: green answered, red in part not; black below: set aside.</p>";
+    out += &bands(&rows, end)?;
+    Ok(out)
+}
+
+/// The page. A picture that can't be drawn is left out, and the text says so.
+#[must_use]
+pub fn write(dump: &Dump) -> String {
+    let title = html(&format!("pumicehead {}", dump.head.node));
+    let mut out = format!(
+        "<!doctype html><html lang=\"en\"><meta charset=\"utf-8\"><title>{title}</title>\
+         <style>body{{font:14px/1.4 sans-serif;margin:1.5em auto;max-width:1020px;color:#222}}\
+         pre{{background:#f6f6f6;padding:.7em;overflow-x:auto}}svg{{max-width:100%;height:auto}}</style>\
+         <h1>{title}</h1><p>{}</p>",
+        html(&dump.head.reason)
+    );
+    if let Some(damage) = dump.damage {
+        out += &format!(
+            "<p>Damaged from byte {} of {} on; shown is what comes before.</p>",
+            damage.at, damage.of
+        );
+    }
+    if let Some(accounts) = &dump.accounts {
+        out += "<h2>Causes</h2><ol>";
+        for finding in cause::find(&dump.head, accounts, 0, Nanos::MAX).iter().take(8) {
+            out += &format!("<li>lost {:.1}: {}</li>", finding.lost as f64 / 1e6, html(&finding.text));
+        }
+        out += "</ol><h2>The day</h2>";
+        out += &pictures(dump, accounts)
+            .unwrap_or_else(|fault| format!("<p>No picture: {}</p>", html(&fault.to_string())));
+        let breakdown = Breakdown::sum(&dump.head, accounts, 0, Nanos::MAX);
+        out += &format!("<h2>What was lost</h2><pre>{}</pre>", lines_of(&breakdown.to_string()));
+    }
+    out += "<h2>Some requests</h2>";
+    for one in dump.stories.iter().filter(|story| story.cause.is_some()).take(STORIES) {
+        out += &format!("<pre>{}</pre>", lines_of(&story::tell(&dump.head, one)));
+    }
+    out + "</html>\n"
+}
+
+/// Text of several lines for a page.
+fn lines_of(text: &str) -> String {
+    text.lines().map(html).collect::<Vec<_>>().join("\n")
+}
--- /dev/null
+++ b/crates/trace/src/quota.rs
@@ -0,0 +1,112 @@
+//! How often a message of one kind is told: the first few of a span, and then how many more there were.
+
+use std::collections::BTreeMap;
+
+use pumicehead_policy::interface::{Nanos, SECOND};
+
+/// Messages of one kind in a span that are told one by one: enough to see what differs among them.
+pub const FIRST: u32 = 10;
+/// The span.
+pub const SPAN: Nanos = 10 * SECOND;
+/// Kinds that are told apart; places in the code are some hundred at most. What comes beyond counts as one kind.
+pub const KINDS: usize = 512;
+
+#[derive(Clone, Copy, Debug)]
+struct Kind {
+    since: Nanos,
+    count: u32,
+    more: u64,
+}
+
+/// Messages that were held back.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct More {
+    /// Their kind.
+    pub kind: u64,
+    /// How many.
+    pub count: u64,
+    /// In so long.
+    pub span: Nanos,
+}
+
+/// The counts.
+#[derive(Debug, Default)]
+pub struct Quota {
+    kinds: BTreeMap<u64, Kind>,
+    held: usize,
+}
+
+impl Quota {
+    /// Whether a message of a kind is to be told at `now`. What was held back of a span before is given with it.
+    pub fn take(&mut self, kind: u64, now: Nanos) -> (bool, Option<More>) {
+        let kind = if self.kinds.len() >= KINDS && !self.kinds.contains_key(&kind) { u64::MAX } else { kind };
+        let fresh = Kind { since: now, count: 0, more: 0 };
+        let known = self.kinds.entry(kind).or_insert(fresh);
+        let mut before = None;
+        if now >= known.since.saturating_add(SPAN) {
+            before = (known.more > 0).then_some(More { kind, count: known.more, span: now - known.since });
+            self.held -= usize::from(known.more > 0);
+            *known = fresh;
+        }
+        known.count = known.count.saturating_add(1);
+        let told = known.count <= FIRST;
+        if !told {
+            self.held += usize::from(known.more == 0);
+            known.more += 1;
+        }
+        (told, before)
+    }
+
+    /// What was held back in spans that have ended by `now`: to be asked now and then, or the last of a kind would
+    /// never be heard of.
+    pub fn ended(&mut self, now: Nanos) -> Vec<More> {
+        if self.held == 0 {
+            return Vec::new();
+        }
+        let mut all = Vec::new();
+        for (&kind, known) in &mut self.kinds {
+            if known.more > 0 && now >= known.since.saturating_add(SPAN) {
+                all.push(More { kind, count: known.more, span: now - known.since });
+                *known = Kind { since: now, count: 0, more: 0 };
+            }
+        }
+        self.held -= all.len();
+        all
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_million_of_one_kind_are_a_few_lines_and_a_count() {
+        let mut quota = Quota::default();
+        let told = (0..1_000_000u64).filter(|n| quota.take(1, n * 1_000).0).count();
+        assert_eq!(told, FIRST as usize);
+        assert_eq!(quota.take(2, 0), (true, None), "another kind is not held back");
+        assert_eq!(quota.ended(SPAN - 1), []);
+        let more = More { kind: 1, count: 999_990, span: SPAN };
+        assert_eq!((quota.ended(SPAN), quota.ended(SPAN)), (vec![more], vec![]));
+        assert_eq!(quota.take(1, SPAN), (true, None));
+    }
+
+    #[test]
+    fn what_was_held_back_comes_with_the_next() {
+        let mut quota = Quota::default();
+        (0..15).for_each(|_| {
+            quota.take(7, 5);
+        });
+        assert_eq!(quota.take(7, SPAN + 9), (true, Some(More { kind: 7, count: 5, span: SPAN + 4 })));
+        assert_eq!(quota.ended(9 * SPAN), []);
+    }
+
+    #[test]
+    fn kinds_are_bounded() {
+        let mut quota = Quota::default();
+        (0..100_000).for_each(|kind| {
+            quota.take(kind, 0);
+        });
+        assert!(quota.kinds.len() <= KINDS + 1);
+    }
+}
--- /dev/null
+++ b/crates/trace/src/recorder.rs
@@ -0,0 +1,467 @@
+//! The recorder: takes events in, decides whose story stays, and books what was earned and lost.
+
+use pumicehead_policy::interface::{Nanos, Outcome, RequestId, SECOND, ServerId};
+use pumicehead_policy::note::{Hurdles, Note};
+use rustc_hash::FxHashMap;
+
+use crate::account::{Accounts, FlowKey, LossKey, NOBODY, ServerKey};
+use crate::dump::{Head, PoolHead};
+use crate::event::{Event, How, PoolId, Short, Turned, place};
+use crate::loss::{Cause, Life, Verdict, micro};
+use crate::metrics::Meters;
+use crate::reservoir::Reservoir;
+use crate::ring::{Ring, append};
+use crate::text::Name;
+
+/// Most that the story of one request takes: some forty events. What comes beyond is in the ring alone.
+const LONGEST_STORY: usize = 1_024;
+/// What a story takes beside its events.
+const STORY: usize = 160;
+/// What a request that is open takes beside its events.
+const OPEN: usize = 320;
+/// A request that took more of the time to its aim was slow.
+const SLOW: f64 = 0.8;
+/// A limit is recorded again when it has moved by this factor.
+const MOVED: f32 = 1.1;
+/// Groups of class and tenant whose rates are told apart for a fair sample; the rest count as one.
+const GROUPS: usize = 1_024;
+/// Servers whose recorded limits are remembered.
+const LIMITS: usize = 20_000;
+/// Memory of how often a group comes.
+const GROUP_SPAN: Nanos = 60 * SECOND;
+/// The least memory that a recorder is of use with.
+pub const LEAST_MEMORY: usize = 64 << 10;
+
+/// How much is recorded.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Level {
+    /// Nothing.
+    Off,
+    /// Sums, and the stories of requests that matter.
+    #[default]
+    On,
+    /// Every limit that moves and every server that is passed over as well.
+    Full,
+}
+
+/// A request's story as it is kept.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Story {
+    /// Its pool.
+    pub pool: PoolId,
+    /// Its class, by its place in the pool.
+    pub class: u16,
+    /// What its client calls it.
+    pub name: Name,
+    /// When it ended.
+    pub at: Nanos,
+    /// What its loss was put down to, if it had one.
+    pub cause: Option<Cause>,
+    /// Its events as a page, to be read by [`crate::ring::records`].
+    pub page: Box<[u8]>,
+    /// Some events did not fit.
+    pub cut: bool,
+}
+
+impl Story {
+    fn size(&self) -> usize {
+        STORY + self.page.len() + self.name.start.len()
+    }
+}
+
+struct Open {
+    life: Life,
+    class: u16,
+    tenant: Option<u32>,
+    name: Name,
+    page: Vec<u8>,
+    last: Nanos,
+    cut: bool,
+    verdict: Option<(Verdict, Nanos, How)>,
+    hurdles: Option<Hurdles>,
+}
+
+/// What a pool's classes are.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Class {
+    /// Its name.
+    pub name: String,
+    /// Answers within this earn all.
+    pub aim: Nanos,
+    /// Clients wait so long.
+    pub deadline: Nanos,
+    /// What a request is worth.
+    pub worth: f64,
+    /// The share of it that a late answer earns.
+    pub late_worth: f64,
+}
+
+/// How often a group of class and tenant has come lately.
+#[derive(Clone, Copy, Default)]
+struct Group {
+    sum: f64,
+    at: Nanos,
+}
+
+/// The recorder of a node.
+pub struct Recorder {
+    head: Head,
+    level: Level,
+    memory: usize,
+    ring: Ring,
+    /// Stories of requests that failed, were refused, were tried again or were slow; and of a fair sample of the rest.
+    kept: [Reservoir<Story>; 2],
+    accounts: Accounts,
+    open: FxHashMap<(PoolId, RequestId), Open>,
+    open_size: usize,
+    groups: FxHashMap<(PoolId, u16, u32), Group>,
+    limits: FxHashMap<(PoolId, ServerId), f32>,
+    meters: Meters,
+    scratch: Vec<u8>,
+    spare: Vec<Vec<u8>>,
+    untold: u64,
+}
+
+impl Recorder {
+    /// Of at most so many bytes: three eighths each for the ring and for stories, and an eighth each for requests that
+    /// are open and for sums. The names of pools, classes and servers, and the meters, come beside it.
+    #[must_use]
+    pub fn new(node: &str, start: Nanos, memory: usize, seed: u64) -> Self {
+        let memory = memory.max(LEAST_MEMORY);
+        let stories = memory / 8 * 3;
+        Self {
+            head: Head::new(node, start),
+            level: Level::On,
+            memory,
+            ring: Ring::new(memory / 8 * 3),
+            kept: [Reservoir::new(stories / 3 * 2, seed), Reservoir::new(stories / 3, seed ^ 1)],
+            accounts: Accounts::new(start, memory / 8),
+            open: FxHashMap::default(),
+            open_size: 0,
+            groups: FxHashMap::default(),
+            limits: FxHashMap::default(),
+            meters: Meters::default(),
+            scratch: Vec::with_capacity(256),
+            spare: Vec::new(),
+            untold: 0,
+        }
+    }
+
+    /// A pool with its classes; one that is known by its name goes on under its number.
+    pub fn pool(&mut self, name: &str, classes: &[Class], tenants: &[String]) -> PoolId {
+        let place = self.head.pools.iter().position(|pool| pool.name == name).unwrap_or_else(|| {
+            self.head.pools.push(PoolHead { name: name.into(), ..PoolHead::default() });
+            self.head.pools.len() - 1
+        });
+        let pool = &mut self.head.pools[place];
+        pool.classes = classes.iter().map(Into::into).collect();
+        pool.tenants = tenants.to_vec();
+        PoolId(place as u16)
+    }
+
+    /// What a server is called.
+    pub fn name(&mut self, pool: PoolId, server: ServerId, name: &str) {
+        if let Some(pool) = self.head.pools.get_mut(usize::from(pool.0)) {
+            pool.name_server(server.0, name);
+        }
+    }
+
+    /// How much is recorded from now on.
+    pub fn set_level(&mut self, level: Level) {
+        self.level = level;
+        if level == Level::Off {
+            self.open.clear();
+            self.open_size = 0;
+        }
+    }
+
+    /// How much is recorded.
+    #[must_use]
+    pub fn level(&self) -> Level {
+        self.level
+    }
+
+    /// Takes an event in.
+    pub fn record(&mut self, at: Nanos, pool: PoolId, event: &Event) {
+        if self.level == Level::Off || !self.is_worth(at, pool, event) {
+            return;
+        }
+        let mut scratch = std::mem::take(&mut self.scratch);
+        scratch.clear();
+        event.encode(&mut scratch);
+        self.ring.push(at, pool, &scratch);
+        match event {
+            Event::Asked { id, class, tenant, sending, name, .. } => {
+                self.begin(at, (pool, *id), *class, *tenant, *sending, name);
+            }
+            Event::Turned { class, why } => self.book_turned(at, pool, *class, *why),
+            Event::Short(what) => self.accounts.short[usize::from(*what == Short::Dial)] += 1,
+            Event::Note(Note::Aside { server, span }) => {
+                let key = ServerKey { pool, server: server.0 };
+                self.accounts.servers.at(at, key).aside += span / 1_000;
+            }
+            Event::Ended { server, outcome, took, dial, id, .. } => {
+                self.book_attempt(at, pool, *id, *server, *outcome, (*took, *dial));
+            }
+            _ => {}
+        }
+        if let Some(id) = event.request() {
+            self.tell(at, (pool, id), event, &scratch);
+        }
+        self.scratch = scratch;
+    }
+
+    /// Whether it is worth a record: what is said again and again is not.
+    fn is_worth(&mut self, at: Nanos, pool: PoolId, event: &Event) -> bool {
+        match event {
+            Event::Note(Note::NoneFits { id, hurdles }) => match self.open.get_mut(&(pool, *id)) {
+                Some(open) => open.hurdles.replace(*hurdles) != Some(*hurdles) || self.level == Level::Full,
+                None => false,
+            },
+            Event::Note(Note::Limit { server, from, to, .. }) => {
+                self.accounts.servers.at(at, ServerKey { pool, server: server.0 }).limit = *to;
+                if self.limits.len() >= LIMITS {
+                    self.limits.clear();
+                }
+                let last = self.limits.entry((pool, *server)).or_insert(*from);
+                let moved = *to > *last * MOVED || *to * MOVED < *last || self.level == Level::Full;
+                if moved {
+                    *last = *to;
+                }
+                moved
+            }
+            Event::Note(Note::Limits { factor, .. }) => {
+                self.level == Level::Full || *factor > MOVED || *factor * MOVED < 1.0
+            }
+            _ => true,
+        }
+    }
+
+    fn begin(
+        &mut self,
+        at: Nanos,
+        key: (PoolId, RequestId),
+        class: u16,
+        tenant: Option<u32>,
+        sending: Nanos,
+        name: &Name,
+    ) {
+        if self.open_size + OPEN + name.start.len() > self.memory / 8 {
+            self.untold += 1;
+            return;
+        }
+        let known = self.class(key.0, class);
+        let (worth, late, aim) = known.map_or((1.0, 0.0, Nanos::MAX), |c| (c.worth, c.late_worth, c.aim_ns));
+        let last = at / crate::ring::UNIT * crate::ring::UNIT;
+        let mut page = self.spare.pop().unwrap_or_default();
+        page.extend_from_slice(&last.to_le_bytes());
+        let life = Life::new(at, sending, worth, late, aim);
+        let name = name.clone();
+        self.open_size += OPEN + name.start.len() + page.len();
+        let open = Open { life, class, tenant, name, page, last, cut: false, verdict: None, hurdles: None };
+        if let Some(old) = self.open.insert(key, open) {
+            // Numbers come round; one whose end was never told makes way.
+            self.open_size -= OPEN + old.name.start.len() + old.page.len();
+        }
+    }
+
+    fn class(&self, pool: PoolId, class: u16) -> Option<&crate::dump::ClassHead> {
+        self.head.pools.get(usize::from(pool.0))?.classes.get(usize::from(class))
+    }
+
+    /// Adds an event to the story of its request.
+    fn tell(&mut self, at: Nanos, key: (PoolId, RequestId), event: &Event, bytes: &[u8]) {
+        let most = self.memory / 8;
+        let Some(open) = self.open.get_mut(&key) else { return };
+        let before = open.page.len();
+        // A record's own numbers take ten bytes or so.
+        if before + bytes.len() + 16 <= LONGEST_STORY && self.open_size + bytes.len() + 16 <= most {
+            append(&mut open.page, &mut open.last, at, key.0, bytes);
+            self.open_size += open.page.len() - before;
+        } else {
+            open.cut = true;
+        }
+        open.life.see(at, event);
+        if let Event::Over { how, .. } = event
+            && open.verdict.is_none()
+        {
+            let verdict = open.life.judge(at, *how);
+            open.verdict = Some((verdict, at, *how));
+            let class = open.class;
+            self.book(at, key.0, class, &verdict);
+        }
+        let Some(open) = self.open.get(&key) else { return };
+        if open.verdict.is_some() && open.life.out() == 0 {
+            self.close(key);
+        }
+    }
+
+    /// Books a request's end.
+    fn book(&mut self, at: Nanos, pool: PoolId, class: u16, verdict: &Verdict) {
+        let flow = self.accounts.flows.at(at, FlowKey { pool, class });
+        flow.count += 1;
+        flow.asked += verdict.asked;
+        flow.earned += verdict.earned;
+        if let Some(cause) = verdict.cause {
+            let server = verdict.server.map_or(NOBODY, |server| server.0);
+            let loss = self.accounts.losses.at(at, LossKey { pool, class, cause: cause.code(), server });
+            loss.count += 1;
+            loss.lost += verdict.lost();
+        }
+    }
+
+    fn book_turned(&mut self, at: Nanos, pool: PoolId, class: u16, why: Turned) {
+        let worth = self.class(pool, class).map_or(0, |class| micro(class.worth));
+        let cause = Some(Cause::turned(why));
+        let verdict = Verdict { asked: worth, earned: 0, cause, server: None, stop: None };
+        self.book(at, pool, class, &verdict);
+        self.meters.turned(why);
+    }
+
+    fn book_attempt(
+        &mut self,
+        at: Nanos,
+        pool: PoolId,
+        id: RequestId,
+        server: ServerId,
+        outcome: Outcome,
+        (took, dial): (Nanos, Nanos),
+    ) {
+        let micros = took / 1_000;
+        let class = self.open.get(&(pool, id)).map(|open| open.class);
+        let mut stretch = 0;
+        if let Some(class) = class {
+            let flow = self.accounts.flows.at(at, FlowKey { pool, class });
+            if outcome == Outcome::Ok {
+                flow.answered += 1;
+                flow.took += micros;
+                flow.least = if flow.least == 0 { micros + 1 } else { flow.least.min(micros + 1) };
+                let mean = (flow.took / flow.answered).max(1);
+                // A stretch over a hundred says no more than a hundred.
+                stretch = (micros * 1_000 / mean).min(100_000);
+            } else {
+                flow.unanswered += 1;
+            }
+        }
+        let row = self.accounts.servers.at(at, ServerKey { pool, server: server.0 });
+        row.ended[place(outcome)] += 1;
+        row.dial += dial / 1_000;
+        if outcome == Outcome::Ok {
+            row.good += micros;
+            row.stretch += stretch;
+        } else {
+            row.bad += micros;
+        }
+        self.meters.attempt(outcome);
+    }
+
+    /// The request is over, and no attempt of it is out.
+    fn close(&mut self, key: (PoolId, RequestId)) {
+        let Some(mut open) = self.open.remove(&key) else { return };
+        self.open_size -= OPEN + open.name.start.len() + open.page.len();
+        let Some((verdict, at, how)) = open.verdict else { return };
+        let used = open.life.used(at);
+        let took = at.saturating_sub(open.life.asked_at());
+        let pool = self.head.pools.get(usize::from(key.0.0));
+        let class = pool.and_then(|pool| pool.classes.get(usize::from(open.class)));
+        if let (Some(pool), Some(class)) = (pool, class) {
+            self.meters.request((&pool.name, &class.name), how, took, &open.name, at);
+        }
+        let matters = verdict.cause.is_some() || open.life.sends() > 1 || used > SLOW;
+        let weight = match how {
+            How::Served if !matters => self.rarity((key.0, open.class, open.tenant.unwrap_or(u32::MAX)), at),
+            How::Served if verdict.cause.is_none() => 1.0,
+            How::Served | How::Refused => 2.0,
+            _ => 4.0,
+        };
+        let size = STORY + open.page.len() + open.name.start.len();
+        let kept = &mut self.kept[usize::from(!matters)];
+        if let Some(priority) = kept.draw(weight, at, size) {
+            let story = Story {
+                pool: key.0,
+                class: open.class,
+                name: std::mem::take(&mut open.name),
+                at,
+                cause: verdict.cause,
+                page: open.page.as_slice().into(),
+                cut: open.cut,
+            };
+            let size = story.size();
+            kept.keep(priority, size, story);
+        }
+        if self.spare.len() < 64 {
+            open.page.clear();
+            self.spare.push(open.page);
+        }
+    }
+
+    /// The weight of a request by how seldom its like comes: all groups get the same part of the sample.
+    fn rarity(&mut self, group: (PoolId, u16, u32), at: Nanos) -> f64 {
+        let group = if self.groups.len() >= GROUPS && !self.groups.contains_key(&group) {
+            (PoolId(u16::MAX), u16::MAX, u32::MAX)
+        } else {
+            group
+        };
+        let group = self.groups.entry(group).or_default();
+        let faded = (-(at.saturating_sub(group.at) as f64) / GROUP_SPAN as f64).exp();
+        group.sum = group.sum * faded + 1.0;
+        group.at = at;
+        1.0 / group.sum
+    }
+
+    /// Bytes that it takes now, as it counts them; never more than it was given.
+    #[must_use]
+    pub fn memory(&self) -> usize {
+        let kept: usize = self.kept.iter().map(Reservoir::size).sum();
+        self.ring.memory() + kept + self.open_size + self.accounts.memory()
+    }
+
+    /// Bytes that it was given.
+    #[must_use]
+    pub fn most_memory(&self) -> usize {
+        self.memory
+    }
+
+    /// The sums so far.
+    #[must_use]
+    pub fn accounts(&self) -> &Accounts {
+        &self.accounts
+    }
+
+    /// The text of the metrics, in the form of Prometheus.
+    #[must_use]
+    pub fn prometheus(&self) -> String {
+        self.meters.text()
+    }
+
+    /// The metrics, for gauges of the node's own.
+    pub fn meters(&mut self) -> &mut Meters {
+        &mut self.meters
+    }
+
+    /// All of it as a file of [`crate::dump`].
+    #[must_use]
+    pub fn dump(&self, at: Nanos, reason: &str) -> Vec<u8> {
+        let mut head = self.head.clone();
+        head.at = at;
+        head.reason = reason.into();
+        head.wrapped = self.ring.wrapped();
+        head.untold = self.untold;
+        let mut stories: Vec<_> = self.kept.iter().flat_map(Reservoir::iter).collect();
+        stories.sort_by(|(one, _), (other, _)| other.total_cmp(one));
+        // Requests that are open have no end yet, and are often those that are asked about.
+        let open = self.open.iter().map(|(&(pool, _), open)| Story {
+            pool,
+            class: open.class,
+            name: open.name.clone(),
+            at,
+            cause: None,
+            page: open.page.as_slice().into(),
+            cut: open.cut,
+        });
+        let open: Vec<_> = open.collect();
+        let stories = stories.into_iter().map(|(_, story)| story).chain(&open);
+        let pages: Vec<_> = self.ring.pages().collect();
+        crate::dump::write(&head, &self.accounts, stories, pages.into_iter().rev())
+    }
+}
--- /dev/null
+++ b/crates/trace/src/reservoir.rs
@@ -0,0 +1,97 @@
+//! A weighted sample of whole stories in a stated memory, the newest favoured: of two with the same weight, one that is a
+//! [`DECAY`] older stays a third as often.
+//!
+//! Each item draws a priority of `ln(weight) + time / DECAY + G` with `G` from the Gumbel distribution, and the highest
+//! stay: sampling without replacement by weight (Efraimidis and Spirakis, 2006, in logarithms) with forward decay
+//! (Cormode et al., 2009). Nothing of it has to be computed anew as time passes.
+
+use std::cmp::{Ordering, Reverse};
+use std::collections::BinaryHeap;
+
+use pumicehead_policy::interface::{Nanos, SECOND};
+use rand_core::{RngCore, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+/// Span after which an item is worth a third: whoever looks asks about the last minutes.
+pub const DECAY: Nanos = 300 * SECOND;
+
+#[derive(Debug)]
+struct Item<T> {
+    priority: f64,
+    size: usize,
+    item: T,
+}
+
+impl<T> PartialEq for Item<T> {
+    fn eq(&self, other: &Self) -> bool {
+        self.cmp(other) == Ordering::Equal
+    }
+}
+
+impl<T> Eq for Item<T> {}
+
+impl<T> PartialOrd for Item<T> {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl<T> Ord for Item<T> {
+    fn cmp(&self, other: &Self) -> Ordering {
+        self.priority.total_cmp(&other.priority)
+    }
+}
+
+/// The sample.
+#[derive(Debug)]
+pub struct Reservoir<T> {
+    /// The least priority first.
+    items: BinaryHeap<Reverse<Item<T>>>,
+    most: usize,
+    size: usize,
+    rng: Pcg64Mcg,
+}
+
+impl<T> Reservoir<T> {
+    /// Of at most so many bytes.
+    #[must_use]
+    pub fn new(most: usize, seed: u64) -> Self {
+        Self { items: BinaryHeap::new(), most, size: 0, rng: Pcg64Mcg::seed_from_u64(seed) }
+    }
+
+    /// Draws the priority of an item of this weight, and tells whether it would stay: whoever asks makes the item only
+    /// then.
+    pub fn draw(&mut self, weight: f64, at: Nanos, size: usize) -> Option<f64> {
+        if !(weight > 0.0 && weight.is_finite()) || size > self.most {
+            return None;
+        }
+        // Never 0 nor 1, whose logarithms have no end.
+        let uniform = ((self.rng.next_u64() >> 11) as f64 + 0.5) / (1u64 << 53) as f64;
+        let priority = weight.ln() + at as f64 / DECAY as f64 - (-uniform.ln()).ln();
+        let full = self.size + size > self.most;
+        let stays = !full || self.items.peek().is_none_or(|Reverse(least)| least.priority < priority);
+        stays.then_some(priority)
+    }
+
+    /// Takes an item in, and lets those of the least priority go where there is no room for all.
+    pub fn keep(&mut self, priority: f64, size: usize, item: T) {
+        self.size += size;
+        self.items.push(Reverse(Item { priority, size, item }));
+        while self.size > self.most
+            && let Some(Reverse(least)) = self.items.pop()
+        {
+            self.size -= least.size;
+        }
+    }
+
+    /// The items, in no order.
+    pub fn iter(&self) -> impl Iterator<Item = (f64, &T)> {
+        self.items.iter().map(|Reverse(item)| (item.priority, &item.item))
+    }
+
+    /// Bytes that the items take, as they were stated.
+    #[must_use]
+    pub fn size(&self) -> usize {
+        self.size
+    }
+}
--- /dev/null
+++ b/crates/trace/src/story.rs
@@ -0,0 +1,168 @@
+//! One request's story, in sentences.
+
+use std::fmt::Write;
+
+use pumicehead_policy::interface::{Nanos, Outcome};
+use pumicehead_policy::note::{Hurdle, Hurdles, Note, Rule, Stop};
+
+use crate::dump::Head;
+use crate::event::{Event, How};
+use crate::loss::said;
+use crate::moment;
+use crate::recorder::Story;
+use crate::ring::records;
+
+fn hurdle(hurdle: Hurdle) -> &'static str {
+    match hurdle {
+        Hurdle::Full => "had no place left",
+        Hurdle::OutOfOrder => "was out of order",
+        Hurdle::OnTrial => "was on trial after failures",
+        Hurdle::Cold => "was cold",
+        Hurdle::Barred => "was barred by a rule",
+    }
+}
+
+fn passed_over(hurdles: &Hurdles) -> String {
+    let counted = Hurdle::ALL.into_iter().zip(hurdles.0).filter(|&(_, count)| count > 0);
+    let parts: Vec<_> = counted.map(|(why, count)| format!("{count} {}", hurdle(why))).collect();
+    parts.join(", ")
+}
+
+fn stop(stop: Stop) -> &'static str {
+    match stop {
+        Stop::Attempts => "it had made all the attempts that it may",
+        Stop::Effect => "it may have run and must not take effect twice",
+        Stop::Time => "there was no time left",
+        Stop::Budget => "the share of requests that may be tried again was spent",
+    }
+}
+
+/// A rule of the module, in words.
+#[must_use]
+pub fn rule(rule: Rule) -> String {
+    match rule {
+        Rule::WaitShare => {
+            "the wait in its tier's queue would have taken too large a share of its time".into()
+        }
+        Rule::NearlyOut => "it was held until nearly no time was left for its aim".into(),
+        Rule::NoTurn => "the turn of its key did not come".into(),
+        Rule::NoRetry(why) => format!("there was no further attempt: {}", stop(why)),
+    }
+}
+
+fn ending(how: How) -> &'static str {
+    match how {
+        How::Served => "The client got the server's answer.",
+        How::ServedFault => "The client got the server's answer, which speaks of a fault.",
+        How::Refused => "The client was told to come back later; nothing had happened.",
+        How::Failed => "The client was told that it failed.",
+        How::Late => "The client was told that its time was up.",
+        How::Body => "The client was told that its body was too slow, too long or broken off.",
+        How::Left => "The client had left.",
+    }
+}
+
+/// What an event of a request says; nothing where it adds nothing to its neighbours.
+fn sentence(head: &Head, story: &Story, event: &Event) -> Option<String> {
+    let server = |id: u32| head.server(story.pool, id);
+    Some(match event {
+        Event::Asked { class, tenant, left, sending, .. } => {
+            let mut text = format!(
+                "It came as `{}` to {}, and its client waits {}.",
+                head.class(story.pool, *class),
+                head.pool(story.pool),
+                moment::span(*left)
+            );
+            if *sending > 1_000_000 {
+                let _ = write!(text, " It took its client {} to send it.", moment::span(*sending));
+            }
+            if let Some(tenant) = tenant {
+                let pool = head.pools.get(usize::from(story.pool.0));
+                let name = pool.and_then(|pool| pool.tenants.get(*tenant as usize));
+                let _ = write!(
+                    text,
+                    " Tenant: {}.",
+                    name.map_or_else(|| tenant.to_string(), |n| crate::text::plain(n))
+                );
+            }
+            text
+        }
+        Event::Note(Note::Taken { tier, worth, .. }) => {
+            let tier = ["highest", "high", "medium", "low"].get(usize::from(*tier)).unwrap_or(&"unknown");
+            format!("Ranked in the {tier} tier, worth {worth}.")
+        }
+        Event::Note(Note::Held { held, .. }) => format!("No place for it yet; {held} wait, it among them."),
+        Event::Note(Note::Picked { server: id, score, next, out, limit, hurdles, .. }) => {
+            let mut text =
+                format!("Picked {} (score {score:.2}, {out} of {limit:.1} places taken).", server(id.0));
+            if let Some((id, score)) = next {
+                let _ = write!(text, " Next was {} with {score:.2}.", server(id.0));
+            }
+            let over = passed_over(hurdles);
+            if !over.is_empty() {
+                let _ = write!(text, " Passed over: {over}.");
+            }
+            text
+        }
+        Event::Note(Note::NoneFits { hurdles, .. }) => match passed_over(hurdles) {
+            over if over.is_empty() => "All places of the node were taken.".into(),
+            over => format!("No server would do: {over}."),
+        },
+        Event::Note(Note::Over { rule: why, pressure, .. }) => {
+            let mut text = format!("Given up: {}.", rule(*why));
+            if *pressure > 0.0 {
+                let _ = write!(text, " The wait was {:.0}% of the time left.", pressure * 100.0);
+            }
+            text
+        }
+        Event::Sent { attempt, server: id, timeout, .. } => {
+            let timeout =
+                timeout.map_or(String::new(), |span| format!(", for {} at most", moment::span(span)));
+            format!("Attempt {} to {}{timeout}.", attempt.0 + 1, server(id.0))
+        }
+        Event::Ended { attempt, server: id, outcome, took, dial, .. } => {
+            let dial = if *dial > 1_000_000 {
+                format!(", {} of it for a connection", moment::span(*dial))
+            } else {
+                String::new()
+            };
+            let how = if *outcome == Outcome::Moot { "was never sent" } else { said(*outcome) };
+            format!(
+                "Attempt {} at {}: {how} after {}{dial}.",
+                attempt.0 + 1,
+                server(id.0),
+                moment::span(*took)
+            )
+        }
+        Event::Began { attempt, .. } => {
+            format!("The answer of attempt {} began to pass through.", attempt.0 + 1)
+        }
+        Event::Over { how, .. } => ending(*how).into(),
+        _ => return None,
+    })
+}
+
+/// A story, a line an event, each with the time since the request came.
+#[must_use]
+pub fn tell(head: &Head, story: &Story) -> String {
+    let (events, whole) = records(&story.page);
+    let begin = events.first().map_or(story.at, |record| record.at);
+    let mut out = format!("request {}, from {}\n", story.name.shown(), moment::shown(begin, head.start));
+    let mut over = false;
+    for record in &events {
+        if let Some(sentence) = sentence(head, story, &record.event) {
+            let since: Nanos = record.at.saturating_sub(begin);
+            let _ = writeln!(out, "  +{:>10}  {sentence}", moment::span(since));
+        }
+        over |= matches!(record.event, Event::Over { .. });
+    }
+    if story.cut || !whole {
+        out += "  (some of its events did not fit and are left out)\n";
+    }
+    match story.cause {
+        Some(cause) => out += &format!("  Lost worth: {cause}.\n"),
+        None if over => out += "  It earned all of its worth.\n",
+        None => out += "  It was still open when this was written.\n",
+    }
+    out
+}
--- /dev/null
+++ b/crates/trace/src/text.rs
@@ -0,0 +1,82 @@
+//! Texts that others choose, made fit to be kept and shown.
+
+use std::hash::Hasher;
+
+use rustc_hash::FxHasher;
+
+/// Longest part of a name that is kept: whole for ids of the usual forms (32 hexadecimal digits, a UUID).
+pub const LONGEST: usize = 48;
+
+/// A name that somebody else chose: its beginning, and a hash of all of it, by which the whole name finds it.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Name {
+    /// At most [`LONGEST`] bytes.
+    pub start: Box<str>,
+    /// Of the whole.
+    pub hash: u64,
+}
+
+impl Name {
+    /// Of a text of any length.
+    #[must_use]
+    pub fn new(text: &str) -> Self {
+        Self { start: text[..text.floor_char_boundary(LONGEST)].into(), hash: hash(text) }
+    }
+
+    /// Whether it is the name of `text`.
+    #[must_use]
+    pub fn is(&self, text: &str) -> bool {
+        self.hash == hash(text) && text.starts_with(&*self.start)
+    }
+
+    /// As it is shown.
+    #[must_use]
+    pub fn shown(&self) -> String {
+        let cut = if hash(&self.start) == self.hash { "" } else { "..." };
+        plain(&self.start) + cut
+    }
+}
+
+/// A hash without a seed.
+#[must_use]
+pub fn hash(text: &str) -> u64 {
+    let mut hasher = FxHasher::default();
+    hasher.write(text.as_bytes());
+    // The hasher leaves the low bits of its last word as they come.
+    pumicehead_policy::meter::mix(hasher.finish())
+}
+
+/// A text without anything that steers a terminal, ends a line or passes for another sign: all of that is escaped.
+#[must_use]
+pub fn plain(text: &str) -> String {
+    let mut out = String::with_capacity(text.len());
+    for sign in text.chars() {
+        let steers = sign.is_control()
+            || matches!(sign, '"' | '\\' | '\u{ad}' | '\u{200b}'..='\u{200f}' | '\u{2028}'..='\u{202e}' | '\u{2060}'..='\u{206f}' | '\u{feff}');
+        if steers { out.extend(sign.escape_default()) } else { out.push(sign) }
+    }
+    out
+}
+
+/// The same for a page.
+#[must_use]
+pub fn html(text: &str) -> String {
+    plain(text).replace('&', "&amp;").replace('<', "&lt;").replace('>', "&gt;").replace('\'', "&#39;")
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn names_of_any_kind_are_found_and_shown_safely() {
+        let long = "\u{1b}[2J\"x\n".repeat(10_000);
+        let name = Name::new(&long);
+        assert!(name.start.len() <= LONGEST && name.is(&long) && !name.is(&long[1..]));
+        assert!(name.shown().chars().all(|sign| !sign.is_control()) && name.shown().ends_with("..."));
+        assert_eq!(Name::new("9b1f").shown(), "9b1f");
+        assert_eq!(html("<a href='x'>&\"\u{202e}"), "&lt;a href=&#39;x&#39;&gt;&amp;\\\"\\u{202e}");
+        let short = Name::new(&"é".repeat(40));
+        assert!(short.start.len() <= LONGEST);
+    }
+}
--- /dev/null
+++ b/crates/trace/tests/causes.rs
@@ -0,0 +1,122 @@
+//! Each fault by its name, on days that have it and nothing else.
+
+mod common;
+
+use common::*;
+use pumicehead_policy::interface::*;
+use pumicehead_policy::note::Rule;
+use pumicehead_trace::cause::{Finding, Matter, Subject, find};
+use pumicehead_trace::dump::Dump;
+use pumicehead_trace::event::{Event, How, Short, Turned};
+
+fn first(day: &Day) -> Finding {
+    let dump = Dump::read(&day.recorder.dump(day.now, "test")).unwrap();
+    find(&dump.head, dump.accounts.as_ref().unwrap(), 0, Nanos::MAX).remove(0)
+}
+
+/// Ten calm rounds over four servers, with a fifth of another kind.
+fn with_fifth(mut odd: impl FnMut(&mut Day, u16)) -> Day {
+    let mut day = Day::new(256 << 10);
+    for n in 0..200u32 {
+        let class = (n % 2) as u16;
+        for server in 0..4 {
+            day.one(class, server, Outcome::Ok, (20 + u64::from(n % 7)) * MS);
+        }
+        odd(&mut day, class);
+    }
+    day
+}
+
+#[test]
+fn a_server_at_fault_is_named_with_its_fault() {
+    let faults = [
+        (Outcome::TimedOut, Matter::Silent),
+        (Outcome::Reset, Matter::Resets),
+        (Outcome::Error, Matter::Errors),
+        (Outcome::ConnectFailed, Matter::Unreachable),
+        (Outcome::Full, Matter::TurnsAway),
+    ];
+    for (outcome, matter) in faults {
+        let day = with_fifth(|day, class| day.one(class, 4, outcome, 150 * MS));
+        let found = first(&day);
+        assert_eq!((found.subject, found.matter), (Subject::Server(day.pool, 4), matter), "{found:?}");
+        assert!(
+            found.text.contains("s-4") && found.text.contains("100.0% of its attempts, 0.0%"),
+            "{}",
+            found.text
+        );
+    }
+    let day = with_fifth(|day, class| day.one(class, 4, Outcome::Ok, 250 * MS));
+    assert_eq!((first(&day).subject, first(&day).matter), (Subject::Server(day.pool, 4), Matter::Slow));
+}
+
+/// What waits behind a silent server is put down to it; what waits behind busy ones is not.
+#[test]
+fn a_queue_is_put_down_to_whoever_took_the_places() {
+    let mut day = with_fifth(|day, class| {
+        day.one(class, 4, Outcome::TimedOut, 400 * MS);
+        day.refused(class, Rule::WaitShare);
+        day.refused(class, Rule::NearlyOut);
+    });
+    let found = first(&day);
+    assert_eq!((found.subject, found.matter), (Subject::Server(day.pool, 4), Matter::Silent));
+    assert!(found.count >= 600, "refusals are in it: {found:?}");
+    day = with_fifth(|day, class| {
+        day.one(class, 0, Outcome::Ok, 22 * MS);
+        day.refused(class, Rule::WaitShare);
+    });
+    assert_eq!((first(&day).subject, first(&day).matter), (Subject::Pool(day.pool), Matter::Crowded));
+}
+
+#[test]
+fn a_class_that_states_too_short_a_time_is_named_and_no_server() {
+    let classes = [class("read", 100 * MS, 1.0), class("hasty", 5 * MS, 10.0)];
+    let mut day = Day::of(256 << 10, &classes);
+    for n in 0..200 {
+        day.one(0, n % 4, Outcome::Ok, 20 * MS);
+        day.one(1, n % 4, Outcome::TimedOut, 20 * MS);
+    }
+    assert_eq!((first(&day).subject, first(&day).matter), (Subject::Class(day.pool, 1), Matter::TooTight));
+    let mut day = Day::of(256 << 10, &classes);
+    for n in 0..200 {
+        day.one(0, n % 4, Outcome::Ok, 20 * MS);
+        day.one(1, n % 4, Outcome::Ok, 20 * MS);
+    }
+    assert_eq!((first(&day).subject, first(&day).matter), (Subject::Class(day.pool, 1), Matter::TooTight));
+}
+
+#[test]
+fn a_node_short_of_descriptors_is_named() {
+    let mut day = with_fifth(|day, class| {
+        day.tell(Event::Short(Short::Accept));
+        day.tell(Event::Turned { class, why: Turned::Connections });
+    });
+    assert_eq!((first(&day).subject, first(&day).matter), (Subject::Node, Matter::Descriptors));
+    day = with_fifth(|day, class| {
+        day.tell(Event::Short(Short::Dial));
+        day.one(class, 0, Outcome::Moot, 0);
+    });
+    assert_eq!((first(&day).subject, first(&day).matter), (Subject::Node, Matter::Descriptors));
+}
+
+#[test]
+fn faults_of_all_servers_are_no_single_ones() {
+    let mut day = Day::new(256 << 10);
+    for n in 0..400 {
+        let outcome = if n % 3 == 0 { Outcome::Reset } else { Outcome::Ok };
+        day.one(0, n % 4, outcome, 20 * MS);
+    }
+    assert_eq!((first(&day).subject, first(&day).matter), (Subject::Pool(day.pool), Matter::Resets));
+}
+
+#[test]
+fn clients_that_leave_are_told_from_servers_that_are_late() {
+    let mut day = Day::new(256 << 10);
+    for _ in 0..50 {
+        let id = day.ask(0, "x");
+        day.now += 10 * MS;
+        day.over(id, How::Left);
+        day.one(0, 1, Outcome::Ok, 20 * MS);
+    }
+    assert_eq!((first(&day).subject, first(&day).matter), (Subject::Clients(day.pool), Matter::Leave));
+}
--- /dev/null
+++ b/crates/trace/tests/common/mod.rs
@@ -0,0 +1,91 @@
+//! Generated days for a recorder.
+
+#![allow(dead_code)]
+
+use pumicehead_policy::interface::*;
+use pumicehead_policy::note::{Note, Rule, Stop};
+use pumicehead_trace::event::{Event, How, PoolId};
+use pumicehead_trace::recorder::{Class, Recorder};
+use pumicehead_trace::text::Name;
+
+pub const MS: Nanos = 1_000_000;
+pub const START: Nanos = 1_700_000_000 * SECOND;
+
+pub fn class(name: &str, aim: Nanos, worth: f64) -> Class {
+    Class { name: name.into(), aim, deadline: 4 * aim, worth, late_worth: 0.3 }
+}
+
+/// A recorder with a pool of two classes, and the time.
+pub struct Day {
+    pub recorder: Recorder,
+    pub pool: PoolId,
+    pub now: Nanos,
+    pub next: u32,
+}
+
+impl Day {
+    pub fn new(memory: usize) -> Self {
+        Self::of(memory, &[class("read", 100 * MS, 1.0), class("submit", 200 * MS, 10.0)])
+    }
+
+    pub fn of(memory: usize, classes: &[Class]) -> Self {
+        let mut recorder = Recorder::new("n0", START, memory, 7);
+        let pool = recorder.pool("web", classes, &[]);
+        for server in 0..8 {
+            recorder.name(pool, ServerId(server), &format!("s-{server}"));
+        }
+        Self { recorder, pool, now: START, next: 0 }
+    }
+
+    pub fn tell(&mut self, event: Event) {
+        self.recorder.record(self.now, self.pool, &event);
+    }
+
+    pub fn ask(&mut self, class: u16, name: &str) -> RequestId {
+        let id = RequestId(self.next);
+        self.next += 1;
+        let name = Name::new(name);
+        self.tell(Event::Asked { id, class, tenant: None, left: SECOND, sending: 0, name });
+        id
+    }
+
+    pub fn send(&mut self, id: RequestId, attempt: u8, server: u32) {
+        let (attempt, server) = (AttemptNo(attempt), ServerId(server));
+        self.tell(Event::Sent { id, attempt, server, timeout: None });
+    }
+
+    pub fn end(&mut self, id: RequestId, attempt: u8, server: u32, outcome: Outcome, took: Nanos) {
+        let (attempt, server) = (AttemptNo(attempt), ServerId(server));
+        self.tell(Event::Ended { id, attempt, server, outcome, took, dial: 0 });
+    }
+
+    pub fn over(&mut self, id: RequestId, how: How) {
+        self.tell(Event::Over { id, how });
+    }
+
+    /// A request with one attempt, which takes so long and ends so; refused or failed where that is not well.
+    pub fn one(&mut self, class: u16, server: u32, outcome: Outcome, took: Nanos) {
+        let name = format!("r{}", self.next);
+        let id = self.ask(class, &name);
+        self.send(id, 0, server);
+        self.now += took;
+        if outcome == Outcome::Ok {
+            self.over(id, How::Served);
+        }
+        self.end(id, 0, server, outcome, took);
+        if outcome != Outcome::Ok {
+            self.tell(Event::Note(Note::Over { id, rule: Rule::NoRetry(Stop::Effect), pressure: 0.0 }));
+            self.over(id, How::Failed);
+        }
+    }
+
+    /// A request that waits and is refused.
+    pub fn refused(&mut self, class: u16, rule: Rule) {
+        let name = format!("r{}", self.next);
+        let id = self.ask(class, &name);
+        self.tell(Event::Note(Note::Held { id, held: 9 }));
+        self.now += MS;
+        self.tell(Event::Note(Note::Over { id, rule, pressure: 0.5 }));
+        self.over(id, How::Refused);
+    }
+}
--- /dev/null
+++ b/crates/trace/tests/files.rs
@@ -0,0 +1,184 @@
+//! Dumps: whole, damaged, of other versions, and read by others.
+
+mod common;
+
+use common::*;
+use proptest::prelude::*;
+use pumicehead_policy::interface::*;
+use pumicehead_policy::note::{Hurdles, Moved, Note, Rule, Stop};
+use pumicehead_trace::bytes::Reader;
+use pumicehead_trace::dump::{Dump, DumpError, sum};
+use pumicehead_trace::event::{Event, How, Listed, Short, Turned};
+use pumicehead_trace::export::{chrome, otlp};
+use pumicehead_trace::text::Name;
+
+fn small() -> Vec<u8> {
+    let mut day = Day::new(64 << 10);
+    day.one(0, 1, Outcome::Ok, 20 * MS);
+    day.one(1, 2, Outcome::Reset, 30 * MS);
+    day.refused(0, Rule::WaitShare);
+    day.one(0, 3, Outcome::Ok, 150 * MS);
+    day.recorder.dump(day.now, "test")
+}
+
+#[test]
+fn every_event_comes_back_as_it_was() {
+    let (id, server, attempt) = (RequestId(u32::MAX), ServerId(77), AttemptNo(3));
+    let hurdles = Hurdles([1, 2, 3, 4, 255]);
+    let rules = [Rule::WaitShare, Rule::NearlyOut, Rule::NoTurn]
+        .into_iter()
+        .chain([Stop::Attempts, Stop::Effect, Stop::Time, Stop::Budget].map(Rule::NoRetry));
+    let outcomes = (0..8).filter_map(pumicehead_trace::event::outcome);
+    let hows = [How::Served, How::ServedFault, How::Refused, How::Failed, How::Late, How::Body, How::Left];
+    let mut all = vec![
+        Event::Asked { id, class: 9, tenant: Some(0), left: 1, sending: 2, name: Name::new("é\0") },
+        Event::Asked { id, class: 9, tenant: None, left: u64::MAX, sending: 0, name: Name::default() },
+        Event::Sent { id, attempt, server, timeout: Some(5) },
+        Event::Began { id, attempt },
+        Event::Advice { avoid: 3, rights: 4 },
+        Event::Turned { class: 2, why: Turned::Connections },
+        Event::Short(Short::Dial),
+        Event::Note(Note::Taken { id, tier: 3, worth: 1.5, aim_at: START }),
+        Event::Note(Note::Held { id, held: 7 }),
+        Event::Note(Note::Picked {
+            id,
+            server,
+            score: 0.1,
+            next: Some((server, 2.0)),
+            out: 9,
+            limit: 1.0,
+            hurdles,
+        }),
+        Event::Note(Note::Picked { id, server, score: 0.1, next: None, out: 9, limit: 1.0, hurdles }),
+        Event::Note(Note::NoneFits { id, hurdles }),
+        Event::Note(Note::Limit { server, from: 1.0, to: 2.0, why: Moved::Failure }),
+        Event::Note(Note::Limit { server, from: 1.0, to: 2.0, why: Moved::Compared }),
+        Event::Note(Note::Limits { factor: 0.5, load: 2.0 }),
+        Event::Note(Note::Aside { server, span: 9 }),
+        Event::Note(Note::Back { server }),
+        Event::Note(Note::Doubt { bad: 1, all: 2, most: true }),
+        Event::Note(Note::Overload { held: 3 }),
+        Event::Note(Note::Calm),
+        Event::Note(Note::ListLost),
+        Event::Note(Note::ListRegained),
+    ];
+    all.extend(rules.map(|rule| Event::Note(Note::Over { id, rule, pressure: f32::INFINITY })));
+    all.extend(outcomes.map(|outcome| Event::Ended { id, attempt, server, outcome, took: 5, dial: 2 }));
+    all.extend(hows.map(|how| Event::Over { id, how }));
+    all.extend(
+        [Listed::Ready, Listed::Draining, Listed::Gone].map(|listed| Event::Server { server, listed }),
+    );
+    for event in all {
+        let mut bytes = Vec::new();
+        event.encode(&mut bytes);
+        assert_eq!(Event::decode(&mut Reader(&bytes)).as_ref(), Some(&event));
+        for end in 0..bytes.len() {
+            assert_eq!(Event::decode(&mut Reader(&bytes[..end])), None, "{event:?} cut at {end}");
+        }
+    }
+}
+
+#[test]
+fn a_dump_says_what_was_recorded() {
+    let dump = Dump::read(&small()).unwrap();
+    assert_eq!((dump.damage, dump.stories.len()), (None, 4));
+    assert_eq!((dump.head.node.as_str(), dump.head.reason.as_str()), ("n0", "test"));
+    let failed = dump.find("r1")[0];
+    let text = pumicehead_trace::story::tell(&dump.head, failed);
+    for part in
+        ["`submit`", "Attempt 1 to s-2.", "the connection broke after 30.0 ms", "must not take effect twice"]
+    {
+        assert!(text.contains(part), "{part}\n{text}");
+    }
+    assert!(dump.find("r9").is_empty());
+    let page = pumicehead_trace::page::write(&dump);
+    assert!(
+        page.contains("<svg") && !page.contains("http://") || page.contains("www.w3.org"),
+        "no network is needed"
+    );
+}
+
+/// A file that is cut anywhere is read up to there, and one with a bit turned never passes for another.
+#[test]
+fn damage_at_every_byte() {
+    let whole = small();
+    let all = Dump::read(&whole).unwrap();
+    for cut in 0..whole.len() {
+        match Dump::read(&whole[..cut]) {
+            Ok(dump) => {
+                assert!(dump.damage.is_some_and(|damage| damage.at <= cut));
+                assert!(dump.stories.iter().zip(&all.stories).all(|(one, other)| one == other));
+            }
+            Err(error) => {
+                assert!(matches!(error, DumpError::Magic | DumpError::Version(_) | DumpError::Head))
+            }
+        }
+    }
+    for at in 0..whole.len() {
+        let mut turned = whole.clone();
+        turned[at] ^= 0x41;
+        if let Ok(dump) = Dump::read(&turned) {
+            let same = dump.stories.iter().all(|story| all.stories.contains(story))
+                && dump.records.iter().all(|record| all.records.contains(record))
+                && dump.accounts.is_none_or(|accounts| Some(accounts) == all.accounts);
+            assert!(same && dump.damage.is_some(), "{at}");
+        }
+    }
+}
+
+#[test]
+fn other_versions_and_other_files() {
+    assert_eq!(Dump::read(b"").unwrap_err(), DumpError::Magic);
+    assert_eq!(Dump::read(b"GIF89a, and more").unwrap_err(), DumpError::Magic);
+    let mut later = small();
+    later[8] = 2;
+    assert_eq!(Dump::read(&later).unwrap_err(), DumpError::Version(2));
+    // A head of before some fields were there, then a frame of a kind that came later.
+    let head = br#"{"node":"old","start":5,"pools":[{"name":"web"}],"field":"unheard of"}"#;
+    let mut file = b"PHEADREC\x01\x00".to_vec();
+    for (kind, contents) in [(1, &head[..]), (200, &b"what"[..]), (5, &b""[..])] {
+        file.push(kind);
+        file.extend_from_slice(&(contents.len() as u32).to_le_bytes());
+        file.extend_from_slice(&sum(kind, contents).to_le_bytes());
+        file.extend_from_slice(contents);
+    }
+    let dump = Dump::read(&file).unwrap();
+    assert_eq!((dump.head.node.as_str(), dump.damage, dump.accounts.is_none()), ("old", None, true));
+}
+
+proptest! {
+    #[test]
+    fn noise_is_never_more_than_an_error(noise in proptest::collection::vec(any::<u8>(), 0..2_000)) {
+        let mut file = small();
+        let _ = Dump::read(&noise);
+        let at = noise.len() % file.len();
+        file.splice(at.., noise.iter().copied());
+        if let Ok(dump) = Dump::read(&file) {
+            let _ = (otlp(&dump), chrome(&dump), pumicehead_trace::page::write(&dump));
+        }
+    }
+}
+
+#[test]
+fn exports_have_the_public_forms() {
+    let dump = Dump::read(&small()).unwrap();
+    let lines = otlp(&dump);
+    assert_eq!(lines.lines().count(), 4);
+    for line in lines.lines() {
+        let value: serde_json::Value = serde_json::from_str(line).unwrap();
+        let spans = &value["resourceSpans"][0]["scopeSpans"][0]["spans"];
+        let root = &spans[0];
+        assert_eq!(root["traceId"].as_str().unwrap().len(), 32);
+        assert_eq!(root["spanId"].as_str().unwrap().len(), 16);
+        let time = |name: &str| root[name].as_str().unwrap().parse::<u64>().unwrap();
+        assert!(time("startTimeUnixNano") <= time("endTimeUnixNano"));
+        for child in spans.as_array().unwrap().iter().skip(1) {
+            assert_eq!((&child["traceId"], &child["parentSpanId"]), (&root["traceId"], &root["spanId"]));
+        }
+    }
+    let value: serde_json::Value = serde_json::from_str(&chrome(&dump)).unwrap();
+    let events = value["traceEvents"].as_array().unwrap();
+    let whole = events.iter().filter(|event| event["ph"] == "X");
+    assert_eq!(whole.clone().count(), 7, "four requests, three attempts");
+    assert!(whole.into_iter().all(|event| event["ts"].is_f64() && event["dur"].as_f64().unwrap() >= 0.0));
+}
