--- a/crates/lang/src/check/mod.rs
+++ b/crates/lang/src/check/mod.rs
@@ -2,20 +2,22 @@
 
 mod blocks;
 mod meaning;
+mod observe;
 mod reader;
 
 use std::collections::{BTreeMap, HashMap};
 
 use crate::diag::{Diagnostic, nearest};
-use crate::model::{Config, Limits, Node};
+use crate::model::{Config, Limits, Node, Observe};
 use crate::span::Span;
 use crate::syntax::{Statement, Word};
 use reader::Reader;
 
 /// Blocks of a file, by their first word.
-const KINDS: [&str; 7] = ["node", "listener", "pool", "class", "tenant", "route", "limits"];
+const KINDS: [&str; 8] = ["node", "listener", "pool", "class", "tenant", "route", "limits", "observe"];
 /// All that may begin a statement of a file.
-const TOP: [&str; 9] = ["node", "listener", "pool", "class", "tenant", "route", "limits", "const", "include"];
+const TOP: [&str; 10] =
+    ["node", "listener", "pool", "class", "tenant", "route", "limits", "observe", "const", "include"];
 /// Most entries of one kind: places of classes and zones are 16-bit numbers in the decision module.
 const MOST_ENTRIES: usize = 20_000;
 /// Longest name.
@@ -66,6 +68,7 @@
     let [listeners, pools, classes, tenants, routes] = &named;
     let node = check.single("node", of("node"), Check::node).unwrap_or_else(Node::unwritten);
     let limits = check.single("limits", of("limits"), Check::limits).unwrap_or_else(Limits::unwritten);
+    let observe = check.single("observe", of("observe"), Check::observe).unwrap_or_else(Observe::unwritten);
     let listeners: Vec<_> = listeners.iter().map(|block| check.listener(block)).collect();
     let pools: Vec<_> = pools.iter().map(|block| check.pool(block, &node)).collect();
     let classes: Vec<_> = classes.iter().map(|block| check.class(block)).collect();
@@ -76,6 +79,7 @@
     Some(Config {
         node,
         limits,
+        observe,
         listeners: all(listeners)?,
         pools: all(pools)?,
         classes: all(classes)?,
--- a/crates/lang/src/check/reader.rs
+++ b/crates/lang/src/check/reader.rs
@@ -111,6 +111,9 @@
                 ]
             }
         }
+        "observe" => {
+            const { &[one("calls"), one("log"), one("log-form"), one("recorder"), one("recordings")] }
+        }
         _ => &[],
     }
 }
--- a/crates/lang/src/diff.rs
+++ b/crates/lang/src/diff.rs
@@ -8,8 +8,8 @@
 use pumicehead_route::Methods;
 
 use crate::model::{
-    Class, Config, KeyOf, Limits, Listener, Members, Node, Places, Pool, Repeats, Route, Server, Tenant,
-    TenantOf,
+    Class, Config, KeyOf, Limits, Listener, Members, Node, Observe, Places, Pool, Repeats, Route, Server,
+    Tenant, TenantOf,
 };
 use crate::span::{Sources, Span};
 use crate::units::{show_size, show_time};
@@ -71,7 +71,7 @@
 #[must_use]
 pub fn facts(config: &Config) -> Facts {
     let mut facts = Facts::default();
-    let Config { node, listeners, pools, classes, tenants, routes, limits } = config;
+    let Config { node, listeners, pools, classes, tenants, routes, limits, observe } = config;
     let mut add = |kind, name: &str, at: &Places, values: Vec<(&'static str, String)>| {
         let entry = Entry { at: at.clone(), values: values.into_iter().collect() };
         facts.entries.insert((kind, name.to_owned()), entry);
@@ -194,6 +194,15 @@
         ("retry-after", show_time(*retry_after)),
     ];
     add("limits", "", at, values);
+    let Observe { calls, log, json, recorder, recordings, at } = observe;
+    let values = vec![
+        ("calls", calls.map_or("none".into(), |address| address.to_string())),
+        ("log", log.clone()),
+        ("log-form", if *json { "json" } else { "text" }.into()),
+        ("recorder", if *recorder == 0 { "off".into() } else { show_size(*recorder) }),
+        ("recordings", recordings.display().to_string()),
+    ];
+    add("observe", "", at, values);
     facts
 }
 
--- a/crates/lang/src/model.rs
+++ b/crates/lang/src/model.rs
@@ -29,6 +29,8 @@
     pub routes: Vec<Route>,
     /// Bounds.
     pub limits: Limits,
+    /// What the node tells of itself.
+    pub observe: Observe,
 }
 
 /// Places of an entry: of its name, and of each value that is written.
@@ -292,6 +294,23 @@
     pub at: Places,
 }
 
+/// What a node tells of itself.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Observe {
+    /// Where staff call, if anywhere.
+    pub calls: Option<SocketAddr>,
+    /// What the log tells: levels, of all or of rooms.
+    pub log: String,
+    /// Its lines are JSON.
+    pub json: bool,
+    /// Memory of the recorder, in bytes; nothing is recorded where it is 0.
+    pub recorder: u64,
+    /// Where recordings are put on a signal or in a crash; nowhere where it is empty.
+    pub recordings: PathBuf,
+    /// Places.
+    pub at: Places,
+}
+
 impl Config {
     /// The compiled routes.
     #[must_use]
--- a/crates/node/src/cli.rs
+++ b/crates/node/src/cli.rs
@@ -3,17 +3,19 @@
 
 use std::error::Error;
 use std::fs;
-use std::io::{IsTerminal, Write};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
-use clap::{Parser, Subcommand, ValueEnum};
-use pumicehead_lang::diag::{self, MOST_SHOWN};
+use clap::{Parser, Subcommand};
 use pumicehead_lang::diff::{Shown, diff};
 use pumicehead_lang::disk::Disk;
 use pumicehead_lang::explain::{Request, explain};
 use pumicehead_lang::format::format;
-use pumicehead_lang::{Checked, Diagnostic, Files, Severity, Sources, check};
+use pumicehead_lang::{Checked, Files, Severity, Sources, check};
+
+use crate::report::{Format, print, report};
+use crate::{log, why};
 
 /// A configuration with mistakes.
 const MISTAKES: u8 = 1;
@@ -46,6 +48,24 @@
         #[arg(long, value_name = "FILE")]
         record: Option<PathBuf>,
     },
+    /// Fetches the recording of a running node from where it takes calls.
+    Trace {
+        /// Where it takes calls.
+        address: SocketAddr,
+        /// Where it is put.
+        #[arg(long, short, value_name = "FILE", default_value = "pumicehead.rec")]
+        out: PathBuf,
+    },
+    /// Says why, from a recording: what became of one request, or what worth was lost to.
+    Why(why::Why),
+    /// Writes a recording in a form that other viewers open.
+    Export {
+        /// The recording.
+        file: PathBuf,
+        /// Which form.
+        #[arg(long = "as", value_enum)]
+        form: why::ExportForm,
+    },
     /// Checks configurations.
     Check {
         /// The configurations.
@@ -87,15 +107,6 @@
     },
 }
 
-/// How mistakes are written.
-#[derive(Clone, Copy, PartialEq, Eq, ValueEnum)]
-pub enum Format {
-    /// For people, with the source lines, to standard error.
-    Text,
-    /// For editors: one object a line, to standard output.
-    Json,
-}
-
 /// Carries out all commands but `run`, for which it gives the checked configuration back.
 ///
 /// # Errors
@@ -108,9 +119,13 @@
             if checked.config.is_none() {
                 return Ok(ExitCode::from(MISTAKES));
             }
-            crate::block_on(crate::standalone::serve(file, checked, record))?;
+            let (log, _written) = log::begin();
+            crate::block_on(crate::standalone::serve(file, checked, record, log))?;
             Ok(ExitCode::SUCCESS)
         }
+        Command::Trace { address, out } => why::fetch(address, &out).map(|()| ExitCode::SUCCESS),
+        Command::Why(why) => why.tell().map(|()| ExitCode::SUCCESS),
+        Command::Export { file, form } => why::export(&file, form).map(|()| ExitCode::SUCCESS),
         Command::Check { files, format, deny_warnings } => Ok(check_all(&files, format, deny_warnings)),
         Command::Fmt { files, check } => format_all(&files, check),
         Command::Diff { old, new } => Ok(compare(&old, &new)),
@@ -128,33 +143,6 @@
     ExitCode::from(FAILED)
 }
 
-/// Writes messages, the first of very many.
-pub fn report(sources: &Sources, diagnostics: &[Diagnostic], format: Format) {
-    match format {
-        Format::Json => {
-            for one in diagnostics {
-                if let Ok(line) = serde_json::to_string(&diag::json(sources, one)) {
-                    print(&(line + "\n"));
-                }
-            }
-        }
-        Format::Text => {
-            let styled = std::io::stderr().is_terminal();
-            for one in diagnostics.iter().take(MOST_SHOWN) {
-                eprintln!("{}\n", diag::render(sources, one, styled));
-            }
-            if diagnostics.len() > MOST_SHOWN {
-                eprintln!("and {} more", diagnostics.len() - MOST_SHOWN);
-            }
-        }
-    }
-}
-
-/// Whoever reads may have gone, as `head` does; that is no fault.
-fn print(text: &str) {
-    let _ = std::io::stdout().write_all(text.as_bytes());
-}
-
 fn check_all(files: &[PathBuf], format: Format, deny_warnings: bool) -> ExitCode {
     let mut sound = true;
     for file in files {
--- /dev/null
+++ b/crates/node/src/eyes.rs
@@ -0,0 +1,266 @@
+//! What a running node can be asked about itself: its recording, its figures, its log; and where recordings are put.
+
+use std::cell::Cell;
+use std::fs;
+use std::io;
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::time::Duration;
+
+use pumicehead_ops::call::{Amount, Call, no, yes};
+use pumicehead_policy::interface::Settings;
+use pumicehead_trace::event::PoolId;
+use pumicehead_trace::recorder::{Class, Level, Recorder};
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::task;
+use tokio::time::sleep;
+use tracing::{info, warn};
+
+use crate::log::Log;
+use crate::net::clock::Clock;
+use crate::net::roster::hash;
+use crate::net::tap::{Shared, Tap};
+
+/// Recordings of a node that stay in the folder; older ones make way. Where the folder counts as memory it should be few.
+const KEPT: usize = 2;
+/// How often what the log has held back is looked for.
+const LOOK: Duration = Duration::from_secs(1);
+/// Part of a node's memory that its recorder may take: 1 MiB of 32 MiB.
+pub const SHARE: usize = 32;
+/// Most that it takes where nobody says how much.
+pub const USUAL_MOST: usize = 4 << 20;
+
+thread_local! {
+    /// For the panic hook, which is handed nothing.
+    static AT_PANIC: std::cell::RefCell<Option<Rc<Eyes>>> = const { std::cell::RefCell::new(None) };
+}
+
+/// The eyes of a node.
+pub struct Eyes {
+    recorder: Shared,
+    clock: Clock,
+    log: Log,
+    /// Where recordings are put on a signal or in a crash; nowhere where there is none.
+    folder: Option<PathBuf>,
+    /// Of the node's name, for the names of files.
+    node: u64,
+    dumps: Cell<u32>,
+    dropped: Cell<usize>,
+}
+
+impl Eyes {
+    /// Of a node, with so much memory for its recorder.
+    pub fn new(
+        node: &str,
+        clock: Clock,
+        memory: usize,
+        seed: u64,
+        log: Log,
+        folder: Option<PathBuf>,
+    ) -> Rc<Self> {
+        let recorder = Shared::new(Recorder::new(node, clock.began(), memory, seed));
+        let node = hash(node.as_bytes());
+        let eyes = Self { recorder, clock, log, folder, node, dumps: Cell::new(0), dropped: Cell::new(0) };
+        Rc::new(eyes)
+    }
+
+    /// The log.
+    pub fn log(&self) -> &Log {
+        &self.log
+    }
+
+    /// The clock that all loops go by.
+    pub fn clock(&self) -> Clock {
+        self.clock
+    }
+
+    /// A pool's way to the recorder, with the names of its classes in the order of its settings.
+    pub fn tap(&self, pool: &str, settings: &Settings, classes: &[String], tenants: &[String]) -> Tap {
+        let class = |(name, class): (&String, &pumicehead_policy::interface::Class)| Class {
+            name: name.clone(),
+            aim: class.aim,
+            deadline: class.deadline,
+            worth: class.worth,
+            late_worth: class.late_worth,
+        };
+        let classes: Vec<_> = classes.iter().zip(&settings.classes).map(class).collect();
+        let pool = self.recorder.with(|recorder| recorder.pool(pool, &classes, tenants));
+        Tap::new(&self.recorder, self.clock, pool.unwrap_or(PoolId(u16::MAX)))
+    }
+
+    /// The way to the recorder for what no pool sees.
+    pub fn front_tap(&self) -> Tap {
+        Tap::new(&self.recorder, self.clock, PoolId(0))
+    }
+
+    /// How much is recorded from now on.
+    pub fn set_level(&self, level: Level) {
+        self.recorder.set_level(level);
+    }
+
+    /// The recording as a file.
+    pub fn dump(&self, reason: &str) -> Option<Vec<u8>> {
+        self.recorder.with(|recorder| recorder.dump(self.clock.now(), reason))
+    }
+
+    /// The figures, with what the node holds now.
+    pub fn metrics(&self, now: &[(&'static str, f64)]) -> String {
+        let text = self.recorder.with(|recorder| {
+            let taken = (recorder.memory() as f64, recorder.most_memory() as f64);
+            let meters = recorder.meters();
+            now.iter().for_each(|(name, value)| meters.gauge(name, *value));
+            meters.gauge("pumicehead_recorder_bytes", taken.0);
+            meters.gauge("pumicehead_recorder_most_bytes", taken.1);
+            meters.gauge("pumicehead_log_lines_dropped", self.log.dropped() as f64);
+            recorder.prometheus()
+        });
+        text.unwrap_or_else(|| "# EOF\n".into())
+    }
+
+    /// Looks after the log, and writes a recording on each SIGUSR1, for as long as the process lives.
+    ///
+    /// # Errors
+    /// A signal that can't be waited for.
+    pub fn open(self: &Rc<Self>) -> io::Result<()> {
+        let mut usr1 = signal(SignalKind::user_defined1())?;
+        let eyes = self.clone();
+        task::spawn_local(async move {
+            loop {
+                tokio::select! {
+                    came = usr1.recv() => match came {
+                        Some(()) => eyes.clone().write("asked by a signal").await,
+                        None => return,
+                    },
+                    () = sleep(LOOK) => eyes.look(),
+                }
+            }
+        });
+        AT_PANIC.with(|at_panic| *at_panic.borrow_mut() = Some(self.clone()));
+        let usual = std::panic::take_hook();
+        std::panic::set_hook(Box::new(move |panic| {
+            usual(panic);
+            let eyes = AT_PANIC.with(|at_panic| at_panic.try_borrow().ok().and_then(|eyes| eyes.clone()));
+            if let Some(eyes) = eyes {
+                eyes.at_panic(&panic.to_string());
+            }
+        }));
+        Ok(())
+    }
+
+    /// The answer to a call that is about what the node sees; `None` where it is about something else.
+    pub async fn answer(
+        &self,
+        call: &Call,
+        gauges: impl AsyncFn() -> Vec<(&'static str, f64)>,
+    ) -> Option<Vec<u8>> {
+        Some(match call {
+            Call::Trace => match self.dump("asked by a call") {
+                Some(file) => [yes(&file.len().to_string()).into_bytes(), file].concat(),
+                None => no("the recorder is in use").into_bytes(),
+            },
+            Call::Metrics => self.metrics(&gauges().await).into_bytes(),
+            Call::Filter(levels) => match self.log.set_filter(levels) {
+                Ok(()) => {
+                    info!(target: "log", "told from now on: {levels}");
+                    yes("").into_bytes()
+                }
+                Err(error) => no(&error.to_string()).into_bytes(),
+            },
+            Call::Record(amount) => {
+                self.set_level(match amount {
+                    Amount::Off => Level::Off,
+                    Amount::On => Level::On,
+                    Amount::Full => Level::Full,
+                });
+                yes("").into_bytes()
+            }
+            _ => return None,
+        })
+    }
+
+    fn look(&self) {
+        self.log.look();
+        let dropped = self.log.dropped();
+        if dropped > self.dropped.replace(dropped) {
+            warn!(target: "log", dropped, "lines were dropped since nobody read them");
+        }
+    }
+
+    async fn write(self: Rc<Self>, reason: &str) {
+        let (Some(folder), Some(bytes)) = (self.folder.clone(), self.dump(reason)) else {
+            warn!(target: "recording", "there is no folder for recordings");
+            return;
+        };
+        let (node, number) = (self.node, self.next());
+        // Off the loop: a disk may take its time.
+        let written = task::spawn_blocking(move || put(&folder, node, number, &bytes)).await;
+        match written {
+            Ok(Ok(path)) => info!(target: "recording", "written to {}", path.display()),
+            Ok(Err(error)) => warn!(target: "recording", "not written: {error}"),
+            Err(error) => warn!(target: "recording", "not written: {error}"),
+        }
+    }
+
+    fn next(&self) -> u32 {
+        self.dumps.set(self.dumps.get() + 1);
+        self.dumps.get()
+    }
+
+    fn at_panic(&self, what: &str) {
+        let Some(folder) = &self.folder else { return };
+        if let Some(bytes) = self.dump(&format!("panic: {}", pumicehead_trace::text::plain(what))) {
+            // There is nothing left to do where this fails.
+            let _ = put(folder, self.node, self.next(), &bytes);
+        }
+    }
+}
+
+/// Writes a recording under a name of its own, whole or not at all, and lets the oldest ones of the node go.
+fn put(folder: &Path, node: u64, number: u32, bytes: &[u8]) -> io::Result<PathBuf> {
+    let prefix = format!("pumicehead-{node:016x}-");
+    // Two processes of a node may write into one folder: the process is part of the name.
+    let path = folder.join(format!("{prefix}{}-{number}.rec", std::process::id()));
+    let fresh = path.with_extension("part");
+    let written = fs::write(&fresh, bytes).and_then(|()| fs::rename(&fresh, &path));
+    if written.is_err() {
+        let _ = fs::remove_file(&fresh);
+    }
+    written?;
+    let mut own: Vec<_> = fs::read_dir(folder)?
+        .filter_map(Result::ok)
+        .filter(|entry| {
+            let name = entry.file_name();
+            name.to_str().is_some_and(|name| {
+                name.starts_with(&prefix) && (name.ends_with(".rec") || name.ends_with(".part"))
+            })
+        })
+        .filter_map(|entry| Some((entry.metadata().ok()?.modified().ok()?, entry.path())))
+        .filter(|(_, other)| *other != path)
+        .collect();
+    own.sort();
+    let spare = (own.len() + 1).saturating_sub(KEPT);
+    for (_, old) in own.into_iter().take(spare) {
+        let _ = fs::remove_file(old);
+    }
+    Ok(path)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_folder_holds_few_recordings_of_a_node() {
+        let folder = std::env::temp_dir().join(format!("pumicehead-eyes-{}", std::process::id()));
+        fs::create_dir_all(&folder).unwrap();
+        fs::write(folder.join("other.rec"), "x").unwrap();
+        for number in 0..9 {
+            let path = put(&folder, 7, number, b"abc").unwrap();
+            assert_eq!(fs::read(path).unwrap(), b"abc");
+        }
+        put(&folder, 8, 0, b"abc").unwrap();
+        assert_eq!(fs::read_dir(&folder).unwrap().count(), KEPT + 2);
+        fs::remove_dir_all(&folder).unwrap();
+        assert!(put(&folder, 7, 1, b"abc").is_err());
+    }
+}
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -1,11 +1,16 @@
 //! The node. Started with no arguments and with `EDGE_CONFIG` it is the platform's, otherwise what the command line
 //! says.
 
+mod calls;
 mod cli;
+mod eyes;
+mod log;
 mod net;
 mod places;
 mod platform;
+mod report;
 mod standalone;
+mod why;
 
 use std::env;
 use std::error::Error;
@@ -19,12 +24,15 @@
     // The platform starts it with no arguments; what is wrong there is told by the missing variable, not by usage.
     let on_platform = env::args_os().len() <= 1 && env::var_os("EDGE_CONFIG").is_some();
     let done = if on_platform {
-        platform::inherited::announce().and_then(|()| block_on(platform::serve())).map(|()| ExitCode::SUCCESS)
+        platform::inherited::announce().and_then(|()| {
+            let (log, _written) = log::begin();
+            block_on(platform::serve(log)).map(|()| ExitCode::SUCCESS)
+        })
     } else {
         cli::carry_out(cli::Arguments::parse().command)
     };
     done.unwrap_or_else(|error| {
-        eprintln!("pumicehead: {error}");
+        report::error(&format!("pumicehead: {error}"));
         if on_platform { ExitCode::FAILURE } else { cli::failed() }
     })
 }
--- a/crates/node/src/net/admission.rs
+++ b/crates/node/src/net/admission.rs
@@ -3,12 +3,21 @@
 use std::borrow::Cow;
 use std::net::IpAddr;
 
-use hyper::header::HeaderMap;
+use hyper::header::{HeaderMap, HeaderValue};
 use hyper::{Method, StatusCode, Uri, Version};
 use thiserror::Error;
 
-use super::answer::Manner;
-use super::ask::{Ask, Handle};
+use super::ask::Ask;
+use super::handle::Handle;
+
+/// How answers are worded.
+#[derive(Clone)]
+pub enum Manner {
+    /// As the platform has it: 200 with body and type, and advice in decimals.
+    Platform,
+    /// As RFC 9110 has it of a gateway: status, end-to-end fields and body of a server's answer, with this `Via`.
+    Gateway(HeaderValue),
+}
 
 /// A request's head.
 pub struct Head<'a> {
--- a/crates/node/src/net/answer.rs
+++ b/crates/node/src/net/answer.rs
@@ -5,19 +5,10 @@
 use hyper::{Response, StatusCode};
 use pumicehead_policy::interface::{Nanos, SECOND};
 
-use super::admission::Bad;
+use super::admission::{Bad, Manner};
 use super::ask::{Answer, Served};
 use super::body::Body;
 
-/// How answers are worded.
-#[derive(Clone)]
-pub enum Manner {
-    /// As the platform has it: 200 with body and type, and advice in decimals.
-    Platform,
-    /// As RFC 9110 has it of a gateway: status, end-to-end fields and body of a server's answer, with this `Via`.
-    Gateway(HeaderValue),
-}
-
 /// An answer's message.
 pub fn response(manner: &Manner, answer: Answer) -> Response<Body> {
     match (answer, manner) {
@@ -36,7 +27,7 @@
             response
         }
         (Answer::Refused(retry_after), _) => refusal(manner, retry_after),
-        (Answer::Failed, _) => plain(StatusCode::BAD_GATEWAY, ""),
+        (Answer::Failed | Answer::Left, _) => plain(StatusCode::BAD_GATEWAY, ""),
         (Answer::Late, _) => plain(StatusCode::GATEWAY_TIMEOUT, ""),
         (Answer::Broken, _) => bad(&Bad::Slow),
         (Answer::TooLong, _) => bad(&Bad::TooLong),
--- a/crates/node/src/net/body.rs
+++ b/crates/node/src/net/body.rs
@@ -13,6 +13,7 @@
 use tokio::sync::Notify;
 use tokio::task;
 use tokio::time::sleep;
+use tracing::warn;
 
 use super::room::Part;
 
@@ -161,7 +162,7 @@
 
     fn give_up(&self, why: GiveUp) {
         let bytes = self.pace.borrow().bytes();
-        eprintln!("an answer is cut after {bytes} bytes: {why} (source: server, sink: client)");
+        warn!(target: "stream", "an answer is cut after {bytes} bytes: {why} (source: server, sink: client)");
         self.given_up.set(true);
         // Its end takes the stream with it, whoever was to blame: the client must see that it is not whole.
         if let Some(cut) = &*self.cut.borrow() {
--- a/crates/node/src/net/core.rs
+++ b/crates/node/src/net/core.rs
@@ -5,24 +5,32 @@
 use std::collections::{BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use pumicehead_policy::interface::{
     Action, AttemptNo, ClassId, Discovery, Ended, Event, ListChange, Nanos, NewRequest, Outcome, RequestId,
     SECOND, ServerId, Settings, TenantId, TimerToken,
 };
-use pumicehead_policy::note::News;
+use pumicehead_policy::note::Note;
 use pumicehead_policy::policy::{Balancer, Knowledge};
+use pumicehead_trace::event::{Event as Told, How, Short};
+use pumicehead_trace::text::{Name, plain};
 use rustc_hash::FxHashMap;
 use tokio::sync::{mpsc, oneshot};
-use tokio::task::{self, AbortHandle};
+use tokio::task;
 use tokio::time::{Instant, sleep_until};
+use tracing::{info, warn};
 
-use super::ask::{Answer, Ask, Call, Handle, Held, Served};
-use super::discovery::{self, List, WatchError};
+use super::ask::{Answer, Ask};
+use super::clock::Clock;
+use super::discovery::{List, WatchError};
+use super::handle::{Handle, Held};
 use super::hands::Hands;
+use super::message::{Members, Message};
+use super::open::{Due, Open};
 use super::roster::{Roster, UnknownSite, hash};
+use super::tap::Tap;
 use super::transport::{End, Transport};
+use super::watch::Watch;
 
 /// A request that has no final answer this long after its deadline gets one from the event loop: the module
 /// answers earlier, by the time-out of its attempts or its own timers.
@@ -71,99 +79,28 @@
     pub hands: Rc<Hands>,
     /// What an earlier process of this node has learned.
     pub learned: Option<Knowledge>,
-}
-
-/// Servers in the list.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Members {
-    /// All of them.
-    pub listed: usize,
-    /// Those that get nothing new, by hand or by choice.
-    pub unavailable: usize,
-}
-
-/// What a loop is told.
-pub(super) enum Message {
-    Request(RequestId, Box<Ask>, Instant, oneshot::Sender<Answer>),
-    ClientGone(RequestId),
-    /// An answer begins to pass through.
-    Began(RequestId, AttemptNo, Served),
-    Ended {
-        id: RequestId,
-        attempt: AttemptNo,
-        server: ServerId,
-        sent: Nanos,
-        end: End,
-    },
-    List(u64, List),
-    WatchEnded(u64, WatchError),
-    Moved(SocketAddr),
-    Servers(List),
-    Retune(Box<Settings>),
-    Retire {
-        gone: bool,
-    },
-    GiveUp,
-    /// The book of servers taken out has changed for these.
-    Restate(Vec<String>),
-    Look(oneshot::Sender<Members>),
-    Learned(oneshot::Sender<Knowledge>),
-}
-
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-enum Due {
-    Timer(u64),
-    Overdue(u32),
-    Sweep,
-    Subscribe,
-    Empty,
-}
-
-struct Open {
-    call: Rc<Call>,
-    /// Taken by the final answer.
-    answer: Option<oneshot::Sender<Answer>>,
-    deadline: Nanos,
-    /// A server's own words on how it failed: the client gets them if nothing better comes.
-    error: Option<Served>,
-    /// By attempt number, while it is out.
-    attempts: Vec<Option<oneshot::Sender<()>>>,
-    /// What is armed for it, or has fired: dropped with it. Most requests end long before any of it is due, and
-    /// each would wake the loop for nothing.
-    timers: Vec<(Nanos, Due)>,
-}
-
-impl Open {
-    fn is_over(&self) -> bool {
-        self.answer.is_none() && self.attempts.iter().all(Option::is_none)
-    }
-}
-
-/// The machine's clock.
-pub fn unix_ns() -> Nanos {
-    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_nanos() as Nanos
+    /// The node's clock.
+    pub clock: Clock,
+    /// The way to the recorder, where there is one.
+    pub tap: Option<Tap>,
 }
 
 /// The event loop's state.
 pub struct Core {
     balancer: Balancer,
-    news: News,
     roster: Roster,
     messages: mpsc::UnboundedReceiver<Message>,
     to_self: mpsc::UnboundedSender<Message>,
-    start: Instant,
-    start_unix: Nanos,
+    clock: Clock,
+    tap: Option<Tap>,
     timers: BTreeSet<(Nanos, Due)>,
     events: VecDeque<Event>,
     open: FxHashMap<RequestId, Open>,
-    /// Where the list is watched; `None` where the configuration has it.
-    discovery: Option<SocketAddr>,
     pushed: bool,
     /// As [`Settings::full_unproven`] and [`Settings::retry_after`].
     full_unproven: bool,
     retry_after: bool,
-    watch: Option<(u64, AbortHandle)>,
-    watches: u64,
+    watch: Watch,
     /// Ways to this loop that are left: a request may still be on its way to be asked.
     handles: Weak<Cell<u32>>,
     retired: bool,
@@ -175,7 +112,7 @@
     /// An event loop that has not begun, and the way to it.
     pub fn new(setup: Setup, held: Held) -> (Self, Handle) {
         let (to_self, messages) = mpsc::unbounded_channel();
-        let (handle, handles) = Handle::new(to_self.clone(), held);
+        let (handle, handles) = Handle::new(to_self.clone(), held, setup.tap.clone());
         let (discovery, known, at_once, fixed) = match setup.source {
             Source::Watch { discovery, known, at_once } => (Some(discovery), known, at_once, None),
             Source::Fixed(list) => (None, None, false, Some(list)),
@@ -185,18 +122,15 @@
             full_unproven: setup.settings.full_unproven,
             retry_after: setup.settings.retry_after,
             balancer: Balancer::new(setup.settings, setup.seed),
-            news: News::default(),
             roster: Roster::new(setup.zones, setup.transport, setup.hands),
             messages,
             to_self,
-            start: Instant::now(),
-            start_unix: unix_ns(),
+            clock: setup.clock,
+            tap: setup.tap,
             timers: BTreeSet::new(),
             events: VecDeque::new(),
             open: FxHashMap::default(),
-            discovery,
-            watch: None,
-            watches: 0,
+            watch: Watch::new(discovery),
             handles,
             retired: false,
             learned: setup.learned,
@@ -210,7 +144,7 @@
         if let Some(known) = known
             && let Err(error) = core.on_list(known, true)
         {
-            eprintln!("the list in the configuration is not used: {error}");
+            warn!(target: "discovery", "the list in the configuration is not used: {error}");
             core.events.push_back(Event::Members(ListChange::Cached(std::sync::Arc::from([]))));
             core.roster.seq = 0;
         }
@@ -229,7 +163,7 @@
                 return;
             }
             let next = self.timers.first().map_or(Nanos::MAX, |(at, _)| *at);
-            let wake = self.instant(next);
+            let wake = self.clock.instant(next);
             tokio::select! {
                 message = self.messages.recv() => match message {
                     Some(message) => self.on_message(message),
@@ -240,19 +174,15 @@
         }
     }
 
-    /// Unix time at the start, then the monotonic clock: never jumps, and backends' births map onto it.
     fn now(&self) -> Nanos {
-        self.at(Instant::now())
+        self.clock.now()
     }
 
-    fn at(&self, instant: Instant) -> Nanos {
-        self.start_unix + instant.saturating_duration_since(self.start).as_nanos() as Nanos
-    }
-
-    fn instant(&self, at: Nanos) -> Instant {
-        // Some bound, or a far time would not fit the clock.
-        let span = at.saturating_sub(self.start_unix).min(u64::from(u32::MAX) * SECOND);
-        self.start + Duration::from_nanos(span)
+    /// Tells the recorder, where there is one.
+    fn tell(&self, event: &Told) {
+        if let Some(tap) = &self.tap {
+            tap.record(event);
+        }
     }
 
     /// Events wait in line: what an action brings about is handed over after all actions before it are done.
@@ -261,11 +191,13 @@
         while let Some(event) = self.events.pop_front() {
             let listed = matches!(event, Event::Members(_));
             let now = self.now();
+            self.balancer.tell_all(self.tap.as_ref().is_some_and(Tap::is_on));
             self.balancer.handle(now, event, &mut actions);
             for note in self.balancer.notes() {
-                if let Some(line) = self.news.line(note, now) {
-                    eprintln!("{line}");
+                if note.is_news() {
+                    info!(target: "decisions", "{}", self.worded(note));
                 }
+                self.tell(&Told::Note(*note));
             }
             let now = self.now();
             if let Some(learned) = self.learned.take_if(|learned| listed || learned.age(now) > WORTH)
@@ -280,6 +212,19 @@
         }
     }
 
+    /// News as the log has them: servers by their names.
+    fn worded(&self, note: &Note) -> String {
+        let name = |id: ServerId| self.roster.name(id).map_or_else(|| id.0.to_string(), plain);
+        match note {
+            Note::Aside { server, span } => {
+                let span = *span as f64 / SECOND as f64;
+                format!("server {} set aside for {span:.1} s", name(*server))
+            }
+            Note::Back { server } => format!("server {} is back", name(*server)),
+            other => other.to_string(),
+        }
+    }
+
     fn fire(&mut self) {
         while let Some(&(at, due)) = self.timers.first() {
             if at > self.now() {
@@ -312,13 +257,14 @@
             }
             Message::Began(id, attempt, served) => {
                 // Another copy may have been faster; this one is then dropped, which ends it.
+                self.tell(&Told::Began { id, attempt });
                 if self.answer(id, Answer::Served(served)) {
                     self.events.push_back(Event::Streaming { id, attempt });
                 }
             }
             Message::List(watch, list) => {
                 // What an earlier watch said last is old news.
-                if self.watch.as_ref().is_some_and(|(current, _)| *current == watch)
+                if self.watch.is_current(watch)
                     && let Err(error) = self.on_list(list, false)
                 {
                     self.on_watch_ended(watch, &WatchError::Line(error.to_string()));
@@ -326,8 +272,7 @@
             }
             Message::WatchEnded(watch, error) => self.on_watch_ended(watch, &error),
             Message::Moved(address) => {
-                if self.discovery.is_some_and(|old| old != address) {
-                    self.discovery = Some(address);
+                if self.watch.moves(address) {
                     // Another service's versions mean nothing to this one: the whole list is asked for.
                     self.roster.seq = 0;
                     self.subscribe();
@@ -339,21 +284,19 @@
             }
             Message::Retune(settings) => {
                 if !self.balancer.retune(*settings) {
-                    eprintln!("settings that can't be changed in place are not used");
+                    warn!(target: "settings", "settings that can't be changed in place are not used");
                 }
             }
             Message::Retire { gone } => {
                 self.retired = true;
-                if let Some((_, watch)) = self.watch.take() {
-                    watch.abort();
-                }
+                self.watch.stop();
                 if gone {
                     self.timers.insert((self.now() + GRACE, Due::Empty));
                 }
             }
             Message::Restate(names) => {
                 if let Some(change) = self.roster.restate(&names) {
-                    self.events.push_back(Event::Members(change));
+                    self.list(change);
                 }
             }
             Message::Look(reply) => {
@@ -379,7 +322,17 @@
     // ---- Requests -------------------------------------------------------------------------------
 
     fn on_request(&mut self, id: RequestId, ask: Ask, arrived: Instant, answer: oneshot::Sender<Answer>) {
-        let deadline = self.at(arrived) + ask.left.as_nanos() as Nanos;
+        let deadline = self.clock.at(arrived) + ask.left.as_nanos() as Nanos;
+        if let Some(tap) = self.tap.as_ref().filter(|tap| tap.is_on()) {
+            tap.record(&Told::Asked {
+                id,
+                class: ask.class as u16,
+                tenant: ask.tenant.map(|tenant| tenant as u32),
+                left: ask.left.as_nanos() as Nanos,
+                sending: ask.sending.as_nanos() as Nanos,
+                name: Name::new(&ask.correlation),
+            });
+        }
         let overdue = (deadline + OVERDUE, Due::Overdue(id.0));
         self.timers.insert(overdue);
         let open = Open {
@@ -405,6 +358,7 @@
     fn answer(&mut self, id: RequestId, answer: Answer) -> bool {
         let Some(open) = self.open.get_mut(&id) else { return false };
         let Some(sender) = open.answer.take() else { return false };
+        self.tell(&Told::Over { id, how: how(&answer) });
         // A client that has left by now gets no answer, and needs none.
         let _ = sender.send(answer);
         self.free(id);
@@ -431,7 +385,7 @@
     }
 
     fn on_client_gone(&mut self, id: RequestId) {
-        if self.answer(id, Answer::Failed) {
+        if self.answer(id, Answer::Left) {
             self.events.push_back(Event::ClientGone(id));
         }
     }
@@ -440,7 +394,7 @@
     fn later(&self, id: RequestId) -> Option<Nanos> {
         let upload = self.open.get(&id)?.call.rest.as_ref()?;
         let due = match upload.done() {
-            Some(done) => self.at(Instant::from_std(done) + upload.left) + OVERDUE,
+            Some(done) => self.clock.at(Instant::from_std(done) + upload.left) + OVERDUE,
             None if upload.is_going() => self.now() + SECOND / 10,
             None => return None,
         };
@@ -477,8 +431,14 @@
         attempt: AttemptNo,
         server: ServerId,
         sent: Nanos,
-        End { outcome, answer, refused, took }: End,
+        End { outcome, answer, refused, took, dial, short }: End,
     ) {
+        let took = took.map_or_else(|| self.now().saturating_sub(sent), |took| took.as_nanos() as Nanos);
+        let dial = dial.as_nanos() as Nanos;
+        self.tell(&Told::Ended { id, attempt, server, outcome, took, dial });
+        if short {
+            self.tell(&Told::Short(Short::Dial));
+        }
         if let Some(open) = self.open.get_mut(&id)
             && let Some(out) = open.attempts.get_mut(usize::from(attempt.0))
         {
@@ -496,16 +456,15 @@
             None => {}
         }
         self.end_bound(id, outcome);
-        if self.discovery.is_none() {
+        if !self.watch.has_service() {
             let connected =
                 matches!(outcome, Outcome::Ok | Outcome::Error | Outcome::Full | Outcome::TimedOut);
             let now_ms = self.now() / 1_000_000;
             if let Some(change) = self.roster.heard(server, refused, connected, now_ms) {
-                self.events.push_back(Event::Members(change));
+                self.list(change);
             }
         }
         let complete = self.open.get(&id).is_none_or(|open| open.answer.is_none());
-        let took = took.map_or_else(|| self.now().saturating_sub(sent), |took| took.as_nanos() as Nanos);
         self.events.push_back(Event::Ended(Ended { id, attempt, server, outcome, took, complete }));
         self.free(id);
     }
@@ -552,11 +511,18 @@
         let now = self.now();
         let Some(open) = self.open.get_mut(&id) else { return };
         let attempt = AttemptNo(open.attempts.len() as u8);
+        let told = Told::Sent { id, attempt, server, timeout };
+        if let Some(tap) = &self.tap {
+            tap.record(&told);
+        }
         let end = timeout.map_or(open.deadline, |timeout| open.deadline.min(now + timeout));
         let bound = open.call.rest.as_ref().is_some_and(|upload| upload.is_bound());
         let known = self.roster.server(server).filter(|_| open.answer.is_some() && now < end && !bound);
         let Some(known) = known.cloned() else {
             open.attempts.push(None);
+            if let Some(tap) = &self.tap {
+                tap.record(&Told::Ended { id, attempt, server, outcome: Outcome::Moot, took: 0, dial: 0 });
+            }
             return self.events.push_back(Event::Ended(Ended {
                 id,
                 attempt,
@@ -569,7 +535,7 @@
         let (cancel, cancelled) = oneshot::channel();
         open.attempts.push(Some(cancel));
         let call = open.call.clone();
-        let (messages, end) = (self.to_self.clone(), self.instant(end));
+        let (messages, end) = (self.to_self.clone(), self.clock.instant(end));
         task::spawn_local(async move {
             let to_core = messages.clone();
             let begin = move |served| drop(to_core.send(Message::Began(id, attempt, served)));
@@ -581,25 +547,17 @@
     // ---- The list of backends -------------------------------------------------------------------
 
     fn subscribe(&mut self) {
-        if let Some((_, old)) = self.watch.take() {
-            old.abort();
+        if !self.retired {
+            self.watch.begin(self.roster.seq, self.to_self.clone());
         }
-        let Some(address) = self.discovery.filter(|_| !self.retired) else { return };
-        self.watches += 1;
-        let number = self.watches;
-        let (messages, after) = (self.to_self.clone(), self.roster.seq);
-        let watch = task::spawn_local(async move {
-            let take = |list| drop(messages.send(Message::List(number, list)));
-            let error = discovery::watch(address, after, take).await;
-            let _ = messages.send(Message::WatchEnded(number, error));
-        });
-        self.watch = Some((number, watch.abort_handle()));
     }
 
     fn on_watch_ended(&mut self, watch: u64, error: &WatchError) {
-        let Some((_, task)) = self.watch.take_if(|(current, _)| *current == watch) else { return };
-        task.abort();
-        eprintln!("discovery: watch lost: {error}");
+        if !self.watch.is_current(watch) {
+            return;
+        }
+        self.watch.stop();
+        warn!(target: "discovery", "watch lost: {error}");
         if self.pushed {
             self.timers.insert((self.now() + AGENT_PAUSE, Due::Subscribe));
         } else {
@@ -607,16 +565,37 @@
         }
     }
 
+    /// The module hears of the servers, and so does the recorder.
+    fn list(&mut self, change: ListChange) {
+        if let Some(tap) = &self.tap {
+            tap.list(&change, |id| self.roster.name(id));
+        }
+        self.events.push_back(Event::Members(change));
+    }
+
     fn on_list(&mut self, list: List, cached: bool) -> Result<(), UnknownSite> {
         let change = self.roster.apply(list, cached)?;
-        self.events.push_back(Event::Members(change));
+        self.list(change);
         Ok(())
     }
 
     /// Takes the servers of the configuration, whose zones are known.
     fn set_servers(&mut self, list: List) {
         if let Err(error) = self.on_list(list, false) {
-            eprintln!("the servers of the configuration are not used: {error}");
+            warn!(target: "settings", "the servers of the configuration are not used: {error}");
         }
     }
 }
+
+/// How an answer ends a request.
+fn how(answer: &Answer) -> How {
+    match answer {
+        Answer::Served(served) if served.status.is_server_error() => How::ServedFault,
+        Answer::Served(_) => How::Served,
+        Answer::Refused(_) => How::Refused,
+        Answer::Failed => How::Failed,
+        Answer::Late => How::Late,
+        Answer::Broken | Answer::TooLong => How::Body,
+        Answer::Left => How::Left,
+    }
+}
--- a/crates/node/src/net/fastcgi/connection.rs
+++ b/crates/node/src/net/fastcgi/connection.rs
@@ -14,6 +14,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::sync::{Notify, mpsc, oneshot};
 use tokio::time::{Instant, sleep_until};
+use tracing::warn;
 
 use super::ending::{Ending, Got};
 use crate::net::ask::Served;
@@ -351,7 +352,7 @@
             }
         }
         if let Err(error) = sound {
-            eprintln!("{}: {error}", self.name);
+            warn!(target: "fastcgi", "{}: {error}", self.name);
         }
         sound.is_ok()
     }
@@ -364,7 +365,7 @@
         }
         self.told.set(Some(now));
         let shown = String::from_utf8_lossy(&text[..text.len().min(STDERR_SHOWN)]);
-        eprintln!("{}: stderr: {}", self.name, shown.trim_end().escape_debug());
+        warn!(target: "fastcgi", "{}: stderr: {}", self.name, shown.trim_end().escape_debug());
     }
 
     /// The connection has ended, and with it all that is open on it.
--- a/crates/node/src/net/fastcgi/upstream.rs
+++ b/crates/node/src/net/fastcgi/upstream.rs
@@ -315,7 +315,7 @@
 
     async fn open(&self, values: Option<oneshot::Sender<Values>>) -> Result<Rc<Shared>, End> {
         // The node's own lack of descriptors is no fault of the server's.
-        let place = self.connections.place().ok_or_else(|| End::of(Outcome::Moot))?;
+        let place = self.connections.place().ok_or_else(|| End { short: true, ..End::of(Outcome::Moot) })?;
         let conn = match &self.life.dial {
             Address::Tcp(address) => {
                 let stream = self.dialled(TcpStream::connect(address)).await?;
--- a/crates/node/src/net/front/mod.rs
+++ b/crates/node/src/net/front/mod.rs
@@ -6,7 +6,7 @@
 mod fastcgi;
 mod read;
 
-use std::cell::Cell;
+use std::cell::{Cell, OnceCell};
 use std::convert::Infallible;
 use std::io;
 use std::net::{IpAddr, SocketAddr};
@@ -25,17 +25,21 @@
 use pumicehead_lang::model::Protocol;
 use pumicehead_ops::figures::{Figures, Outcome};
 use pumicehead_policy::interface::{Nanos, SECOND};
+use pumicehead_trace::event::{Event, Short, Turned};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::task;
 use tokio::time::{Instant, sleep, timeout, timeout_at};
+use tracing::warn;
 
 use super::admission::{Admission, Admitted, Bad, Head};
 use super::answer;
-use super::ask::{Answer, Held};
+use super::ask::Answer;
 use super::body::{Body, Ended};
+use super::handle::Held;
 use super::http::upstream::LONGEST_HEAD;
 use super::link::Link;
 use super::room::Room;
+use super::tap::Tap;
 use budget::Budget;
 use conn::{Conn, RESTED, Stage};
 pub use drain::Ending;
@@ -100,6 +104,8 @@
     protocol: Cell<Protocol>,
     /// Has all that is open in the node fail.
     give_up: Box<dyn Fn()>,
+    /// The way to the recorder, for what no pool sees.
+    tap: OnceCell<Tap>,
 }
 
 /// Ends a task with its owner.
@@ -146,9 +152,15 @@
             room,
             protocol: Cell::new(Protocol::Http),
             give_up: Box::new(give_up),
+            tap: OnceCell::new(),
         })
     }
 
+    /// Tells a recorder what no pool sees; the first one that is given stays.
+    pub fn set_tap(&self, tap: Tap) {
+        let _ = self.tap.set(tap);
+    }
+
     /// Other bounds from now on.
     pub fn set_options(&self, options: Options) {
         self.options.set(options);
@@ -227,7 +239,10 @@
                 Ok((stream, peer)) => return (stream, peer.ip()),
                 Err(error) if error.kind() == io::ErrorKind::ConnectionAborted => {}
                 Err(error) => {
-                    eprintln!("accept: {error}");
+                    warn!(target: "front", "accept: {error}");
+                    if let Some(tap) = self.tap.get() {
+                        tap.record(&Event::Short(Short::Accept));
+                    }
                     self.budget.shed();
                     sleep(ACCEPT_PAUSE).await;
                 }
@@ -322,9 +337,11 @@
             answer::plain(status, "")
         } else {
             let until = begun + self.options.get().patience;
+            let head = Instant::now();
             match self.read(request, peer, framing, until).await {
                 Err(bad) => answer::bad(&bad),
-                Ok((admitted, came)) => {
+                Ok((mut admitted, came)) => {
+                    admitted.ask.sending = head.elapsed();
                     let rest = came.rest();
                     let response = self.decide(Ok(admitted), came, conn.extra).await;
                     unsent = rest.is_some_and(|rest| rest.done().is_none());
@@ -358,6 +375,7 @@
             return answer::bad(&Bad::Method(Vec::new()));
         }
         if extra || self.is_full() {
+            core.turned(class, if extra { Turned::Connections } else { Turned::Held });
             self.figures.ended(class, Outcome::Rejected);
             return answer::refusal(&manner, Some(RETRY_AFTER));
         }
--- a/crates/node/src/net/http/upstream.rs
+++ b/crates/node/src/net/http/upstream.rs
@@ -161,14 +161,15 @@
         begin: Begin,
     ) -> Attempt {
         Box::pin(async move {
-            let stage = Cell::new(Stage::Waiting);
-            tokio::select! {
+            let (stage, dial) = (Cell::new(Stage::Waiting), Cell::new(Duration::ZERO));
+            let end = tokio::select! {
                 biased;
-                done = self.shared.exchange(&self.backend, &call, deadline, &stage, begin) => done,
+                done = self.shared.exchange(&self.backend, &call, deadline, (&stage, &dial), begin) => done,
                 // The sender is kept as long as the attempt is out; were it lost, nobody would wait.
                 _ = cancel => End::of(Outcome::Cancelled),
                 outcome = expiry(&call, deadline, &stage) => End::of(outcome),
-            }
+            };
+            End { dial: dial.get(), ..end }
         })
     }
 }
@@ -237,7 +238,7 @@
     /// A new connection, or why there is none.
     async fn dial(&self, backend: &Backend) -> Result<Conn, End> {
         // The node's own lack of descriptors is no fault of the server's.
-        let place = self.connections.place().ok_or_else(|| End::of(Outcome::Moot))?;
+        let place = self.connections.place().ok_or_else(|| End { short: true, ..End::of(Outcome::Moot) })?;
         let failed = |refused| End { refused, ..End::of(Outcome::ConnectFailed) };
         let Address::Tcp(address) = backend.dial else {
             // The checker lets no such address through to this protocol.
@@ -263,14 +264,18 @@
         backend: &Rc<Backend>,
         call: &Call,
         deadline: Instant,
-        stage: &Cell<Stage>,
+        (stage, dialled): (&Cell<Stage>, &Cell<Duration>),
         begin: Begin,
     ) -> End {
         let started = Instant::now();
         let kept = self.kept(backend);
         let ready = match kept {
             Some(conn) => Ok(conn),
-            None => self.dial(backend).await,
+            None => {
+                let ready = self.dial(backend).await;
+                dialled.set(started.elapsed());
+                ready
+            }
         };
         let mut conn = match ready {
             Ok(conn) => conn,
--- /dev/null
+++ b/crates/node/src/net/open.rs
@@ -0,0 +1,39 @@
+//! A request that an event loop has in hand, and what the loop waits for.
+
+use std::rc::Rc;
+
+use pumicehead_policy::interface::Nanos;
+use tokio::sync::oneshot;
+
+use super::ask::{Answer, Call, Served};
+
+/// What a loop waits for.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Due {
+    Timer(u64),
+    Overdue(u32),
+    Sweep,
+    Subscribe,
+    Empty,
+}
+
+/// A request in hand.
+pub(super) struct Open {
+    pub call: Rc<Call>,
+    /// Taken by the final answer.
+    pub answer: Option<oneshot::Sender<Answer>>,
+    pub deadline: Nanos,
+    /// A server's own words on how it failed: the client gets them if nothing better comes.
+    pub error: Option<Served>,
+    /// By attempt number, while it is out.
+    pub attempts: Vec<Option<oneshot::Sender<()>>>,
+    /// What is armed for it, or has fired: dropped with it. Most requests end long before any of it is due, and
+    /// each would wake the loop for nothing.
+    pub timers: Vec<(Nanos, Due)>,
+}
+
+impl Open {
+    pub fn is_over(&self) -> bool {
+        self.answer.is_none() && self.attempts.iter().all(Option::is_none)
+    }
+}
--- a/crates/node/src/net/roster.rs
+++ b/crates/node/src/net/roster.rs
@@ -81,6 +81,11 @@
         &*self.transport
     }
 
+    /// A server's name.
+    pub fn name(&self, id: ServerId) -> Option<&str> {
+        self.servers.get(&id).map(|known| known.name.as_str())
+    }
+
     /// A server by its id.
     pub fn server(&self, id: ServerId) -> Option<&Rc<dyn Server>> {
         self.servers.get(&id).map(|known| &known.server)
--- /dev/null
+++ b/crates/node/src/net/tap.rs
@@ -0,0 +1,98 @@
+//! What the rooms tell the recorder: a pool's events with their time.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+
+use pumicehead_policy::interface::{Condition, ListChange, ServerId};
+use pumicehead_trace::event::{Event, Listed, PoolId};
+use pumicehead_trace::recorder::{Level, Recorder};
+use rustc_hash::FxHashMap;
+
+use super::clock::Clock;
+
+/// Servers whose last condition is remembered, so that a list that says the same again is no news.
+const MOST_LISTED: usize = 20_000;
+
+/// A node's recorder; all that tell it something are on one thread.
+#[derive(Clone)]
+pub struct Shared(Rc<SharedState>);
+
+struct SharedState {
+    recorder: RefCell<Recorder>,
+    /// As in the recorder, to be read without a borrow.
+    level: Cell<Level>,
+}
+
+impl Shared {
+    /// Around a recorder.
+    pub fn new(recorder: Recorder) -> Self {
+        let level = Cell::new(recorder.level());
+        Self(Rc::new(SharedState { recorder: RefCell::new(recorder), level }))
+    }
+
+    /// How much is recorded from now on.
+    pub fn set_level(&self, level: Level) {
+        self.0.recorder.borrow_mut().set_level(level);
+        self.0.level.set(level);
+    }
+
+    /// Uses the recorder, unless it is in use: a panic in the middle of a record must not bring another one.
+    pub fn with<T>(&self, use_it: impl FnOnce(&mut Recorder) -> T) -> Option<T> {
+        self.0.recorder.try_borrow_mut().ok().map(|mut recorder| use_it(&mut recorder))
+    }
+}
+
+/// A pool's way to the recorder.
+#[derive(Clone)]
+pub struct Tap {
+    shared: Shared,
+    clock: Clock,
+    pool: PoolId,
+    listed: Rc<RefCell<FxHashMap<ServerId, Listed>>>,
+}
+
+impl Tap {
+    /// For a pool.
+    pub fn new(shared: &Shared, clock: Clock, pool: PoolId) -> Self {
+        Self { shared: shared.clone(), clock, pool, listed: Rc::default() }
+    }
+
+    /// Whether anything is recorded.
+    pub fn is_on(&self) -> bool {
+        self.shared.0.level.get() != Level::Off
+    }
+
+    /// Records an event now.
+    pub fn record(&self, event: &Event) {
+        if self.is_on() {
+            let at = self.clock.now();
+            self.shared.with(|recorder| recorder.record(at, self.pool, event));
+        }
+    }
+
+    /// Records what is new in a list.
+    pub fn list<'a>(&self, change: &ListChange, name: impl Fn(ServerId) -> Option<&'a str>) {
+        let (ListChange::Full(infos) | ListChange::Cached(infos) | ListChange::Delta(infos)) = change else {
+            return;
+        };
+        let mut known = self.listed.borrow_mut();
+        for info in infos.iter() {
+            let listed = match info.condition {
+                Condition::Ready => Listed::Ready,
+                Condition::Draining => Listed::Draining,
+                Condition::Gone => Listed::Gone,
+            };
+            if known.get(&info.id) == Some(&listed) {
+                continue;
+            }
+            if known.len() >= MOST_LISTED {
+                known.clear();
+            }
+            known.insert(info.id, listed);
+            if let Some(name) = name(info.id) {
+                self.shared.with(|recorder| recorder.name(self.pool, info.id, name));
+            }
+            self.record(&Event::Server { server: info.id, listed });
+        }
+    }
+}
--- a/crates/node/src/net/transport.rs
+++ b/crates/node/src/net/transport.rs
@@ -24,12 +24,16 @@
     /// How long the server took, where that is not the time of the attempt: to the first bytes of an answer that passes
     /// through, or from the last byte of a request that did.
     pub took: Option<Duration>,
+    /// How long it took to get a connection; nothing where one was kept.
+    pub dial: Duration,
+    /// There was no place for another connection.
+    pub short: bool,
 }
 
 impl End {
     /// Without an answer.
     pub fn of(outcome: Outcome) -> Self {
-        Self { outcome, answer: None, refused: false, took: None }
+        Self { outcome, answer: None, refused: false, took: None, dial: Duration::ZERO, short: false }
     }
 }
 
--- /dev/null
+++ b/crates/node/src/net/watch.rs
@@ -0,0 +1,64 @@
+//! The watch of a service that lists servers: one at a time, and what an earlier one says is old news.
+
+use std::net::SocketAddr;
+
+use tokio::sync::mpsc;
+use tokio::task::{self, AbortHandle};
+
+use super::discovery;
+use super::message::Message;
+
+/// The watch of a loop.
+pub(super) struct Watch {
+    /// Where it is; `None` where the configuration has the servers.
+    address: Option<SocketAddr>,
+    current: Option<(u64, AbortHandle)>,
+    count: u64,
+}
+
+impl Watch {
+    /// None yet.
+    pub fn new(address: Option<SocketAddr>) -> Self {
+        Self { address, current: None, count: 0 }
+    }
+
+    /// Whether there is a service to watch.
+    pub fn has_service(&self) -> bool {
+        self.address.is_some()
+    }
+
+    /// Another address; tells whether that changes anything.
+    pub fn moves(&mut self, address: SocketAddr) -> bool {
+        let other = self.address.is_some_and(|old| old != address);
+        if other {
+            self.address = Some(address);
+        }
+        other
+    }
+
+    /// Begins anew, after a version of the list; what comes is told by messages with the watch's number.
+    pub fn begin(&mut self, after: u64, messages: mpsc::UnboundedSender<Message>) {
+        self.stop();
+        let Some(address) = self.address else { return };
+        self.count += 1;
+        let number = self.count;
+        let watch = task::spawn_local(async move {
+            let take = |list| drop(messages.send(Message::List(number, list)));
+            let error = discovery::watch(address, after, take).await;
+            let _ = messages.send(Message::WatchEnded(number, error));
+        });
+        self.current = Some((number, watch.abort_handle()));
+    }
+
+    /// Whether a number is that of the watch under way.
+    pub fn is_current(&self, number: u64) -> bool {
+        self.current.as_ref().is_some_and(|(current, _)| *current == number)
+    }
+
+    /// Ends the watch under way.
+    pub fn stop(&mut self) {
+        if let Some((_, task)) = self.current.take() {
+            task.abort();
+        }
+    }
+}
--- a/crates/node/src/platform/admission.rs
+++ b/crates/node/src/platform/admission.rs
@@ -8,9 +8,9 @@
 use pumicehead_policy::interface::{Effect, Nanos};
 
 use super::config::Config;
-use crate::net::admission::{Admission, Admitted, Bad, Head};
-use crate::net::answer::Manner;
-use crate::net::ask::{Ask, Call, Handle};
+use crate::net::admission::{Admission, Admitted, Bad, Head, Manner};
+use crate::net::ask::{Ask, Call};
+use crate::net::handle::Handle;
 
 /// Longest that a client's word is taken for how long it waits.
 const LONGEST_WAIT: Duration = Duration::from_secs(600);
@@ -122,6 +122,7 @@
             key: path.next_back().filter(|key| !key.is_empty()).map(Into::into),
             // Whatever the client says, nobody waits longer than its class does.
             left: left.min(rule.deadline),
+            sending: Duration::ZERO,
             call,
         };
         let bodiless = *head.method == Method::GET;
--- a/crates/node/src/platform/handover.rs
+++ b/crates/node/src/platform/handover.rs
@@ -6,6 +6,7 @@
 
 use pumicehead_policy::policy::Knowledge;
 use serde::{Deserialize, Serialize};
+use tracing::warn;
 
 /// Longest file that is read: knowledge of 20,000 servers, and as many names.
 const LONGEST: u64 = 8 << 20;
@@ -36,12 +37,12 @@
     pub fn read(&self) -> Option<Left> {
         let length = fs::metadata(&self.0).ok()?.len();
         if length > LONGEST {
-            eprintln!("{}: {length} bytes, more than {LONGEST}: not read", self.0.display());
+            warn!(target: "upgrade", "{}: {length} bytes, more than {LONGEST}: not read", self.0.display());
             return None;
         }
         let text = fs::read(&self.0).ok()?;
         let left = serde_json::from_slice(&text);
-        left.inspect_err(|error| eprintln!("{}: not used: {error}", self.0.display())).ok()
+        left.inspect_err(|error| warn!(target: "upgrade", "{}: not used: {error}", self.0.display())).ok()
     }
 
     /// Leaves it in place of what was left before.
--- a/crates/node/src/platform/keep.rs
+++ b/crates/node/src/platform/keep.rs
@@ -9,6 +9,7 @@
 use pumicehead_ops::book::{Book, BookError, LONGEST_TEXT};
 use thiserror::Error;
 use tokio::time::{Instant, sleep};
+use tracing::warn;
 
 /// Another process holds the lock for a moment; one that was stopped while it did must not stop this one. A call is
 /// owed its answer in 1 s.
@@ -92,7 +93,7 @@
         let mut book = match self.read() {
             Ok(book) => book,
             Err(KeepError::Book(error)) => {
-                eprintln!("{error}; it is begun anew");
+                warn!(target: "calls", "{error}; it is begun anew");
                 known.clone()
             }
             Err(error) => return Err(error),
--- a/crates/node/src/platform/mod.rs
+++ b/crates/node/src/platform/mod.rs
@@ -18,19 +18,24 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::Mutex;
 use tokio::task;
+use tracing::{info, warn};
 
-use crate::net::ask::Held;
+use crate::calls::{self, MOST_CALLERS};
+use crate::eyes::{self, Eyes};
+use crate::log::Log;
+use crate::net::clock::{Clock, unix_ns};
 use crate::net::connections::Connections;
-use crate::net::core::{Core, Setup, Source, WORTH, unix_ns};
+use crate::net::core::{Core, Setup, Source, WORTH};
 use crate::net::front::budget::Budget;
 use crate::net::front::{self, Ending, Front, Options};
+use crate::net::handle::Held;
 use crate::net::hands::Hands;
 use crate::net::http::answer::Reader;
 use crate::net::http::upstream::Upstream;
 use crate::net::room::Room;
 use crate::net::verdict::Reading;
 use crate::places::Places;
-use admin::{Admin, MOST_CALLERS};
+use admin::Admin;
 use admission::Platform;
 use config::Config;
 use handover::Handover;
@@ -53,7 +58,7 @@
 ///
 /// # Errors
 /// What keeps it from starting, or an event loop that ended.
-pub async fn serve() -> Result<(), Box<dyn Error>> {
+pub async fn serve(log: Log) -> Result<(), Box<dyn Error>> {
     let config = Config::load()?;
     let mut term = signal(SignalKind::terminate())?;
     let mut hangup = signal(SignalKind::hangup())?;
@@ -64,13 +69,13 @@
         Some(listener) => listener,
         None => front::listen(config.listen).map_err(|error| on(config.listen, error))?,
     };
-    let calls = config.admin.map(|address| front::listen(address).map_err(|error| on(address, error)));
-    let calls = calls.transpose()?;
-    eprintln!("{} listens on {}", config.name, listener.local_addr()?);
-    if let Some(calls) = &calls {
-        eprintln!("{} takes calls on {}", config.name, calls.local_addr()?);
+    let staff = config.admin.map(|address| front::listen(address).map_err(|error| on(address, error)));
+    let staff = staff.transpose()?;
+    info!(target: "node", "{} listens on {}", config.name, listener.local_addr()?);
+    if let Some(staff) = &staff {
+        info!(target: "node", "{} takes calls on {}", config.name, staff.local_addr()?);
     }
-    let others = if calls.is_some() { 1 + MOST_CALLERS } else { 0 };
+    let others = if staff.is_some() { 1 + MOST_CALLERS } else { 0 };
     let places = Places::of(config.sockets, 1 + others);
     let figures = Rc::new(Figures::new(config.boot.classes.iter().map(|class| class.name.clone())));
     let hands = Rc::new(Hands::default());
@@ -83,13 +88,20 @@
     for name in left.iter().flat_map(|left| &left.listed) {
         hands.listed.borrow_mut().add(name);
     }
+    let folder_of_recordings = folder.clone();
     let mut keep = folder.map(|folder| Keep::new(folder, &config.name));
-    if let Some(keep) = keep.as_mut().filter(|_| calls.is_some()) {
+    if let Some(keep) = keep.as_mut().filter(|_| staff.is_some()) {
         match keep.changed() {
             Ok(book) => *hands.book.borrow_mut() = book.unwrap_or_default(),
-            Err(error) => eprintln!("servers taken out: {error}"),
+            Err(error) => warn!(target: "calls", "servers taken out: {error}"),
         }
     }
+    let memory = (config.memory / eyes::SHARE).min(eyes::USUAL_MOST);
+    let eyes = Eyes::new(&config.name, Clock::start(), memory, config.seed, log, folder_of_recordings);
+    eyes.open()?;
+    let names: Vec<_> = config.boot.classes.iter().map(|class| class.name.clone()).collect();
+    let tenants: Vec<_> = config.boot.tenants.iter().map(|tenant| tenant.name.clone()).collect();
+    let tap = eyes.tap("platform", &config.settings, &names, &tenants);
     let ceilings = &config.boot.ceilings;
     let span = Duration::from_nanos;
     let room = Room::new(config.memory / LONG_SHARE);
@@ -114,6 +126,8 @@
         transport: Upstream::new(connections, dial, idle, reader, figures.upstream_requests.clone()),
         hands: hands.clone(),
         learned: left.map(|left| left.knowledge),
+        clock: eyes.clock(),
+        tap: Some(tap.clone()),
     };
     let held = Held::default();
     let (core, handle) = Core::new(setup, held.clone());
@@ -139,12 +153,13 @@
         figures.clone(),
         room,
     );
+    front.set_tap(tap);
     if shared {
         front.set_shared();
         front.set_lame(lame);
     }
     let core = task::spawn_local(core.run());
-    if let Some(calls) = calls {
+    if let Some(staff) = staff {
         let admin = Admin {
             core: handle.clone(),
             front: front.clone(),
@@ -153,23 +168,24 @@
             hands,
             keep: Mutex::new(keep),
             handover,
+            eyes,
         };
         let admin = Rc::new(admin);
         task::spawn_local(admin.clone().follow());
         task::spawn_local(admin.clone().hand_over());
-        task::spawn_local(admin.serve(calls));
+        task::spawn_local(calls::serve(admin, staff));
     }
     task::spawn_local(async move {
         while hangup.recv().await.is_some() {
             match config::moved() {
                 Ok(address) => {
                     count(&figures.config_reloads);
-                    eprintln!("configuration read again: discovery at {address}");
+                    info!(target: "settings", "configuration read again: discovery at {address}");
                     handle.move_discovery(address);
                 }
                 Err(error) => {
                     count(&figures.config_reload_errors);
-                    eprintln!("the old configuration stays: {error}");
+                    warn!(target: "settings", "the old configuration stays: {error}");
                 }
             }
         }
--- a/crates/node/src/standalone/admission.rs
+++ b/crates/node/src/standalone/admission.rs
@@ -10,10 +10,10 @@
 use pumicehead_lang::model::{Config, KeyOf, Protocol, Repeats, TenantOf};
 use pumicehead_route::{Found, Matcher, Query, RequestPath, request_host};
 
-use crate::net::admission::{Admission, Admitted, Bad, Head};
-use crate::net::answer::Manner;
-use crate::net::ask::{Ask, Call, Handle};
+use crate::net::admission::{Admission, Admitted, Bad, Head, Manner};
+use crate::net::ask::{Ask, Call};
 use crate::net::fields;
+use crate::net::handle::Handle;
 use crate::standalone::record::Recorder;
 
 /// A name that servers may log a request by.
@@ -164,6 +164,7 @@
             hint: None,
             key,
             left: route.deadline,
+            sending: Duration::ZERO,
             call,
         };
         // The server's answer is one of HTTP/1.1 whatever it speaks: the node has taken it whole.
--- a/crates/node/src/standalone/mod.rs
+++ b/crates/node/src/standalone/mod.rs
@@ -5,15 +5,25 @@
 mod site;
 
 use std::error::Error;
+use std::hash::{BuildHasher, Hasher, RandomState};
 use std::path::PathBuf;
 use std::rc::Rc;
 
 use pumicehead_lang::disk::Disk;
+use pumicehead_lang::model::Observe;
 use pumicehead_lang::{Checked, check};
+use pumicehead_ops::call::{Call, no, yes};
+use pumicehead_trace::recorder::Level;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::task;
+use tracing::{info, warn};
 
-use crate::cli::report;
+use crate::calls::{self, Answers};
+use crate::eyes::Eyes;
+use crate::log::{Form, Log};
+use crate::net::clock::Clock;
+use crate::net::front;
+use crate::report::{Format, report};
 use record::Recorder;
 use site::Site;
 
@@ -21,14 +31,37 @@
 ///
 /// # Errors
 /// What keeps it from starting.
-pub async fn serve(path: PathBuf, checked: Checked, record: Option<PathBuf>) -> Result<(), Box<dyn Error>> {
+pub async fn serve(
+    path: PathBuf,
+    checked: Checked,
+    record: Option<PathBuf>,
+    log: Log,
+) -> Result<(), Box<dyn Error>> {
     let mut term = signal(SignalKind::terminate())?;
     let mut hangup = signal(SignalKind::hangup())?;
     let Checked { config, .. } = checked;
     let config = config.ok_or("the configuration can't be used")?;
     let recorder = record
         .map(|file| Recorder::start(&file).map_err(|error| format!("record to {}: {error}", file.display())));
-    let site = Site::start(config, recorder.transpose()?)?;
+    let observe = &config.observe;
+    set_log(&log, observe);
+    let folder = Some(observe.recordings.clone()).filter(|folder| !folder.as_os_str().is_empty());
+    // Hash tables are seeded from the system's source of randomness.
+    let seed = RandomState::new().build_hasher().finish();
+    let (memory, calls) = (observe.recorder, observe.calls);
+    let eyes = Eyes::new(&config.node.name, Clock::start(), memory as usize, seed, log, folder);
+    if memory == 0 {
+        eyes.set_level(Level::Off);
+    }
+    eyes.open()?;
+    let listener =
+        calls.map(|address| front::listen(address).map_err(|error| format!("listen on {address}: {error}")));
+    let listener = listener.transpose()?;
+    let site = Site::start(config, recorder.transpose()?, eyes)?;
+    if let Some(listener) = listener {
+        info!(target: "node", "takes calls on {}", listener.local_addr()?);
+        task::spawn_local(calls::serve(site.clone(), listener));
+    }
     let reloads = task::spawn_local(reload_on(site.clone(), path, async move || hangup.recv().await));
     term.recv().await;
     // A reload that is half done would bind listeners anew.
@@ -43,19 +76,40 @@
         let file = path.clone();
         // Off the loop: a file with thousands of routes takes longer than a request should wait.
         let Ok(checked) = task::spawn_blocking(move || check(&Disk, &file)).await else { continue };
-        report(&checked.sources, &checked.diagnostics, crate::cli::Format::Text);
+        report(&checked.sources, &checked.diagnostics, Format::Text);
         match checked.config {
-            None => eprintln!("reload: the old configuration stays"),
+            None => warn!(target: "settings", "reload: the old configuration stays"),
             Some(config) => match site.reload(config) {
                 Ok(changes) => {
                     for change in &changes {
                         let shown = pumicehead_lang::diff::Shown { change, sources: &checked.sources };
-                        eprintln!("reload: {shown}");
+                        info!(target: "settings", "reload: {shown}");
                     }
-                    eprintln!("reload: done, {} changes", changes.len());
+                    info!(target: "settings", "reload: done, {} changes", changes.len());
                 }
-                Err(error) => eprintln!("reload: the old configuration stays: {error}"),
+                Err(error) => warn!(target: "settings", "reload: the old configuration stays: {error}"),
             },
         }
     }
 }
+
+/// What the log tells and how, as a file has it.
+fn set_log(log: &Log, observe: &Observe) {
+    log.set_form(if observe.json { Form::Json } else { Form::Text });
+    if let Err(error) = log.set_filter(&observe.log) {
+        warn!(target: "settings", "log: {error}");
+    }
+}
+
+impl Answers for Site {
+    async fn answer(&self, call: Call) -> Vec<u8> {
+        if let Some(answer) = self.eyes().answer(&call, async || self.gauges().await).await {
+            return answer;
+        }
+        let text = match call {
+            Call::Ping => yes(""),
+            _ => no("calls here are PING, TRACE, METRICS, FILTER LEVELS, RECORD off|on|full"),
+        };
+        text.into_bytes()
+    }
+}
--- a/crates/node/src/standalone/record.rs
+++ b/crates/node/src/standalone/record.rs
@@ -11,6 +11,7 @@
 
 use serde::Serialize;
 use tokio::time::Instant;
+use tracing::{info, warn};
 
 /// Lines that wait for the disk. More are left out and counted: a slow disk must not keep requests waiting. Some
 /// 10 s at 5,000 requests a second, and a few MiB.
@@ -53,7 +54,7 @@
             let done = write(file, &waiting);
             if let Err(error) = &done {
                 // Now, not at the node's end: until then nobody would look.
-                eprintln!("the recording broke off: {error}");
+                warn!(target: "record", "the recording broke off: {error}");
             }
             done
         };
@@ -83,10 +84,10 @@
         let Some(writer) = self.writer.take() else { return };
         let left_out = self.left_out.get();
         match writer.join() {
-            Ok(Ok(written)) => eprintln!("recorded {written} requests, left out {left_out}"),
+            Ok(Ok(written)) => info!(target: "record", "recorded {written} requests, left out {left_out}"),
             // Said when it happened.
             Ok(Err(_)) => {}
-            Err(_) => eprintln!("the recording broke off"),
+            Err(_) => warn!(target: "record", "the recording broke off"),
         }
     }
 }
@@ -104,7 +105,7 @@
         }
         match lines.recv_timeout(FLUSH) {
             Ok(line) if bytes + line.len() as u64 > MOST_BYTES => {
-                eprintln!("the recording is full at {bytes} bytes and ends");
+                warn!(target: "record", "the recording is full at {bytes} bytes and ends");
                 break;
             }
             Ok(line) => {
--- a/crates/node/src/standalone/site.rs
+++ b/crates/node/src/standalone/site.rs
@@ -16,15 +16,18 @@
 use tokio::net::TcpListener;
 use tokio::sync::oneshot;
 use tokio::task::{self, JoinHandle};
+use tracing::{info, warn};
 
 use super::admission::{Gateway, Live};
 use super::record::Recorder;
-use crate::net::ask::{Handle, Held};
+use crate::calls::MOST_CALLERS;
+use crate::eyes::Eyes;
 use crate::net::connections::Connections;
 use crate::net::core::{Core, Setup, Source};
 use crate::net::discovery::{Health, Host, List};
 use crate::net::front::budget::Budget;
 use crate::net::front::{self, Ending, Front, Options};
+use crate::net::handle::{Handle, Held};
 use crate::net::http::answer::Reader;
 use crate::net::room::Room;
 use crate::net::transport::Transport;
@@ -136,6 +139,7 @@
     connections: Rc<Connections>,
     room: std::sync::Arc<Room>,
     seed: u64,
+    eyes: Rc<Eyes>,
     running: RefCell<Running>,
 }
 
@@ -144,10 +148,11 @@
     ///
     /// # Errors
     /// An address that can't be listened on, or settings that can't be used.
-    pub fn start(config: Config, recorder: Option<Recorder>) -> Result<Rc<Self>, SiteError> {
+    pub fn start(config: Config, recorder: Option<Recorder>, eyes: Rc<Eyes>) -> Result<Rc<Self>, SiteError> {
         let listeners = bind(&config, &[])?;
         let limits = &config.limits;
-        let places = Places::of(limits.descriptors, config.listeners.len());
+        let others = if config.observe.calls.is_some() { 1 + MOST_CALLERS } else { 0 };
+        let places = Places::of(limits.descriptors, config.listeners.len() + others);
         let connections = Connections::new(places.servers);
         // Hash tables are seeded from the system's source of randomness.
         let seed = RandomState::new().build_hasher().finish();
@@ -157,7 +162,7 @@
         let mut cores = Vec::new();
         for place in 0..config.pools.len() {
             let footing = footing(&config, place)?;
-            let handle = start_pool(&config, place, &footing, &connections, &room, seed, &held);
+            let handle = start_pool(&config, place, &footing, (&connections, &room), seed, &held, &eyes);
             cores.push((handle.clone(), footing.classes.clone()));
             pools.insert(config.pools[place].name.clone(), RunningPool { footing, handle });
         }
@@ -170,6 +175,7 @@
             connections,
             room,
             seed,
+            eyes,
             running: RefCell::new(Running { config: config.clone(), pools, fronts: Vec::new() }),
         });
         site.start_fronts(&config, listeners);
@@ -203,8 +209,13 @@
         let listeners = bind(&config, &bound)?;
         let (old, new) = (&running.config.limits, &config.limits);
         if (old.memory, old.descriptors) != (new.memory, new.descriptors) {
-            eprintln!("reload: `memory` and `descriptors` wait for the next start");
+            warn!(target: "settings", "reload: `memory` and `descriptors` wait for the next start");
         }
+        let (old, new) = (&running.config.observe, &config.observe);
+        if (old.calls, old.recorder, &old.recordings) != (new.calls, new.recorder, &new.recordings) {
+            warn!(target: "settings", "reload: `calls`, `recorder` and `recordings` wait for the next start");
+        }
+        super::set_log(self.eyes.log(), new);
         let mut pools = HashMap::new();
         let mut cores = Vec::new();
         for (place, footing) in footings.into_iter().enumerate() {
@@ -227,8 +238,8 @@
                     kept.handle
                 }
                 None => {
-                    let (connections, room) = (&self.connections, &self.room);
-                    start_pool(&config, place, &footing, connections, room, self.seed, &self.held)
+                    let shared = (&self.connections, &self.room);
+                    start_pool(&config, place, &footing, shared, self.seed, &self.held, &self.eyes)
                 }
             };
             if let Some(replaced) = replaced {
@@ -262,7 +273,7 @@
     fn start_fronts(self: &Rc<Self>, config: &Config, listeners: Vec<(SocketAddr, TcpListener)>) {
         for (address, listener) in listeners {
             if let Ok(bound) = listener.local_addr() {
-                eprintln!("{} listens on {bound}", config.node.name);
+                info!(target: "node", "{} listens on {bound}", config.node.name);
             }
             // The fronts belong to the site: it may not be kept by them.
             let site = Rc::downgrade(self);
@@ -281,6 +292,7 @@
                 Rc::default(),
                 self.room.clone(),
             );
+            front.set_tap(self.eyes.front_tap());
             let (stop, stopped) = oneshot::channel();
             let stopped = async move { stopped.await.unwrap_or(Ending::Process) };
             let done = task::spawn_local(front.clone().run(listener, stopped));
@@ -288,6 +300,27 @@
         }
     }
 
+    /// What the node can be asked about itself.
+    pub fn eyes(&self) -> &Eyes {
+        &self.eyes
+    }
+
+    /// What is in hand now.
+    pub async fn gauges(&self) -> Vec<(&'static str, f64)> {
+        let handles: Vec<_> = self.running.borrow().pools.values().map(|pool| pool.handle.clone()).collect();
+        let (mut listed, mut unavailable) = (0, 0);
+        for handle in handles {
+            let members = handle.look().await;
+            listed += members.listed;
+            unavailable += members.unavailable;
+        }
+        vec![
+            ("pumicehead_requests_open", self.held.count() as f64),
+            ("pumicehead_servers", listed as f64),
+            ("pumicehead_servers_unavailable", unavailable as f64),
+        ]
+    }
+
     /// Answers what was taken, and returns when all of it is.
     pub async fn end(&self) {
         let fronts = std::mem::take(&mut self.running.borrow_mut().fronts);
@@ -357,10 +390,10 @@
     config: &Config,
     place: usize,
     footing: &Footing,
-    connections: &Rc<Connections>,
-    room: &std::sync::Arc<Room>,
+    (connections, room): (&Rc<Connections>, &std::sync::Arc<Room>),
     seed: u64,
     held: &Held,
+    eyes: &Eyes,
 ) -> Handle {
     let pool = &config.pools[place];
     let (dial, idle) = (Duration::from_nanos(footing.connect_timeout), Duration::from_nanos(footing.idle));
@@ -387,6 +420,8 @@
             fastcgi::upstream::Upstream::new(connections.clone(), settings)
         }
     };
+    let tenants: Vec<_> = config.tenants.iter().map(|tenant| tenant.name.clone()).collect();
+    let tap = eyes.tap(&pool.name, &footing.settings, &footing.classes, &tenants);
     let setup = Setup {
         settings: footing.settings.clone(),
         seed: seed.wrapping_add(place as u64),
@@ -400,6 +435,8 @@
         transport,
         hands: Rc::default(),
         learned: None,
+        clock: eyes.clock(),
+        tap: Some(tap),
     };
     let (core, handle) = Core::new(setup, held.clone());
     task::spawn_local(core.run());
--- a/crates/ops/src/call.rs
+++ b/crates/ops/src/call.rs
@@ -7,6 +7,10 @@
 /// Longest name of a server; list entries have some ten bytes.
 pub const LONGEST_NAME: usize = 255;
 
+/// All there are.
+const CALLS: &str = "PING, INFO, DETACH ID, ATTACH ID, LAMEDUCK, REJOIN, TRACE, METRICS, FILTER LEVELS, \
+    RECORD off|on|full";
+
 /// What is asked.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Call {
@@ -22,6 +26,25 @@
     LameDuck,
     /// Back to work.
     Rejoin,
+    /// The recording, as a file.
+    Trace,
+    /// The figures, as OpenMetrics text.
+    Metrics,
+    /// What the log tells from now on.
+    Filter(String),
+    /// How much is recorded from now on.
+    Record(Amount),
+}
+
+/// How much is recorded.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Amount {
+    /// Nothing.
+    Off,
+    /// What is usual.
+    On,
+    /// All there is.
+    Full,
 }
 
 /// Why a line is no call.
@@ -34,14 +57,17 @@
     #[error("not UTF-8")]
     NotText,
     /// Nothing there.
-    #[error("an empty line; calls are PING, INFO, DETACH ID, ATTACH ID, LAMEDUCK, REJOIN")]
+    #[error("an empty line; calls are {CALLS}")]
     Empty,
     /// No call of that name.
-    #[error("no call `{0}`; calls are PING, INFO, DETACH ID, ATTACH ID, LAMEDUCK, REJOIN")]
+    #[error("no call `{0}`; calls are {CALLS}")]
     Unknown(String),
     /// The server is missing.
     #[error("{0} takes the id of one server")]
     NeedsServer(&'static str),
+    /// What it takes is missing or another.
+    #[error("{0} takes {1}")]
+    Needs(&'static str, &'static str),
     /// More words than it takes.
     #[error("{0} takes nothing more")]
     TakesNothing(&'static str),
@@ -76,6 +102,18 @@
             "REJOIN" => alone("REJOIN", Self::Rejoin),
             "DETACH" => about("DETACH").map(Self::Detach),
             "ATTACH" => about("ATTACH").map(Self::Attach),
+            "TRACE" => alone("TRACE", Self::Trace),
+            "METRICS" => alone("METRICS", Self::Metrics),
+            "FILTER" => match (server, rest) {
+                (Some(levels), None) => Ok(Self::Filter(levels.to_owned())),
+                _ => Err(CallError::Needs("FILTER", "levels, as `info` or `warn,discovery=debug`")),
+            },
+            "RECORD" => match (server, rest) {
+                (Some("off"), None) => Ok(Self::Record(Amount::Off)),
+                (Some("on"), None) => Ok(Self::Record(Amount::On)),
+                (Some("full"), None) => Ok(Self::Record(Amount::Full)),
+                _ => Err(CallError::Needs("RECORD", "`off`, `on` or `full`")),
+            },
             // What was sent goes back to a terminal: no longer than it helps, and nothing that steers it.
             other => Err(CallError::Unknown(other.chars().filter(|c| !c.is_control()).take(20).collect())),
         }
