--- /dev/null
+++ b/crates/node/src/net/core/actions.rs
@@ -0,0 +1,85 @@
+//! What the module wants done.
+
+use pumicehead_policy::interface::{Action, AttemptNo, Ended, Event, Nanos, Outcome, RequestId, ServerId};
+use pumicehead_trace::event::Event as Told;
+use tokio::sync::oneshot;
+use tokio::task;
+
+use super::Core;
+use crate::net::ask::Answer;
+use crate::net::message::Message;
+
+impl Core {
+    pub(super) fn act(&mut self, action: Action) {
+        match action {
+            Action::Send { id, server, timeout } => self.send(id, server, timeout),
+            Action::Refuse { id, retry_after } => {
+                // A server's own words tell more than that it may be tried again.
+                let error = self.open.get_mut(&id).and_then(|open| open.error.take());
+                self.answer(id, error.map_or(Answer::Refused(retry_after), Answer::Served));
+            }
+            Action::Fail(id) => {
+                let now = self.now();
+                let Some(open) = self.open.get_mut(&id) else { return };
+                let late = now >= open.deadline;
+                let error = open.error.take().map(Answer::Served);
+                self.answer(id, error.unwrap_or(if late { Answer::Late } else { Answer::Failed }));
+            }
+            Action::Cancel { id, attempt } => {
+                let open = self.open.get_mut(&id);
+                let out = open.and_then(|open| open.attempts.get_mut(usize::from(attempt.0)));
+                if let Some(Some(cancel)) = out {
+                    // The attempt stays out until its own end is told.
+                    let (spent, _) = oneshot::channel();
+                    let _ = std::mem::replace(cancel, spent).send(());
+                }
+            }
+            Action::Timer { at, token } => self.arm(at, token),
+            Action::FreeLinks(server) => {
+                if let Some(server) = self.roster.server(server) {
+                    server.hang_up();
+                }
+            }
+            Action::Subscribe => self.subscribe(),
+            // There is no way to other nodes here; the configuration keeps notes off.
+            Action::Tell { .. } => {}
+        }
+    }
+
+    fn send(&mut self, id: RequestId, server: ServerId, timeout: Option<Nanos>) {
+        let now = self.now();
+        let Some(open) = self.open.get_mut(&id) else { return };
+        let attempt = AttemptNo(open.attempts.len() as u8);
+        let told = Told::Sent { id, attempt, server, timeout };
+        if let Some(tap) = &self.tap {
+            tap.record(&told);
+        }
+        let end = timeout.map_or(open.deadline, |timeout| open.deadline.min(now + timeout));
+        let bound = open.call.rest.as_ref().is_some_and(|upload| upload.is_bound());
+        let known = self.roster.server(server).filter(|_| open.answer.is_some() && now < end && !bound);
+        let Some(known) = known.cloned() else {
+            open.attempts.push(None);
+            if let Some(tap) = &self.tap {
+                tap.record(&Told::Ended { id, attempt, server, outcome: Outcome::Moot, took: 0, dial: 0 });
+            }
+            return self.events.push_back(Event::Ended(Ended {
+                id,
+                attempt,
+                server,
+                outcome: Outcome::Moot,
+                took: 0,
+                complete: open.answer.is_none(),
+            }));
+        };
+        let (cancel, cancelled) = oneshot::channel();
+        open.attempts.push(Some(cancel));
+        let call = open.call.clone();
+        let (messages, end) = (self.to_self.clone(), self.clock.instant(end));
+        task::spawn_local(async move {
+            let to_core = messages.clone();
+            let begin = move |served| drop(to_core.send(Message::Began(id, attempt, served)));
+            let end = known.attempt(call, end, cancelled, Box::new(begin)).await;
+            let _ = messages.send(Message::Ended { id, attempt, server, sent: now, end });
+        });
+    }
+}
--- a/crates/node/src/net/core.rs
+++ b/crates/node/src/net/core/mod.rs
@@ -1,36 +1,37 @@
 //! The event loop: feeds the module one event at a time and carries out its actions in their order. The only
 //! place that knows both requests and the ids of the module. A node has one loop for each pool of servers.
 
+mod actions;
+mod requests;
+
 use std::cell::Cell;
 use std::collections::{BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
 
 use pumicehead_policy::interface::{
-    Action, AttemptNo, ClassId, Discovery, Ended, Event, ListChange, Nanos, NewRequest, Outcome, RequestId,
-    SECOND, ServerId, Settings, TenantId, TimerToken,
+    Discovery, Event, ListChange, Nanos, RequestId, SECOND, ServerId, Settings, TimerToken,
 };
 use pumicehead_policy::note::Note;
 use pumicehead_policy::policy::{Balancer, Knowledge};
-use pumicehead_trace::event::{Event as Told, How, Short};
-use pumicehead_trace::text::{Name, plain};
+use pumicehead_trace::event::Event as Told;
+use pumicehead_trace::text::plain;
 use rustc_hash::FxHashMap;
-use tokio::sync::{mpsc, oneshot};
-use tokio::task;
-use tokio::time::{Instant, sleep_until};
+use tokio::sync::mpsc;
+use tokio::time::sleep_until;
 use tracing::{info, warn};
 
-use super::ask::{Answer, Ask};
-use super::clock::Clock;
-use super::discovery::{List, WatchError};
-use super::handle::{Handle, Held};
-use super::hands::Hands;
-use super::message::{Members, Message};
-use super::open::{Due, Open};
-use super::roster::{Roster, UnknownSite, hash};
-use super::tap::Tap;
-use super::transport::{End, Transport};
-use super::watch::Watch;
+use crate::net::ask::Answer;
+use crate::net::clock::Clock;
+use crate::net::discovery::{List, WatchError};
+use crate::net::handle::{Handle, Held};
+use crate::net::hands::Hands;
+use crate::net::message::{Members, Message};
+use crate::net::open::{Due, Open};
+use crate::net::roster::{Roster, UnknownSite};
+use crate::net::tap::Tap;
+use crate::net::transport::Transport;
+use crate::net::watch::Watch;
 
 /// A request that has no final answer this long after its deadline gets one from the event loop: the module
 /// answers earlier, by the time-out of its attempts or its own timers.
@@ -319,231 +320,6 @@
         }
     }
 
-    // ---- Requests -------------------------------------------------------------------------------
-
-    fn on_request(&mut self, id: RequestId, ask: Ask, arrived: Instant, answer: oneshot::Sender<Answer>) {
-        let deadline = self.clock.at(arrived) + ask.left.as_nanos() as Nanos;
-        if let Some(tap) = self.tap.as_ref().filter(|tap| tap.is_on()) {
-            tap.record(&Told::Asked {
-                id,
-                class: ask.class as u16,
-                tenant: ask.tenant.map(|tenant| tenant as u32),
-                left: ask.left.as_nanos() as Nanos,
-                sending: ask.sending.as_nanos() as Nanos,
-                name: Name::new(&ask.correlation),
-            });
-        }
-        let overdue = (deadline + OVERDUE, Due::Overdue(id.0));
-        self.timers.insert(overdue);
-        let open = Open {
-            call: Rc::new(ask.call),
-            answer: Some(answer),
-            deadline,
-            error: None,
-            attempts: Vec::new(),
-            timers: vec![overdue],
-        };
-        self.open.insert(id, open);
-        self.events.push_back(Event::Request(NewRequest {
-            id,
-            class: ClassId(ask.class as u16),
-            tenant: ask.tenant.map(|tenant| TenantId(tenant as u32)),
-            hint: ask.hint.filter(|&hint| hint > 0),
-            key: ask.key.map(|key| hash(&key)),
-            not_after: deadline,
-        }));
-    }
-
-    /// Gives the final answer, once; tells whether it was this one.
-    fn answer(&mut self, id: RequestId, answer: Answer) -> bool {
-        let Some(open) = self.open.get_mut(&id) else { return false };
-        let Some(sender) = open.answer.take() else { return false };
-        self.tell(&Told::Over { id, how: how(&answer) });
-        // A client that has left by now gets no answer, and needs none.
-        let _ = sender.send(answer);
-        self.free(id);
-        true
-    }
-
-    fn free(&mut self, id: RequestId) {
-        if self.open.get(&id).is_some_and(Open::is_over) {
-            let timers = self.open.remove(&id).map_or_else(Vec::new, |open| open.timers);
-            for timer in timers {
-                self.timers.remove(&timer);
-            }
-        }
-    }
-
-    fn arm(&mut self, at: Nanos, token: TimerToken) {
-        let timer = (at, Due::Timer(token.0));
-        if let Some(id) = token.request() {
-            // Of one that is over it would do nothing.
-            let Some(open) = self.open.get_mut(&id) else { return };
-            open.timers.push(timer);
-        }
-        self.timers.insert(timer);
-    }
-
-    fn on_client_gone(&mut self, id: RequestId) {
-        if self.answer(id, Answer::Left) {
-            self.events.push_back(Event::ClientGone(id));
-        }
-    }
-
-    /// When a request is due whose body still passes through, or has only just: its time counts from its last byte.
-    fn later(&self, id: RequestId) -> Option<Nanos> {
-        let upload = self.open.get(&id)?.call.rest.as_ref()?;
-        let due = match upload.done() {
-            Some(done) => self.clock.at(Instant::from_std(done) + upload.left) + OVERDUE,
-            None if upload.is_going() => self.now() + SECOND / 10,
-            None => return None,
-        };
-        (due > self.now()).then_some(due)
-    }
-
-    /// A body that has gone to one server in part can go to no other: what becomes of its request is no longer a choice.
-    fn end_bound(&mut self, id: RequestId, outcome: Outcome) {
-        let Some(open) = self.open.get_mut(&id) else { return };
-        let Some(upload) = open.call.rest.as_ref().filter(|upload| upload.is_bound()) else { return };
-        let (again, broken) = (outcome.never_ran(self.full_unproven), upload.is_broken());
-        let too_long = upload.is_too_long();
-        let error = open.error.take().map(Answer::Served);
-        let given = error.unwrap_or(match outcome {
-            _ if too_long => Answer::TooLong,
-            _ if broken => Answer::Broken,
-            _ if again => Answer::Refused(self.retry_after.then_some(RETRY_AFTER)),
-            Outcome::TimedOut => Answer::Late,
-            _ => Answer::Failed,
-        });
-        self.answer(id, given);
-    }
-
-    /// The answer is past due, or the process is about to end.
-    fn on_overdue(&mut self, id: RequestId) {
-        if self.answer(id, Answer::Late) {
-            self.events.push_back(Event::ClientGone(id));
-        }
-    }
-
-    fn on_ended(
-        &mut self,
-        id: RequestId,
-        attempt: AttemptNo,
-        server: ServerId,
-        sent: Nanos,
-        End { outcome, answer, refused, took, dial, short }: End,
-    ) {
-        let took = took.map_or_else(|| self.now().saturating_sub(sent), |took| took.as_nanos() as Nanos);
-        let dial = dial.as_nanos() as Nanos;
-        self.tell(&Told::Ended { id, attempt, server, outcome, took, dial });
-        if short {
-            self.tell(&Told::Short(Short::Dial));
-        }
-        if let Some(open) = self.open.get_mut(&id)
-            && let Some(out) = open.attempts.get_mut(usize::from(attempt.0))
-        {
-            *out = None;
-        }
-        match answer {
-            Some(served) if outcome == Outcome::Ok => {
-                self.answer(id, Answer::Served(served));
-            }
-            Some(error) => {
-                if let Some(open) = self.open.get_mut(&id) {
-                    open.error = Some(error);
-                }
-            }
-            None => {}
-        }
-        self.end_bound(id, outcome);
-        if !self.watch.has_service() {
-            let connected =
-                matches!(outcome, Outcome::Ok | Outcome::Error | Outcome::Full | Outcome::TimedOut);
-            let now_ms = self.now() / 1_000_000;
-            if let Some(change) = self.roster.heard(server, refused, connected, now_ms) {
-                self.list(change);
-            }
-        }
-        let complete = self.open.get(&id).is_none_or(|open| open.answer.is_none());
-        self.events.push_back(Event::Ended(Ended { id, attempt, server, outcome, took, complete }));
-        self.free(id);
-    }
-
-    // ---- Actions --------------------------------------------------------------------------------
-
-    fn act(&mut self, action: Action) {
-        match action {
-            Action::Send { id, server, timeout } => self.send(id, server, timeout),
-            Action::Refuse { id, retry_after } => {
-                // A server's own words tell more than that it may be tried again.
-                let error = self.open.get_mut(&id).and_then(|open| open.error.take());
-                self.answer(id, error.map_or(Answer::Refused(retry_after), Answer::Served));
-            }
-            Action::Fail(id) => {
-                let now = self.now();
-                let Some(open) = self.open.get_mut(&id) else { return };
-                let late = now >= open.deadline;
-                let error = open.error.take().map(Answer::Served);
-                self.answer(id, error.unwrap_or(if late { Answer::Late } else { Answer::Failed }));
-            }
-            Action::Cancel { id, attempt } => {
-                let open = self.open.get_mut(&id);
-                let out = open.and_then(|open| open.attempts.get_mut(usize::from(attempt.0)));
-                if let Some(Some(cancel)) = out {
-                    // The attempt stays out until its own end is told.
-                    let (spent, _) = oneshot::channel();
-                    let _ = std::mem::replace(cancel, spent).send(());
-                }
-            }
-            Action::Timer { at, token } => self.arm(at, token),
-            Action::FreeLinks(server) => {
-                if let Some(server) = self.roster.server(server) {
-                    server.hang_up();
-                }
-            }
-            Action::Subscribe => self.subscribe(),
-            // There is no way to other nodes here; the configuration keeps notes off.
-            Action::Tell { .. } => {}
-        }
-    }
-
-    fn send(&mut self, id: RequestId, server: ServerId, timeout: Option<Nanos>) {
-        let now = self.now();
-        let Some(open) = self.open.get_mut(&id) else { return };
-        let attempt = AttemptNo(open.attempts.len() as u8);
-        let told = Told::Sent { id, attempt, server, timeout };
-        if let Some(tap) = &self.tap {
-            tap.record(&told);
-        }
-        let end = timeout.map_or(open.deadline, |timeout| open.deadline.min(now + timeout));
-        let bound = open.call.rest.as_ref().is_some_and(|upload| upload.is_bound());
-        let known = self.roster.server(server).filter(|_| open.answer.is_some() && now < end && !bound);
-        let Some(known) = known.cloned() else {
-            open.attempts.push(None);
-            if let Some(tap) = &self.tap {
-                tap.record(&Told::Ended { id, attempt, server, outcome: Outcome::Moot, took: 0, dial: 0 });
-            }
-            return self.events.push_back(Event::Ended(Ended {
-                id,
-                attempt,
-                server,
-                outcome: Outcome::Moot,
-                took: 0,
-                complete: open.answer.is_none(),
-            }));
-        };
-        let (cancel, cancelled) = oneshot::channel();
-        open.attempts.push(Some(cancel));
-        let call = open.call.clone();
-        let (messages, end) = (self.to_self.clone(), self.clock.instant(end));
-        task::spawn_local(async move {
-            let to_core = messages.clone();
-            let begin = move |served| drop(to_core.send(Message::Began(id, attempt, served)));
-            let end = known.attempt(call, end, cancelled, Box::new(begin)).await;
-            let _ = messages.send(Message::Ended { id, attempt, server, sent: now, end });
-        });
-    }
-
     // ---- The list of backends -------------------------------------------------------------------
 
     fn subscribe(&mut self) {
@@ -586,16 +362,3 @@
         }
     }
 }
-
-/// How an answer ends a request.
-fn how(answer: &Answer) -> How {
-    match answer {
-        Answer::Served(served) if served.status.is_server_error() => How::ServedFault,
-        Answer::Served(_) => How::Served,
-        Answer::Refused(_) => How::Refused,
-        Answer::Failed => How::Failed,
-        Answer::Late => How::Late,
-        Answer::Broken | Answer::TooLong => How::Body,
-        Answer::Left => How::Left,
-    }
-}
