Eyes on loopback: each rule by its name, stories, filters, signals, a log whose reader stops

Eight tests on sockets and two beside the code: reasons not to retry and rules of refusal as a recording names them, sums that add up to what clients saw, figures that count the same, a name of 4,000 odd characters, bad filters, recordings of two processes in one folder, a writer that is stuck (lines are dropped, nobody waits), a panic that leaves its recording.

--- a/crates/node/src/eyes.rs
+++ b/crates/node/src/eyes.rs
@@ -249,6 +249,26 @@
 mod tests {
     use super::*;
 
+    /// Guards the last word of a process that breaks: its recording, with why.
+    #[test]
+    fn a_panic_leaves_a_recording() {
+        let folder = std::env::temp_dir().join(format!("pumicehead-panic-{}", std::process::id()));
+        fs::create_dir_all(&folder).unwrap();
+        let (log, _written) = crate::log::begin();
+        let mut builder = tokio::runtime::Builder::new_current_thread();
+        let runtime = builder.enable_all().build_local(tokio::runtime::LocalOptions::default()).unwrap();
+        runtime.block_on(async {
+            let eyes = Eyes::new("n0", Clock::start(), 1 << 20, 1, log, Some(folder.clone()));
+            eyes.open().unwrap();
+            let broke = task::spawn_local(async { panic!("on purpose, in a test") }).await;
+            assert!(broke.is_err());
+        });
+        let file = fs::read_dir(&folder).unwrap().next().unwrap().unwrap().path();
+        let dump = pumicehead_trace::dump::Dump::read(&fs::read(file).unwrap()).unwrap();
+        assert!(dump.head.reason.contains("on purpose"), "{}", dump.head.reason);
+        fs::remove_dir_all(&folder).unwrap();
+    }
+
     #[test]
     fn a_folder_holds_few_recordings_of_a_node() {
         let folder = std::env::temp_dir().join(format!("pumicehead-eyes-{}", std::process::id()));
--- a/crates/node/src/log.rs
+++ b/crates/node/src/log.rs
@@ -88,11 +88,15 @@
 
 /// Begins the log. The second and later ones of a process write nothing.
 pub fn begin() -> (Log, Written) {
+    begin_to(io::stderr())
+}
+
+fn begin_to(out: impl io::Write + Send + 'static) -> (Log, Written) {
     let (writer, guard) = NonBlockingBuilder::default()
         .lossy(true)
         .buffered_lines_limit(WAITING)
         .thread_name("log")
-        .finish(io::stderr());
+        .finish(out);
     let dropped = writer.error_counter();
     let state = State { quota: Quota::default(), names: std::collections::BTreeMap::new() };
     let shared = Arc::new(Shared {
@@ -275,6 +279,31 @@
         }
     }
 
+    /// Guards the loop: where whoever reads has stopped, lines are dropped and counted, and nobody waits.
+    #[test]
+    fn a_reader_that_stops_costs_lines_alone() {
+        struct Stuck(std::sync::mpsc::Receiver<()>);
+        impl io::Write for Stuck {
+            fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+                let _ = self.0.recv();
+                Ok(bytes.len())
+            }
+
+            fn flush(&mut self) -> io::Result<()> {
+                Ok(())
+            }
+        }
+        let (go_on, stuck) = std::sync::mpsc::channel();
+        let (log, written) = begin_to(Stuck(stuck));
+        for n in 0..10 * WAITING {
+            log.shared.write(Level::INFO, "test", &format!("line {n}"), &[]);
+        }
+        // One is being written, and as many wait as may.
+        assert!(log.dropped() >= 9 * WAITING - 1, "{}", log.dropped());
+        drop(go_on);
+        drop(written);
+    }
+
     #[test]
     fn times_are_those_of_the_calendar() {
         assert_eq!(utc(0), "1970-01-01T00:00:00.000Z");
--- /dev/null
+++ b/crates/node/tests/eyes.rs
@@ -0,0 +1,286 @@
+//! What a node tells of itself, on loopback sockets: each reason by its name, a log that nobody reads, recordings.
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::path::PathBuf;
+use std::process::{Command, Stdio};
+use std::thread;
+use std::time::Duration;
+
+use pumicehead_policy::note::{Note, Rule, Stop};
+use pumicehead_rig::program::{LIMIT, Standalone, built, temporary, wait_for};
+use pumicehead_rig::scripted::*;
+use pumicehead_trace::breakdown::Breakdown;
+use pumicehead_trace::dump::Dump;
+use pumicehead_trace::event::Event;
+use pumicehead_trace::ring::records;
+
+fn folder() -> PathBuf {
+    let path = temporary(".eyes");
+    let _ = std::fs::remove_dir_all(&path);
+    std::fs::create_dir_all(&path).unwrap();
+    path
+}
+
+/// The recording of whoever takes calls there.
+fn recording(calls: SocketAddr) -> Dump {
+    let mut caller = TcpStream::connect(calls).unwrap();
+    caller.set_read_timeout(Some(LIMIT)).unwrap();
+    caller.write_all(b"TRACE\n").unwrap();
+    let mut answer = BufReader::new(caller);
+    let mut line = String::new();
+    answer.read_line(&mut line).unwrap();
+    let length: usize = line.strip_prefix("OK ").unwrap().trim().parse().unwrap();
+    let mut file = Vec::new();
+    answer.read_to_end(&mut file).unwrap();
+    assert_eq!(file.len(), length);
+    Dump::read(&file).unwrap()
+}
+
+fn rules(dump: &Dump) -> Vec<Rule> {
+    let events = dump.stories.iter().flat_map(|story| records(&story.page).0);
+    let rules = events.filter_map(|record| match record.event {
+        Event::Note(Note::Over { rule, .. }) => Some(rule),
+        _ => None,
+    });
+    rules.collect()
+}
+
+fn eyes(backends: &[&Backend]) -> Setup {
+    Setup { folder: Some(folder()), ..Setup::of(backends) }
+}
+
+/// Guards that each reason not to try again is told by its name.
+#[test]
+fn reasons_not_to_try_again_have_names() {
+    let resets =
+        Backend::start(|_| Act::WriteAndClose("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n".into()));
+    let node = eyes(&[&resets]).start();
+    assert_eq!(node.ask(&request("submit", "x")).status(), 502);
+    assert_eq!(rules(&recording(node.calls())), [Rule::NoRetry(Stop::Effect)]);
+
+    let errors: Vec<_> = (0..4).map(|_| Backend::start(|_| Act::Write(answer("500 Oh", "", "")))).collect();
+    let node = eyes(&errors.iter().collect::<Vec<_>>()).start();
+    assert_eq!(node.ask(&request("read", "")).status(), 503, "nothing happened that may not happen again");
+    assert_eq!(rules(&recording(node.calls())), [Rule::NoRetry(Stop::Attempts)]);
+    wait_for("the end of the budget", || {
+        node.ask(&request("read", ""));
+        rules(&recording(node.calls())).contains(&Rule::NoRetry(Stop::Budget))
+    });
+
+    let late = Backend::start(|_| {
+        thread::sleep(Duration::from_millis(450));
+        Act::Write(answer("500 Oh", "", ""))
+    });
+    let node = Setup { aim_ms: 400, ..eyes(&[&late]) }.start();
+    node.ask(&request("read", ""));
+    assert_eq!(rules(&recording(node.calls())), [Rule::NoRetry(Stop::Time)]);
+}
+
+/// Guards that refusals are told by their rules, and that what was lost adds up to what was not earned.
+#[test]
+fn refusals_have_names_and_losses_add_up() {
+    let slow = Backend::start(|_| {
+        thread::sleep(Duration::from_millis(150));
+        ok("done")
+    });
+    let node = Setup { aim_ms: 300, ..eyes(&[&slow]) }.start();
+    let crowd = Crowd::start(&node, 40, "read");
+    wait_for("a refusal by the queue", || rules(&recording(node.calls())).contains(&Rule::WaitShare));
+    let statuses = crowd.end();
+    assert!(statuses.contains(&503));
+    let dump = recording(node.calls());
+    let sums = Breakdown::of(&dump, 0, u64::MAX).unwrap();
+    assert_eq!(sums.requests as usize, statuses.len());
+    for (name, parts) in &sums.views {
+        assert_eq!(parts.iter().map(|part| part.lost).sum::<u64>(), sums.lost(), "by {name}");
+    }
+    // The figures count the same events.
+    let text = node.call("METRICS");
+    let counted: usize = text
+        .lines()
+        .filter(|line| line.starts_with("pumicehead_requests_total"))
+        .filter_map(|line| line.rsplit(' ').next()?.parse::<usize>().ok())
+        .sum();
+    assert_eq!(counted, statuses.len(), "{text}");
+    assert!(text.contains("# {request=\"9b1f") && text.ends_with("# EOF\n"));
+}
+
+/// Guards that what is held until its time is nearly up is told so.
+#[test]
+fn what_is_held_too_long_says_so() {
+    let hung = Backend::start(|_| Act::Hang);
+    let text = format!(
+        "listener public {{ address 127.0.0.1:0 }}\npool boards {{ server s {{ address {} }} }}\n\
+         class low {{ aim 300ms; deadline 20s; repeats safe }}\nclass high {{ aim 300ms; deadline 20s; worth 10; repeats safe }}\n\
+         route low {{ path /low; class low; pool boards }}\nroute high {{ path /**; class high; pool boards }}\n\
+         observe {{ calls 127.0.0.1:0 }}\n",
+        hung.address
+    );
+    let node = Standalone::start(&text, 1);
+    let calls = calls_of(&node);
+    // The highest tier is not refused for the length of its queue.
+    let get = || "GET /high HTTP/1.1\r\nHost: a\r\n\r\n".to_owned();
+    let crowd = Crowd::asking(node.address(), 12, get);
+    wait_for("a refusal by the clock", || rules(&recording(calls)).contains(&Rule::NearlyOut));
+    drop(node);
+    drop(crowd);
+}
+
+/// Where a standalone node takes calls.
+fn calls_of(node: &Standalone) -> SocketAddr {
+    wait_for("calls", || node.said("takes calls on") == 1);
+    let log = node.log.lock().unwrap();
+    log.iter().find_map(|line| line.split_once("takes calls on ")?.1.parse().ok()).unwrap()
+}
+
+/// Guards that one request's story is told by the name that its client gave it, whatever that is.
+#[test]
+fn a_story_is_found_by_its_name() {
+    let backend = Backend::start(|_| Act::Write(answer("500 Oh", "", "")));
+    let node = eyes(&[&backend]).start();
+    let odd = "\"quoted\\and <b>".to_owned() + &"long".repeat(1_000);
+    let text = request("submit", "x").replace("X-Correlation-Id: 9b1f", &format!("X-Correlation-Id: {odd}"));
+    let name = text.lines().find_map(|line| line.strip_prefix("X-Correlation-Id: ")).unwrap().to_owned();
+    assert_eq!(node.ask(&text).status(), 502);
+    let file = temporary(".rec");
+    let pumicehead = || Command::new(built("pumicehead").unwrap());
+    let done =
+        pumicehead().arg("trace").arg(node.calls().to_string()).arg("--out").arg(&file).output().unwrap();
+    assert!(done.status.success(), "{done:?}");
+    let done = pumicehead().arg("why").arg(&file).arg(&name).output().unwrap();
+    let story = String::from_utf8(done.stdout).unwrap();
+    assert!(
+        done.status.success() && story.contains("answered with an error") && story.contains("s-0"),
+        "{story}"
+    );
+    assert!(story.chars().all(|sign| sign == '\n' || !sign.is_control()));
+    let none = pumicehead().arg("why").arg(&file).arg("nobody").output().unwrap();
+    assert_eq!(none.status.code(), Some(2));
+    let bad = pumicehead().arg("why").arg(&file).args(["--between", "1", "noon"]).output().unwrap();
+    assert!(String::from_utf8(bad.stderr).unwrap().contains("`noon` is no moment"));
+    for form in ["otlp", "chrome", "html"] {
+        let done = pumicehead().arg("export").arg(&file).args(["--as", form]).output().unwrap();
+        assert!(done.status.success() && !done.stdout.is_empty(), "{form}");
+    }
+    std::fs::remove_file(file).unwrap();
+}
+
+/// Guards filters: a bad one is told so and changes nothing, and the recorder can be stopped.
+#[test]
+fn filters_and_levels_are_changed_by_calls() {
+    let backend = Backend::start(|_| ok("done"));
+    let node = eyes(&[&backend]).start();
+    for bad in [
+        "FILTER",
+        "FILTER loud",
+        "FILTER info,",
+        "FILTER a b",
+        "RECORD",
+        "RECORD much",
+        "TRACE all",
+        "METRICS x",
+    ] {
+        let answer = node.call(bad);
+        assert!(answer.starts_with("ERR ") && answer.lines().count() == 1, "{bad}: {answer}");
+    }
+    assert_eq!(node.call("FILTER warn,discovery=trace"), "OK\n");
+    assert_eq!(node.call("RECORD off"), "OK\n");
+    node.ask(&request("read", ""));
+    assert!(recording(node.calls()).stories.is_empty());
+    assert_eq!(node.call("RECORD full"), "OK\n");
+    node.ask(&request("read", ""));
+    assert_eq!(recording(node.calls()).stories.len(), 1);
+}
+
+/// Guards recordings on a signal: few of them, whole, also where two processes share the folder.
+#[test]
+fn a_signal_leaves_a_recording() {
+    let backend = Backend::start(|_| ok("done"));
+    let kept = folder();
+    let start = || Setup { folder: Some(kept.clone()), ..Setup::of(&[&backend]) }.start();
+    let (one, other) = (start(), start());
+    let files = || {
+        let entries = std::fs::read_dir(&kept).unwrap().map(|entry| entry.unwrap().path());
+        entries.filter(|path| path.extension().is_some_and(|end| end == "rec")).collect::<Vec<_>>()
+    };
+    for round in 0..3 {
+        one.ask(&request("read", ""));
+        one.signal("-USR1");
+        other.signal("-USR1");
+        wait_for("both", || {
+            let names: Vec<_> = files().iter().map(|path| path.display().to_string()).collect();
+            let written = |node: &Node| {
+                names.iter().any(|name| name.contains(&format!("-{}-{}.", node.pid(), round + 1)))
+            };
+            written(&one) && written(&other)
+        });
+        assert!(files().len() <= 2, "{:?}", files());
+    }
+    for file in files() {
+        let dump = Dump::read(&std::fs::read(file).unwrap()).unwrap();
+        assert_eq!((dump.damage, dump.head.reason.as_str()), (None, "asked by a signal"));
+    }
+    std::fs::remove_dir_all(&kept).unwrap();
+}
+
+/// Guards the loop against a reader of the log that goes away: requests are served, and calls answered.
+#[test]
+fn a_log_whose_reader_is_gone_stops_nothing() {
+    let backend = Backend::start(|_| ok("done"));
+    let text = format!(
+        "listener public {{ address 127.0.0.1:0 }}\npool boards {{ server s {{ address {} }} }}\n\
+         class read {{ aim 5s; deadline 20s; repeats safe }}\nroute read {{ path /**; class read; pool boards }}\n\
+         observe {{ calls 127.0.0.1:0; log trace; log-form json }}\n",
+        backend.address
+    );
+    let file = temporary(".conf");
+    std::fs::write(&file, &text).unwrap();
+    let mut command = Command::new(built("pumicehead").unwrap());
+    let mut child = command.arg("run").arg(&file).stderr(Stdio::piped()).spawn().unwrap();
+    let mut log = BufReader::new(child.stderr.take().unwrap());
+    let mut address = || {
+        let mut line = String::new();
+        log.read_line(&mut line).unwrap();
+        assert!(line.starts_with('{') && line.trim_end().ends_with('}'), "{line}");
+        line.rsplit("on ").next().unwrap().split('"').next().unwrap().parse::<SocketAddr>().unwrap()
+    };
+    let (front, calls) = (address(), address());
+    drop(log);
+    for level in ["info", "trace", "off", "trace"].repeat(10) {
+        let mut caller = TcpStream::connect(calls).unwrap();
+        caller.set_read_timeout(Some(LIMIT)).unwrap();
+        caller.write_all(format!("FILTER {level}\n").as_bytes()).unwrap();
+        assert_eq!(std::io::read_to_string(caller).unwrap(), "OK\n");
+        let mut client = Client::connect(front);
+        client.write("GET /x HTTP/1.1\r\nHost: a\r\n\r\n");
+        assert_eq!(client.read().unwrap().status(), 200);
+    }
+    assert!(child.try_wait().unwrap().is_none(), "it runs on");
+    let _ = child.kill();
+    let _ = child.wait();
+    std::fs::remove_file(file).unwrap();
+}
+
+/// Guards the standalone node's own eyes: pools, classes and routes have their names in its recording.
+#[test]
+fn a_standalone_node_has_eyes() {
+    let backend = Backend::start(|_| Act::Hang);
+    let text = format!(
+        "listener public {{ address 127.0.0.1:0 }}\npool boards {{ server s {{ address {} }} }}\n\
+         class hasty {{ aim 100ms; deadline 200ms; repeats unsafe }}\nroute all {{ path /**; method POST; class hasty; pool boards }}\n\
+         observe {{ calls 127.0.0.1:0 }}\n",
+        backend.address
+    );
+    let node = Standalone::start(&text, 1);
+    let calls = calls_of(&node);
+    let mut client = Client::connect(node.address());
+    client.write("POST /run HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n\r\nx");
+    assert_eq!(client.read().unwrap().status(), 504);
+    wait_for("its story", || !recording(calls).stories.is_empty());
+    let dump = recording(calls);
+    let sums = Breakdown::of(&dump, 0, u64::MAX).unwrap().to_string();
+    assert!(sums.contains("hasty in boards") && sums.contains("100.00%"), "{sums}");
+    node.reload(&text.replace("calls 127.0.0.1:0", "calls 127.0.0.1:0; log warn,settings=info"));
+    assert_eq!(node.said("wait for the next start"), 0);
+}
--- a/crates/rig/src/scripted.rs
+++ b/crates/rig/src/scripted.rs
@@ -434,9 +434,19 @@
         Self { child, config, address, calls }
     }
 
+    /// Where it takes calls.
+    pub fn calls(&self) -> SocketAddr {
+        self.calls.expect("it takes calls")
+    }
+
+    /// Its process.
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
     /// A connection to where staff call.
     pub fn caller(&self) -> TcpStream {
-        let stream = TcpStream::connect(self.calls.expect("it takes calls")).unwrap();
+        let stream = TcpStream::connect(self.calls()).unwrap();
         stream.set_read_timeout(Some(LIMIT)).unwrap();
         stream
     }
@@ -473,7 +483,8 @@
         self.signal("-TERM");
     }
 
-    fn signal(&self, signal: &str) {
+    /// Sends it a signal, such as `-USR1`.
+    pub fn signal(&self, signal: &str) {
         let pid = self.child.id().to_string();
         assert!(Command::new("kill").args([signal, &pid]).status().unwrap().success());
     }
