--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -32,6 +32,8 @@
     Config(Options),
     /// The node's cost beside a bare relay, and how it grows.
     Cost(Options),
+    /// What watching costs, and whether a recording names a fault that was put in.
+    Eyes(Options),
     /// FastCGI beside HTTP: the parity table, costs, memory.
     Fastcgi(Options),
     /// Many nodes and servers in virtual time.
@@ -56,6 +58,7 @@
         Command::StandIn { addresses, takes_ms } => stand_in(&addresses, takes_ms),
         Command::Config(options) => measure("config", &options),
         Command::Cost(options) => measure("cost", &options),
+        Command::Eyes(options) => measure("eyes", &options),
         Command::Fastcgi(options) => measure("fastcgi", &options),
         Command::Fleet(options) => measure("fleet", &options),
     };
--- a/crates/rig/src/measure/mod.rs
+++ b/crates/rig/src/measure/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod config;
 pub mod cost;
+pub mod eyes;
 pub mod fastcgi;
 pub mod fleet;
 
@@ -22,9 +23,10 @@
 pub type Measurement = fn(Plan) -> io::Result<Report>;
 
 /// All measurements.
-pub const ALL: [(&str, Measurement); 4] = [
+pub const ALL: [(&str, Measurement); 5] = [
     ("config", config::measure),
     ("cost", cost::measure),
+    ("eyes", eyes::measure),
     ("fastcgi", fastcgi::measure),
     ("fleet", fleet::measure),
 ];
