--- a/crates/node/src/net/core/mod.rs
+++ b/crates/node/src/net/core/mod.rs
@@ -198,7 +198,9 @@
                 if note.is_news() {
                     info!(target: "decisions", "{}", self.worded(note));
                 }
-                self.tell(&Told::Note(*note));
+                if let Some(tap) = self.tap.as_ref().filter(|tap| tap.is_on()) {
+                    tap.record_at(now, &Told::Note(*note));
+                }
             }
             let now = self.now();
             if let Some(learned) = self.learned.take_if(|learned| listed || learned.age(now) > WORTH)
--- a/crates/node/src/net/tap.rs
+++ b/crates/node/src/net/tap.rs
@@ -65,11 +65,15 @@
     /// Records an event now.
     pub fn record(&self, event: &Event) {
         if self.is_on() {
-            let at = self.clock.now();
-            self.shared.with(|recorder| recorder.record(at, self.pool, event));
+            self.record_at(self.clock.now(), event);
         }
     }
 
+    /// Records an event of a time that is known already.
+    pub fn record_at(&self, at: pumicehead_policy::interface::Nanos, event: &Event) {
+        self.shared.with(|recorder| recorder.record(at, self.pool, event));
+    }
+
     /// Records what is new in a list.
     pub fn list<'a>(&self, change: &ListChange, name: impl Fn(ServerId) -> Option<&'a str>) {
         let (ListChange::Full(infos) | ListChange::Cached(infos) | ListChange::Delta(infos)) = change else {
--- a/crates/trace/src/cause.rs
+++ b/crates/trace/src/cause.rs
@@ -21,8 +21,12 @@
 const OWN_FAULT: f64 = 2.0;
 /// ... by more than this ...
 const OWN_SHARE: f64 = 0.02;
-/// ... and not by a single chance.
-const OWN_COUNT: u64 = 3;
+/// ... and chance alone would bring about so many less often than this, were it like the others, which fail once in a
+/// hundred at the least.
+const BY_CHANCE: f64 = 1e-3;
+const LEAST_SHARE: f64 = 0.01;
+/// Answers from which on a mean says something.
+const ENOUGH: u64 = 3;
 /// A server is slow whose answers take this multiple of what they take at the others.
 const SLOW: f64 = 1.5;
 /// Time that places were taken for nothing counts as the cause of a queue from this share of all the time on.
@@ -119,13 +123,17 @@
 
     fn is_own(&self, server: u32, ways: &[Outcome]) -> bool {
         let (own, others, count) = self.shares(server, ways);
-        count >= OWN_COUNT && own > OWN_FAULT * others + OWN_SHARE
+        let attempts = self.servers.get(&server).map_or(0, Served::attempts);
+        // Chernoff's bound on so many or more of a binomial count: (e n p / k)^k.
+        let expected = attempts as f64 * others.max(LEAST_SHARE);
+        let chance = (std::f64::consts::E * expected / count.max(1) as f64).powf(count as f64);
+        count > 0 && own > OWN_FAULT * others + OWN_SHARE && chance < BY_CHANCE
     }
 
     /// How slow a server's answers are against those of the others.
     fn slowness(&self, server: u32) -> f64 {
         let answered = |row: &Served| row.ended[place(Outcome::Ok)];
-        let Some(row) = self.servers.get(&server).filter(|row| answered(row) >= OWN_COUNT) else {
+        let Some(row) = self.servers.get(&server).filter(|row| answered(row) >= ENOUGH) else {
             return 1.0;
         };
         let mean = |row: &Served| row.stretch as f64 / answered(row).max(1) as f64;
@@ -184,7 +192,7 @@
     fn is_tight(&self, class: u16, aim: Nanos, deadline: Nanos) -> bool {
         let Some(flow) = self.classes.get(&class) else { return false };
         // The aim is what the worth goes by, whatever the deadline.
-        if flow.answered >= OWN_COUNT && flow.least.saturating_sub(1).saturating_mul(1_000) > aim {
+        if flow.answered >= ENOUGH && flow.least.saturating_sub(1).saturating_mul(1_000) > aim {
             return true;
         }
         let all = flow.answered + flow.unanswered;
@@ -192,8 +200,8 @@
         let (answered, tried, took) = others.fold((0, 0, 0), |(a, t, s), (_, other)| {
             (a + other.answered, t + other.answered + other.unanswered, s + other.took)
         });
-        let starved = all >= OWN_COUNT && (flow.answered as f64) < UNANSWERED * all as f64;
-        let fine = tried >= OWN_COUNT && answered as f64 >= ANSWERING * tried as f64;
+        let starved = all >= ENOUGH && (flow.answered as f64) < UNANSWERED * all as f64;
+        let fine = tried >= ENOUGH && answered as f64 >= ANSWERING * tried as f64;
         // What others are answered in on average is more than it allows.
         starved && fine && took.saturating_mul(1_000) / answered.max(1) > deadline.min(aim) / 2
     }
--- a/crates/trace/src/metrics.rs
+++ b/crates/trace/src/metrics.rs
@@ -23,6 +23,8 @@
 const BOUNDS: [f64; 12] = [0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 10.0];
 /// Longest time that is told apart, in microseconds: clients wait ten minutes at most.
 const LONGEST: u64 = 600_000_000;
+/// A bucket shows one request for so long at least: a new one with every request would cost more than the counting.
+const SHOWN_FOR: Nanos = SECOND;
 /// Digits that a time keeps.
 const DIGITS: u8 = 2;
 
@@ -47,21 +49,29 @@
 struct Shared(Mutex<Times>);
 
 impl Shared {
-    fn add(&self, seconds: f64, exemplar: Option<Exemplar>) {
+    /// Adds a time, and shows the bucket by this request where it has shown another for a while.
+    fn add(&self, seconds: f64, name: &Name, at: Nanos) {
         // A holder that panicked left whole numbers behind.
         let mut times = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        times.hdr.saturating_record((seconds * 1e6).round() as u64);
-        times.sum += seconds;
-        if exemplar.is_some() {
-            let bucket = BOUNDS.iter().position(|bound| seconds <= *bound).unwrap_or(BOUNDS.len());
-            times.exemplars[bucket] = exemplar;
+        times.record(seconds);
+        let bucket = BOUNDS.iter().position(|bound| seconds <= *bound).unwrap_or(BOUNDS.len());
+        let shown = &mut times.exemplars[bucket];
+        if shown.as_ref().is_none_or(|shown| at >= shown.at.saturating_add(SHOWN_FOR)) {
+            *shown = Some(Exemplar { name: plain(&name.start), seconds, at });
         }
     }
 }
 
+impl Times {
+    fn record(&mut self, seconds: f64) {
+        self.hdr.saturating_record((seconds * 1e6).round() as u64);
+        self.sum += seconds;
+    }
+}
+
 impl HistogramFn for Shared {
     fn record(&self, value: f64) {
-        self.add(value, None);
+        self.0.lock().unwrap_or_else(PoisonError::into_inner).record(value);
     }
 }
 
@@ -160,6 +170,9 @@
     }
 }
 
+/// Where classes beyond the bound are counted.
+const OTHER: (u16, u16) = (u16::MAX, u16::MAX);
+
 /// One class of one pool.
 struct ClassMeters {
     ended: [Counter; 7],
@@ -170,20 +183,21 @@
 #[derive(Default)]
 pub struct Meters {
     registry: Registry,
-    classes: BTreeMap<(String, String), ClassMeters>,
+    /// By pool and class; those beyond the bound are where [`OTHER`] is.
+    classes: BTreeMap<(u16, u16), ClassMeters>,
     attempts: [Option<Counter>; 8],
 }
 
 const HOWS: [&str; 7] = ["served", "served_fault", "refused", "failed", "late", "body", "left"];
 
 impl Meters {
-    fn class(&mut self, pool: &str, class: &str) -> &mut ClassMeters {
-        let key = (pool.to_owned(), class.to_owned());
+    fn class(&mut self, key: (u16, u16), names: (&str, &str)) -> &mut ClassMeters {
         let full = self.classes.len() >= CLASSES && !self.classes.contains_key(&key);
-        let key = if full { ("other".to_owned(), "other".to_owned()) } else { key };
+        let (key, names) = if full { (OTHER, ("other", "other")) } else { (key, names) };
         let registry = &self.registry;
-        self.classes.entry(key.clone()).or_insert_with(|| {
-            let labels = vec![Label::new("pool", key.0), Label::new("class", key.1)];
+        self.classes.entry(key).or_insert_with(|| {
+            let labels =
+                vec![Label::new("pool", names.0.to_owned()), Label::new("class", names.1.to_owned())];
             let ended = HOWS.map(|how| {
                 let labels = labels.iter().cloned().chain([Label::new("how", how)]).collect::<Vec<_>>();
                 registry.register_counter(&Key::from_parts("pumicehead_requests", labels), &META)
@@ -194,12 +208,12 @@
     }
 
     /// A request has ended.
-    pub fn request(&mut self, (pool, class): (&str, &str), how: How, took: Nanos, name: &Name, at: Nanos) {
-        let meters = self.class(pool, class);
+    pub fn request(&mut self, of: ((u16, u16), (&str, &str)), how: How, took: Nanos, name: &Name, at: Nanos) {
+        let meters = self.class(of.0, of.1);
         meters.ended[how as usize].increment(1);
         let seconds = took as f64 / SECOND as f64;
         if let Some(times) = &meters.times {
-            times.add(seconds, Some(Exemplar { name: plain(&name.start), seconds, at }));
+            times.add(seconds, name, at);
         }
     }
 
@@ -246,9 +260,9 @@
         let mut meters = Meters::default();
         let name = Name::new("a\"b\n");
         for took in [3, 30, 30_000] {
-            meters.request(("web", "read"), How::Served, took * 1_000_000, &name, SECOND);
+            meters.request(((0, 0), ("web", "read")), How::Served, took * 1_000_000, &name, SECOND);
         }
-        meters.request(("web", "read"), How::Refused, 1_000, &name, SECOND);
+        meters.request(((0, 0), ("web", "read")), How::Refused, 1_000, &name, SECOND);
         meters.attempt(Outcome::Reset);
         meters.gauge("pumicehead_open", 2.0);
         let text = meters.text();
@@ -269,8 +283,8 @@
     fn classes_beyond_the_bound_count_as_other() {
         let mut meters = Meters::default();
         for class in 0..1_000 {
-            let class = format!("c{class}");
-            meters.request(("web", &class), How::Served, 1_000, &Name::new("x"), 0);
+            let name = format!("c{class}");
+            meters.request(((0, class), ("web", &name)), How::Served, 1_000, &Name::new("x"), 0);
         }
         assert_eq!(meters.classes.len(), CLASSES + 1);
         assert!(meters.text().contains("{pool=\"other\",class=\"other\",how=\"served\"} 968"));
--- a/crates/trace/src/recorder.rs
+++ b/crates/trace/src/recorder.rs
@@ -365,7 +365,8 @@
         let pool = self.head.pools.get(usize::from(key.0.0));
         let class = pool.and_then(|pool| pool.classes.get(usize::from(open.class)));
         if let (Some(pool), Some(class)) = (pool, class) {
-            self.meters.request((&pool.name, &class.name), how, took, &open.name, at);
+            let of = ((key.0.0, open.class), (pool.name.as_str(), class.name.as_str()));
+            self.meters.request(of, how, took, &open.name, at);
         }
         let matters = verdict.cause.is_some() || open.life.sends() > 1 || used > SLOW;
         let weight = match how {
