--- a/crates/node/src/net/core/actions.rs
+++ b/crates/node/src/net/core/actions.rs
@@ -60,7 +60,15 @@
         let Some(known) = known.cloned() else {
             open.attempts.push(None);
             if let Some(tap) = &self.tap {
-                tap.record(&Told::Ended { id, attempt, server, outcome: Outcome::Moot, took: 0, dial: 0 });
+                tap.record(&Told::Ended {
+                    id,
+                    attempt,
+                    server,
+                    outcome: Outcome::Moot,
+                    took: 0,
+                    dial: 0,
+                    idle: None,
+                });
             }
             return self.events.push_back(Event::Ended(Ended {
                 id,
--- a/crates/node/src/net/core/requests.rs
+++ b/crates/node/src/net/core/requests.rs
@@ -134,11 +134,12 @@
         attempt: AttemptNo,
         server: ServerId,
         sent: Nanos,
-        End { outcome, answer, refused, took, dial, short }: End,
+        End { outcome, answer, refused, took, dial, idle, short }: End,
     ) {
         let took = took.map_or_else(|| self.now().saturating_sub(sent), |took| took.as_nanos() as Nanos);
         let dial = dial.as_nanos() as Nanos;
-        self.tell(&Told::Ended { id, attempt, server, outcome, took, dial });
+        let idle = idle.map(|idle| idle.as_nanos() as Nanos);
+        self.tell(&Told::Ended { id, attempt, server, outcome, took, dial, idle });
         if short {
             self.tell(&Told::Short(Short::Dial));
         }
--- a/crates/node/src/net/http/upstream.rs
+++ b/crates/node/src/net/http/upstream.rs
@@ -161,19 +161,27 @@
         begin: Begin,
     ) -> Attempt {
         Box::pin(async move {
-            let (stage, dial) = (Cell::new(Stage::Waiting), Cell::new(Duration::ZERO));
+            let (stage, way) = (Cell::new(Stage::Waiting), Cell::new(Way::default()));
             let end = tokio::select! {
                 biased;
-                done = self.shared.exchange(&self.backend, &call, deadline, (&stage, &dial), begin) => done,
+                done = self.shared.exchange(&self.backend, &call, deadline, (&stage, &way), begin) => done,
                 // The sender is kept as long as the attempt is out; were it lost, nobody would wait.
                 _ = cancel => End::of(Outcome::Cancelled),
                 outcome = expiry(&call, deadline, &stage) => End::of(outcome),
             };
-            End { dial: dial.get(), ..end }
+            let Way { dial, idle } = way.get();
+            End { dial, idle, ..end }
         })
     }
 }
 
+/// How an attempt got its connection.
+#[derive(Clone, Copy, Default)]
+struct Way {
+    dial: Duration,
+    idle: Option<Duration>,
+}
+
 /// How far an attempt has come.
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum Stage {
@@ -224,12 +232,12 @@
 }
 
 impl Shared {
-    /// The most recently used idle connection that is still open.
-    fn kept(&self, backend: &Backend) -> Option<Conn> {
+    /// The most recently used idle connection that is still open, and since when it has been idle.
+    fn kept(&self, backend: &Backend) -> Option<(Instant, Conn)> {
         let mut idle = backend.idle.borrow_mut();
         while let Some((since, conn)) = idle.pop_back() {
             if since.elapsed() < self.idle_for && conn.is_open() {
-                return Some(conn);
+                return Some((since, conn));
             }
         }
         None
@@ -264,16 +272,19 @@
         backend: &Rc<Backend>,
         call: &Call,
         deadline: Instant,
-        (stage, dialled): (&Cell<Stage>, &Cell<Duration>),
+        (stage, way): (&Cell<Stage>, &Cell<Way>),
         begin: Begin,
     ) -> End {
         let started = Instant::now();
         let kept = self.kept(backend);
         let ready = match kept {
-            Some(conn) => Ok(conn),
+            Some((since, conn)) => {
+                way.set(Way { dial: Duration::ZERO, idle: Some(started.saturating_duration_since(since)) });
+                Ok(conn)
+            }
             None => {
                 let ready = self.dial(backend).await;
-                dialled.set(started.elapsed());
+                way.set(Way { dial: started.elapsed(), idle: None });
                 ready
             }
         };
--- a/crates/node/src/net/transport.rs
+++ b/crates/node/src/net/transport.rs
@@ -26,6 +26,8 @@
     pub took: Option<Duration>,
     /// How long it took to get a connection; nothing where one was kept.
     pub dial: Duration,
+    /// How long a kept connection had been idle before.
+    pub idle: Option<Duration>,
     /// There was no place for another connection.
     pub short: bool,
 }
@@ -33,7 +35,15 @@
 impl End {
     /// Without an answer.
     pub fn of(outcome: Outcome) -> Self {
-        Self { outcome, answer: None, refused: false, took: None, dial: Duration::ZERO, short: false }
+        Self {
+            outcome,
+            answer: None,
+            refused: false,
+            took: None,
+            dial: Duration::ZERO,
+            idle: None,
+            short: false,
+        }
     }
 }
 
--- a/crates/trace/src/event.rs
+++ b/crates/trace/src/event.rs
@@ -123,6 +123,8 @@
         took: Nanos,
         /// Of this, to get a connection.
         dial: Nanos,
+        /// It went over a connection that had been idle for so long; none where that was new, or nothing was sent.
+        idle: Option<Nanos>,
     },
     /// The answer of an attempt began to pass through.
     Began {
@@ -252,13 +254,14 @@
                 put(out, u64::from(server.0));
                 put_some(out, *timeout);
             }
-            Self::Ended { id, attempt, server, outcome, took, dial } => {
+            Self::Ended { id, attempt, server, outcome, took, dial, idle } => {
                 start(3, id.0);
                 out.push(attempt.0);
                 put(out, u64::from(server.0));
                 out.push(place(*outcome) as u8);
                 put(out, *took);
                 put(out, *dial);
+                put_some(out, *idle);
             }
             Self::Began { id, attempt } => {
                 start(4, id.0);
@@ -318,6 +321,7 @@
                 outcome: at(&OUTCOMES, from.byte()?)?,
                 took: from.number()?,
                 dial: from.number()?,
+                idle: from.some()?,
             },
             4 => Self::Began { id, attempt: AttemptNo(from.byte()?) },
             5 => Self::Over { id, how: at(&How::ALL, from.byte()?)? },
--- a/crates/trace/src/story.rs
+++ b/crates/trace/src/story.rs
@@ -120,15 +120,19 @@
                 timeout.map_or(String::new(), |span| format!(", for {} at most", moment::span(span)));
             format!("Attempt {} to {}{timeout}.", attempt.0 + 1, server(id.0))
         }
-        Event::Ended { attempt, server: id, outcome, took, dial, .. } => {
+        Event::Ended { attempt, server: id, outcome, took, dial, idle, .. } => {
             let dial = if *dial > 1_000_000 {
                 format!(", {} of it for a connection", moment::span(*dial))
             } else {
                 String::new()
             };
+            let kept = match idle {
+                Some(idle) => format!(", on a connection that had been idle for {}", moment::span(*idle)),
+                None => String::new(),
+            };
             let how = if *outcome == Outcome::Moot { "was never sent" } else { said(*outcome) };
             format!(
-                "Attempt {} at {}: {how} after {}{dial}.",
+                "Attempt {} at {}: {how} after {}{dial}{kept}.",
                 attempt.0 + 1,
                 server(id.0),
                 moment::span(*took)
--- a/crates/trace/tests/common/mod.rs
+++ b/crates/trace/tests/common/mod.rs
@@ -56,7 +56,7 @@
 
     pub fn end(&mut self, id: RequestId, attempt: u8, server: u32, outcome: Outcome, took: Nanos) {
         let (attempt, server) = (AttemptNo(attempt), ServerId(server));
-        self.tell(Event::Ended { id, attempt, server, outcome, took, dial: 0 });
+        self.tell(Event::Ended { id, attempt, server, outcome, took, dial: 0, idle: None });
     }
 
     pub fn over(&mut self, id: RequestId, how: How) {
--- a/crates/trace/tests/files.rs
+++ b/crates/trace/tests/files.rs
@@ -63,7 +63,15 @@
         Event::Note(Note::ListRegained),
     ];
     all.extend(rules.map(|rule| Event::Note(Note::Over { id, rule, pressure: f32::INFINITY })));
-    all.extend(outcomes.map(|outcome| Event::Ended { id, attempt, server, outcome, took: 5, dial: 2 }));
+    all.extend(outcomes.map(|outcome| Event::Ended {
+        id,
+        attempt,
+        server,
+        outcome,
+        took: 5,
+        dial: 2,
+        idle: Some(7),
+    }));
     all.extend(hows.map(|how| Event::Over { id, how }));
     all.extend(
         [Listed::Ready, Listed::Draining, Listed::Gone].map(|listed| Event::Server { server, listed }),
