Module: a cold server counts for what it can do; a node's own stall is not the servers' fault

Two causes, both harmless in one node and harmful in many.

Counted by second in the module: the sum of limits fell from 6.5 to 3.0 places a node, with two thirds of its servers cold. Ruled out: uneven traffic (all octiles of nodes by load lost 37 to 42%), limits cut by latency (load 0.83 of its mark). At fault: refresh() counted a cold server as a whole one, so by chance some nodes had no warm server among their few and refused, and others had room to spare. Now it counts for its share, the node takes in more of the ring, and what it holds of each is scaled down as more nodes share them.

A stall of the node itself (stopped for 5 s, servers idle): it refused 117 requests in the second after. What was out seemed to have taken 5 s, rates of release had faded, so the queue seemed not to drain. Now the loop notices that it came over 0.25 s late, or took as long over a turn, and tells the module first: nothing is learned from attempts that were out, rates skip the span, no second copies go out for it, and the queue's length refuses nobody for up to a second. Deadlines, drains and the age of cold servers go on by the clock.

--- a/crates/node/src/net/core/mod.rs
+++ b/crates/node/src/net/core/mod.rs
@@ -44,6 +44,9 @@
 const SWEEP: Nanos = SECOND;
 /// Pause before an agent that pushes the list is asked again.
 const AGENT_PAUSE: Nanos = SECOND / 4;
+/// A loop that comes so late to what is due, or takes so long over a turn, has stood still: some periods (of 100 ms) of a
+/// system that shares out a processor, and much less than any deadline.
+const STALL: Nanos = SECOND / 4;
 /// A pool that is gone from the configuration serves the requests it has for so long; from then on nothing new is
 /// sent, well within the 2 s in which a drain must be kept.
 const GRACE: Nanos = SECOND;
@@ -158,8 +161,13 @@
     /// Runs for as long as the process does, or until it is retired and has answered all that it has.
     pub async fn run(mut self) {
         loop {
+            let turned = self.now();
             self.feed();
             self.fire();
+            let done = self.now();
+            if self.stood_still(turned, done) {
+                continue;
+            }
             if self.retired && self.open.is_empty() && self.handles.strong_count() == 0 {
                 return;
             }
@@ -172,7 +180,20 @@
                 },
                 () = sleep_until(wake) => {}
             }
+            // What came while it stood still is told of after that.
+            self.stood_still(next.max(done), self.now());
+        }
+    }
+
+    /// Tells the module where this loop got no further from one time to another, and should have.
+    fn stood_still(&mut self, from: Nanos, to: Nanos) -> bool {
+        let span = to.saturating_sub(from);
+        let stood = span > STALL;
+        if stood {
+            warn!(target: "loop", "stood still for {:.1} s; nothing is learned from it", span as f64 / SECOND as f64);
+            self.balancer.resume(to, span);
         }
+        stood
     }
 
     fn now(&self) -> Nanos {
--- a/crates/node/tests/platform.rs
+++ b/crates/node/tests/platform.rs
@@ -146,7 +146,7 @@
         looked += 1;
         looked > 20
     });
-    assert!(crowd.end().iter().any(|status| *status == 200));
+    assert!(crowd.end().contains(&200));
     node.terminate();
     assert_eq!(node.wait().code(), Some(0));
     if watched {
--- a/crates/policy/src/meter.rs
+++ b/crates/policy/src/meter.rs
@@ -49,6 +49,14 @@
         self.at = now;
     }
 
+    /// Time in which nothing could be counted does not count.
+    pub fn skip(&mut self, span: Nanos) {
+        if self.since > 0 {
+            self.at += span;
+            self.since += span;
+        }
+    }
+
     fn faded(&self, now: Nanos) -> f64 {
         self.sum * (-seconds(now.saturating_sub(self.at)) / Self::MEMORY_S).exp()
     }
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -18,6 +18,7 @@
 mod knowledge;
 mod listen;
 mod retune;
+mod stall;
 
 use std::sync::Arc;
 
@@ -417,32 +418,32 @@
         }
         self.resize(servers);
         // Servers taken in for lack of room start small: widening alone must not add places, or a fleet
-        // that is short of room gets more work for it.
+        // that is short of room gets more work for it. Those that stand in for others start so as well: with
+        // the room that these had, fleets that lost most of their servers at once were crowded for longer.
         let first = self.pools.limit_sum == 0.0;
         let nodes = self.nodes_per_server();
         let start = if first { START_PLACES.min(nodes) } else { LEAST_PLACES } / nodes;
         let (mut bad, mut all) = (0, 0u32);
         for pool in 0..2 {
             self.pools.active[pool].clear();
-            let want = self.want(pool);
-            let mut healthy = 0;
+            // A cold server counts for what it can do: after a release nodes whose few servers were mostly
+            // cold had no room for seconds, beside others that had plenty. More share each server then.
+            let (want, mut able, mut sound) = (self.want(pool) as f64, 0.0, 0.0);
             for at in 0..self.pools.ranked[pool].len() {
-                if healthy >= want {
+                if able >= want {
                     break;
                 }
                 let slot = self.pools.ranked[pool][at];
                 self.pools.active[pool].push(slot);
                 all += 1;
-                if self.out_of_order(slot) {
-                    bad += 1;
-                } else {
-                    healthy += 1;
-                }
+                let fit = if self.out_of_order(slot) { 0.0 } else { 1.0 };
+                bad += u32::from(fit == 0.0);
+                sound += fit;
+                able += fit * self.ramp(&self.servers[slot]);
                 let server = &mut self.servers[slot];
-                if server.limit == 0.0 {
-                    server.limit = start;
-                }
+                server.limit = if server.limit == 0.0 { start } else { server.limit };
             }
+            self.pools.shared[pool] = (want / f64::max(sound, 1.0)).min(1.0);
         }
         if bad < all {
             let sound = self.pools.active.iter().flatten().filter(|&&slot| !self.out_of_order(slot));
@@ -473,7 +474,7 @@
                 }
                 let ramp = self.ramp(server);
                 out[pool] += server.out.len();
-                limits[pool] += server.limit * ramp;
+                limits[pool] += server.limit * ramp * self.pools.shared[pool];
                 ramps += ramp;
                 warm |= ramp >= 1.0;
             }
@@ -849,7 +850,8 @@
     /// Judges by this node's own queue: its length over the rate at which it drains. Between 0.7 and 1
     /// of the bound chance decides, so that nodes neither refuse in step nor let all back at once.
     fn overloaded(&mut self, id: RequestId) -> bool {
-        let luck = 0.7 + 0.3 * self.chance();
+        let behind = self.now < self.flow.behind_until;
+        let luck = if behind { f64::INFINITY } else { 0.7 + 0.3 * self.chance() };
         self.requests.get(&id).is_some_and(|request| self.pressure(request) > WAIT_SHARE * luck)
     }
 
@@ -1065,6 +1067,7 @@
             return;
         }
         let idle = self.queues.order.is_empty() && self.has_places() && self.flow.retry_budget >= 1.0;
+        let idle = idle && self.now >= self.flow.resumed + nanos(expected);
         if let Some(slot) = if idle { self.pick(id) } else { None } {
             self.flow.retry_budget -= 1.0;
             self.send(id, slot, actions);
@@ -1112,6 +1115,7 @@
         let ((class, work), took) = (of, ended.took);
         let (sent, expected) = (self.now.saturating_sub(took), self.expected(class, work));
         match ended.outcome {
+            _ if self.now < self.flow.resumed + took => {}
             Outcome::Ok => {
                 self.flow.served.add(self.now, work);
                 self.servers[slot].heard = self.servers[slot].heard.max(sent);
@@ -1200,13 +1204,10 @@
     fn on_over(&mut self, id: RequestId, keep: Option<AttemptNo>, actions: &mut Vec<Action>) {
         self.unhold(id);
         let Some(request) = self.requests.get_mut(&id) else { return };
-        if !request.done {
-            request.done = true;
-            if self.settings.cancel {
-                let numbered = (0..).map(AttemptNo).zip(&request.attempts);
-                let out = numbered.filter(|(number, a)| a.ran == Ran::Outstanding && keep != Some(*number));
-                actions.extend(out.map(|(attempt, _)| Action::Cancel { id, attempt }));
-            }
+        if !std::mem::replace(&mut request.done, true) && self.settings.cancel {
+            let numbered = (0..).map(AttemptNo).zip(&request.attempts);
+            let out = numbered.filter(|(number, a)| a.ran == Ran::Outstanding && keep != Some(*number));
+            actions.extend(out.map(|(attempt, _)| Action::Cancel { id, attempt }));
         }
         let key = request.key;
         if request.out == 0 {
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -124,6 +124,8 @@
     pub limits: [f64; 2],
     pub out: [usize; 2],
     pub width: usize,
+    /// By pool: what is left to this node of a place, where more nodes than usual share servers since many are cold.
+    pub shared: [f64; 2],
     pub refreshed: Nanos,
     pub limit_sum: f64,
     /// The mean limit of the servers in use.
@@ -145,4 +147,7 @@
     pub served: Rate,
     pub retry_budget: f64,
     pub out_total: usize,
+    /// Since when this process runs without having stood still, and until when it works off what came meanwhile.
+    pub resumed: Nanos,
+    pub behind_until: Nanos,
 }
