Storm: fleets of real processes under crashes, stalls and bad links, with a history and checkers

Nothing between processes could be cut, delayed or stalled on purpose. pumicehead-storm starts nodes of the shipped program, servers and discovery as processes, links of its own between them (delay, loss, rate, cuts one way, silent, refused, forgotten), faults by a scenario or drawn from a seed, clients, and writes what all saw by one clock.

Found while writing it: a storm killed between starting a process and telling its keeper left that process behind; now each process waits for the keeper to know it. A run whose storm stood still for 0.6 s (a busy machine) blamed a node for it; now it is void.

--- /dev/null
+++ b/crates/storm/src/check/mod.rs
@@ -0,0 +1,136 @@
+//! Checkers: each reads a history and says what it found. They know nothing of the program but what its rules promise.
+
+mod rules;
+mod service;
+
+use serde::{Deserialize, Serialize};
+
+pub use rules::{ColdServers, Crashes, Drains, EffectsOnce, NoneLost};
+pub use service::{Lag, Resources, Service, Summary};
+
+use crate::Nanos;
+use crate::history::{Class, End, History, Listed, State, What};
+use crate::scenario::Scenario;
+
+/// Something that should not be.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Find {
+    /// The checker.
+    pub checker: String,
+    /// When, from the start of the storm.
+    pub at: Nanos,
+    /// What.
+    pub text: String,
+}
+
+/// A checker. Those of later subsystems (views, sums, copies) implement it as well and join [`all`].
+pub trait Checker {
+    /// Its name.
+    fn name(&self) -> &'static str;
+    /// Everything that it finds.
+    fn check(&self, scenario: &Scenario, history: &History) -> Vec<Find>;
+}
+
+/// All checkers of rules; finds of any of them break a run.
+#[must_use]
+pub fn all() -> Vec<Box<dyn Checker>> {
+    vec![
+        Box::new(NoneLost),
+        Box::new(EffectsOnce),
+        Box::new(Drains),
+        Box::new(ColdServers),
+        Box::new(Crashes),
+        Box::new(Resources),
+        Box::new(Lag),
+    ]
+}
+
+/// What all of them find, in the order of time.
+#[must_use]
+pub fn run(scenario: &Scenario, history: &History) -> Vec<Find> {
+    let mut finds: Vec<_> = all().iter().flat_map(|checker| checker.check(scenario, history)).collect();
+    finds.sort_by_key(|find| find.at);
+    finds
+}
+
+/// A request as its client saw it.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Asked {
+    pub id: u64,
+    pub class: Class,
+    pub node: usize,
+    pub at: Nanos,
+    pub patience: Nanos,
+    pub end: Option<(Nanos, End)>,
+}
+
+/// All requests, by id.
+pub(crate) fn requests(history: &History) -> Vec<Asked> {
+    let mut all = std::collections::BTreeMap::new();
+    for event in &history.events {
+        match event.what {
+            What::Asked { id, class, node, patience_ms } => {
+                let patience = patience_ms * crate::MS;
+                all.insert(id, Asked { id, class, node, at: event.at, patience, end: None });
+            }
+            What::Ended { id, end } => {
+                if let Some(asked) = all.get_mut(&id) {
+                    // A second end is no end of ours: the first counts, and `NoneLost` names the second.
+                    asked.end = asked.end.or(Some((event.at, end)));
+                }
+            }
+            _ => {}
+        }
+    }
+    all.into_values().collect()
+}
+
+/// Spans in which a node can't do as it should: its process is down, ending or stands still, or a fault concerns its links
+/// (those from clients alone, where only they matter: whoever can't reach servers has to answer all the same).
+pub(crate) fn excused(history: &History, node: usize, from_clients: bool) -> Vec<(Nanos, Nanos)> {
+    let mut spans = Vec::new();
+    let mut open: std::collections::BTreeMap<usize, Nanos> = std::collections::BTreeMap::new();
+    let mut down: Option<Nanos> = Some(0);
+    for event in &history.events {
+        match &event.what {
+            What::Node { node: of, state } if *of == node => match state {
+                State::Up | State::Resumed => spans.extend(down.take().map(|from| (from, event.at))),
+                State::Down | State::Stalled | State::Ending => drop(down.get_or_insert(event.at)),
+            },
+            What::Fault { number, begins, nodes, clients, .. }
+                if nodes.contains(&node) && (*clients || !from_clients) =>
+            {
+                if *begins {
+                    open.insert(*number, event.at);
+                } else {
+                    spans.extend(open.remove(number).map(|from| (from, event.at)));
+                }
+            }
+            _ => {}
+        }
+    }
+    spans.extend(down.into_iter().chain(open.into_values()).map(|from| (from, Nanos::MAX)));
+    spans
+}
+
+pub(crate) fn touches(spans: &[(Nanos, Nanos)], from: Nanos, to: Nanos) -> bool {
+    spans.iter().any(|(start, end)| *start <= to && from <= *end)
+}
+
+/// What discovery told: node, server, and from when to when it was listed as leaving.
+pub(crate) fn drains(history: &History) -> Vec<(usize, usize, Nanos, Nanos)> {
+    let mut open = std::collections::BTreeMap::new();
+    let mut all = Vec::new();
+    for event in &history.events {
+        if let What::Told { node, server, listed } = event.what {
+            match listed {
+                Listed::Leaving => drop(open.entry((node, server)).or_insert(event.at)),
+                Listed::Active => {
+                    all.extend(open.remove(&(node, server)).map(|from| (node, server, from, event.at)));
+                }
+            }
+        }
+    }
+    all.extend(open.into_iter().map(|((node, server), from)| (node, server, from, Nanos::MAX)));
+    all
+}
--- /dev/null
+++ b/crates/storm/tests/checkers.rs
@@ -0,0 +1,161 @@
+//! Each checker finds what is planted, and nothing in the same history without it.
+
+use pumicehead_storm::check;
+use pumicehead_storm::history::{Class, End, Event, History, Listed, State, What};
+use pumicehead_storm::scenario::Scenario;
+use pumicehead_storm::{MS, Nanos, SECOND};
+
+fn scenario() -> Scenario {
+    Scenario::parse(
+        "name = \"x\"\nfleet = { nodes = 2, servers = 2 }\nload = { rate = 10 }\ncalm_s = [2, 4]\n\
+         [[fault]]\nat_s = 0\nfor_s = 4\nkind = \"stall\"\nnodes = [1]",
+    )
+    .unwrap()
+}
+
+fn asked(at: Nanos, id: u64, class: Class, node: usize) -> Event {
+    Event { at, what: What::Asked { id, class, node, patience_ms: 1_200 } }
+}
+
+fn ended(at: Nanos, id: u64, status: u16) -> Event {
+    Event { at, what: What::Ended { id, end: End::Answered { status, own: true } } }
+}
+
+fn effect(at: Nanos, id: u64, server: usize, epoch: u32) -> Event {
+    Event { at, what: What::Effect { id, server, epoch, via: "1.1 n0".into() } }
+}
+
+/// Two nodes and two servers up, a request of each class served, node 1 stalled from 2 s to 6 s and failing its clients then,
+/// server 1 leaving from 3 s on and restarted cold at 5 s.
+fn good() -> Vec<Event> {
+    let mut all: Vec<_> = (0..2)
+        .flat_map(|n| {
+            let up = State::Up;
+            [What::Node { node: n, state: up }, What::Server { server: n, epoch: 0, state: up }]
+        })
+        .map(|what| Event { at: 0, what })
+        .collect();
+    all.extend([
+        asked(SECOND, 1, Class::Submit, 0),
+        effect(SECOND + MS, 1, 1, 0),
+        ended(SECOND + 20 * MS, 1, 200),
+    ]);
+    all.extend([
+        asked(SECOND, 2, Class::Read, 0),
+        effect(SECOND + MS, 2, 1, 0),
+        effect(SECOND + 2 * MS, 2, 0, 0),
+    ]);
+    all.push(ended(SECOND + 20 * MS, 2, 200));
+    let stall = |at, state, begins| {
+        let fault = What::Fault {
+            number: 0,
+            text: "nodes 1 stand still".into(),
+            begins,
+            nodes: vec![1],
+            clients: false,
+        };
+        [Event { at, what: What::Node { node: 1, state } }, Event { at, what: fault }]
+    };
+    all.extend(stall(2 * SECOND, State::Stalled, true));
+    all.push(asked(3 * SECOND, 3, Class::Submit, 1));
+    all.push(Event { at: 6 * SECOND, what: What::Ended { id: 3, end: End::Silent } });
+    all.extend(stall(6 * SECOND, State::Resumed, false));
+    all.push(Event { at: 3 * SECOND, what: What::Told { node: 0, server: 1, listed: Listed::Leaving } });
+    all.extend([
+        asked(4 * SECOND, 4, Class::Submit, 0),
+        effect(4 * SECOND + MS, 4, 1, 0),
+        ended(4 * SECOND + 9 * MS, 4, 200),
+    ]);
+    all.push(Event { at: 7 * SECOND, what: What::Server { server: 1, epoch: 1, state: State::Up } });
+    all.push(Event { at: 7 * SECOND, what: What::Told { node: 0, server: 1, listed: Listed::Active } });
+    for (at, most) in [(SECOND, 1), (9 * SECOND, 2)] {
+        all.push(Event { at, what: What::Held { node: 0, descriptors: 20 + most, memory_kib: 9_000 } });
+        all.push(Event { at, what: What::Lag { most_us: 900 } });
+    }
+    all
+}
+
+/// The checkers that find something once these are added.
+fn found(planted: Vec<Event>) -> Vec<String> {
+    let history = History::of(good().into_iter().chain(planted).collect());
+    let mut names: Vec<_> = check::run(&scenario(), &history).into_iter().map(|find| find.checker).collect();
+    names.dedup();
+    names
+}
+
+#[test]
+fn a_good_history_has_no_finds() {
+    assert_eq!(found(Vec::new()), Vec::<String>::new());
+}
+
+/// Guards each rule: its violation is found, by its own checker alone.
+#[test]
+fn planted_violations_are_found() {
+    let at = 8 * SECOND;
+    let none = vec!["none lost"];
+    // No end; an end that is too late; a connection that broke; an answer made for another; two ends.
+    assert_eq!(found(vec![asked(at, 9, Class::Read, 0)]), none);
+    assert_eq!(found(vec![asked(at, 9, Class::Read, 0), ended(at + 2 * SECOND, 9, 504)]), none);
+    let broken = Event { at: at + MS, what: What::Ended { id: 9, end: End::Broken } };
+    assert_eq!(found(vec![asked(at, 9, Class::Read, 0), broken]), none);
+    let other =
+        Event { at: at + MS, what: What::Ended { id: 9, end: End::Answered { status: 200, own: false } } };
+    assert_eq!(found(vec![asked(at, 9, Class::Read, 0), other]), none);
+    assert_eq!(found(vec![ended(at, 1, 200)]), none);
+    // An effect twice, at another server or after a restart; one of what was refused as harmless to repeat.
+    assert_eq!(found(vec![effect(2 * SECOND, 1, 0, 0)]), ["effects once"]);
+    let refused = vec![asked(at, 9, Class::Submit, 0), effect(at + MS, 9, 0, 0), ended(at + 2 * MS, 9, 503)];
+    assert_eq!(found(refused), ["effects once"]);
+    // A send to a server 3 s after the node was told that it leaves; at 2 s it may still be on its way.
+    let after = |late: Nanos| {
+        let when = 3 * SECOND + late;
+        vec![asked(when, 9, Class::Submit, 0), effect(when + MS, 9, 1, 0), ended(when + 9 * MS, 9, 200)]
+    };
+    assert_eq!(found(after(3 * SECOND)), ["drains"]);
+    assert_eq!(found(after(2 * SECOND)), Vec::<String>::new());
+    // A cold server, whose first share is a fifth of 400 a second: four times that over 1.5 s are 480.
+    let flood = |count: u64| {
+        let sent = (0..count).map(|n| effect(7 * SECOND + n * 2 * MS, 100 + n, 1, 1));
+        sent.chain(
+            (0..count)
+                .flat_map(|n| [asked(7 * SECOND, 100 + n, Class::Read, 0), ended(8 * SECOND, 100 + n, 200)]),
+        )
+        .collect::<Vec<_>>()
+    };
+    assert_eq!(found(flood(700)), ["cold servers"]);
+    assert_eq!(found(flood(400)), Vec::<String>::new());
+    let crashed = Event { at, what: What::Crashed { node: 0, text: "signal 11".into() } };
+    assert_eq!(found(vec![crashed]), ["crashes"]);
+    let held = Event { at: 10 * SECOND, what: What::Held { node: 0, descriptors: 300, memory_kib: 9_000 } };
+    assert_eq!(found(vec![held]), ["resources"]);
+    assert_eq!(found(vec![Event { at, what: What::Lag { most_us: 600_000 } }]), ["lag"]);
+}
+
+/// Guards excuses: what a stall excuses for the node that stands still it excuses for no other, nor long after.
+#[test]
+fn excuses_are_nobody_elses() {
+    let broken = |at: Nanos, node: usize| {
+        vec![
+            asked(at, 9, Class::Read, node),
+            Event { at: at + MS, what: What::Ended { id: 9, end: End::Silent } },
+        ]
+    };
+    assert_eq!(found(broken(4 * SECOND, 1)), Vec::<String>::new());
+    assert_eq!(found(broken(4 * SECOND, 0)), ["none lost"]);
+    assert_eq!(found(broken(9 * SECOND, 1)), ["none lost"]);
+}
+
+/// Guards the summary and the file: what is written is what is read, and service is counted by worth.
+#[test]
+fn histories_are_read_as_written() {
+    let history = History::of(good());
+    let mut bytes = Vec::new();
+    history.write(&mut bytes).unwrap();
+    assert_eq!(History::read(&bytes[..]).unwrap(), history);
+    let error = History::read(&b"{\"at\":1}\n"[..]).unwrap_err().to_string();
+    assert!(error.starts_with("line 1: "), "{error}");
+    let summary = check::Service::of(&scenario(), &history);
+    assert_eq!((summary.asked, summary.refused, summary.unanswered), (4, 0, 1));
+    // Of 11 worth in the calm all, of 20 while node 1 stood still half.
+    assert_eq!((summary.served[0], summary.served[1]), (1.0, 0.5));
+}
--- /dev/null
+++ b/crates/storm/tests/storms.rs
@@ -0,0 +1,105 @@
+//! Storms over processes of the shipped program, and what they leave. Claims are about rules and recovery, never about times.
+
+use std::fs;
+use std::path::Path;
+use std::process::{Command, Stdio};
+
+use pumicehead_rig::program::{temporary, wait_for};
+
+/// A run that was void since this machine was too busy for the storm itself says nothing, and is played again.
+const PLAYS: usize = 5;
+
+fn storm() -> Command {
+    Command::new(env!("CARGO_BIN_EXE_pumicehead-storm"))
+}
+
+/// Plays a standing scenario until the storm itself is in time: all rules are kept, and service comes back.
+fn weathers(name: &str) -> serde_json::Value {
+    for _ in 0..PLAYS {
+        let done = storm().args(["run", name, "--json"]).output().unwrap();
+        let text = String::from_utf8(done.stdout).unwrap();
+        assert!(!text.is_empty(), "{name}: {}", String::from_utf8_lossy(&done.stderr));
+        let outcome: serde_json::Value = serde_json::from_str(&text).unwrap();
+        let finds = outcome["finds"].as_array().unwrap();
+        if finds.iter().any(|find| find["checker"] == "lag") {
+            continue;
+        }
+        assert!(finds.is_empty() && done.status.success(), "{name}: {finds:#?}");
+        assert!(outcome["asked"].as_u64().unwrap() > 500, "{name}: {outcome}");
+        assert!(!outcome["recovered_s"].is_null(), "{name} does not recover: {outcome}");
+        return outcome;
+    }
+    panic!("{name}: this machine is too busy for a storm");
+}
+
+/// Guards the four rules, and that nobody whom a server with room could answer is refused, where a node stands still.
+#[test]
+fn a_node_that_stands_still_is_nobody_elses_fault() {
+    let outcome = weathers("stall-one");
+    assert_eq!(outcome["refused"], 0, "{outcome}");
+}
+
+#[test]
+fn a_node_crashes_under_load() {
+    weathers("crash-under-load");
+}
+
+#[test]
+fn all_nodes_restart_at_once() {
+    weathers("restart-all");
+}
+
+#[test]
+fn answers_of_some_links_do_not_come_back() {
+    weathers("asymmetric-cut");
+}
+
+#[test]
+fn links_stall_and_forget() {
+    weathers("stalled-link");
+}
+
+/// Processes whose command line names a folder, but for the storm itself.
+fn left(folder: &Path) -> usize {
+    let name = folder.display().to_string();
+    let lines =
+        fs::read_dir("/proc").unwrap().filter_map(|entry| fs::read(entry.ok()?.path().join("cmdline")).ok());
+    lines.filter(|line| String::from_utf8_lossy(line).contains(&format!("{name}/"))).count()
+}
+
+/// Guards against leaving anything behind, also where the storm itself is killed outright.
+#[test]
+fn a_storm_that_is_killed_leaves_nothing() {
+    let folder = temporary(".storm");
+    let mut child = storm()
+        .args(["run", "crash-under-load", "--keep"])
+        .arg(&folder)
+        .stdout(Stdio::null())
+        .spawn()
+        .unwrap();
+    wait_for("nodes", || left(&folder) >= 3);
+    child.kill().unwrap();
+    child.wait().unwrap();
+    wait_for("nobody", || left(&folder) == 0);
+    let _ = fs::remove_dir_all(&folder);
+}
+
+/// Guards bad input: one clear line, nothing started.
+#[test]
+fn what_cannot_be_played_is_told() {
+    let file = temporary(".toml");
+    fs::write(
+        &file,
+        "name = \"x\"\nfleet = { nodes = 99, servers = 1 }\nload = { rate = 1 }\ncalm_s = [1, 1]\n",
+    )
+    .unwrap();
+    for (argument, says) in
+        [(file.to_str().unwrap(), "fleet.nodes"), ("no-such", "no standing scenario and no file")]
+    {
+        let done = storm().args(["run", argument]).output().unwrap();
+        let said = String::from_utf8(done.stderr).unwrap();
+        assert!(done.status.code() == Some(2) && said.lines().count() == 1 && said.contains(says), "{said}");
+    }
+    let _ = fs::remove_file(file);
+    assert_eq!(storm().arg("list").output().unwrap().status.code(), Some(0));
+}
