--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -2,11 +2,13 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::Duration;
 
 use clap::{Parser, Subcommand};
-use pumicehead_rig::measure::{ALL, Plan};
+use pumicehead_rig::measure::{ALL, Plan, storm};
+use pumicehead_rig::report::Report;
 use pumicehead_rig::standin::{StandIn, Work};
 
 /// Measurements and stand-ins, all on loopback.
@@ -38,6 +40,14 @@
     Fastcgi(Options),
     /// Many nodes and servers in virtual time.
     Fleet(Options),
+    /// Fleets of processes under crashes, stalls and bad links.
+    Storm {
+        #[command(flatten)]
+        options: Options,
+        /// Another build of the node, played in turn with this one.
+        #[arg(long)]
+        beside: Option<PathBuf>,
+    },
 }
 
 #[derive(clap::Args)]
@@ -61,6 +71,9 @@
         Command::Eyes(options) => measure("eyes", &options),
         Command::Fastcgi(options) => measure("fastcgi", &options),
         Command::Fleet(options) => measure("fleet", &options),
+        Command::Storm { options, beside } => {
+            storm::measure(options.plan(), beside.as_deref()).map(|report| show(&report, &options))
+        }
     };
     done.unwrap_or_else(|error| {
         eprintln!("pumicehead-rig: {error}");
@@ -69,15 +82,23 @@
 }
 
 fn measure(name: &str, options: &Options) -> io::Result<ExitCode> {
-    let plan = Plan { seed: options.seed, long: options.long };
     let measurement = ALL.iter().find(|(known, _)| *known == name).ok_or(io::ErrorKind::NotFound)?;
-    let report = measurement.1(plan)?;
+    Ok(show(&measurement.1(options.plan())?, options))
+}
+
+fn show(report: &Report, options: &Options) -> ExitCode {
     if options.json {
         println!("{}", report.json());
     } else {
         print!("{}", report.text());
     }
-    Ok(if report.is_ok() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+    if report.is_ok() { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+}
+
+impl Options {
+    fn plan(&self) -> Plan {
+        Plan { seed: self.seed, long: self.long }
+    }
 }
 
 fn stand_in(addresses: &[SocketAddr], takes_ms: u64) -> io::Result<ExitCode> {
--- a/crates/rig/src/measure/mod.rs
+++ b/crates/rig/src/measure/mod.rs
@@ -5,6 +5,7 @@
 pub mod eyes;
 pub mod fastcgi;
 pub mod fleet;
+pub mod storm;
 
 use std::io;
 
@@ -22,7 +23,7 @@
 /// A measurement by its name.
 pub type Measurement = fn(Plan) -> io::Result<Report>;
 
-/// All measurements.
+/// All measurements that take no more than a plan; `storm` takes another node as well.
 pub const ALL: [(&str, Measurement); 5] = [
     ("config", config::measure),
     ("cost", cost::measure),
--- a/crates/storm/src/lib.rs
+++ b/crates/storm/src/lib.rs
@@ -11,8 +11,10 @@
 pub mod keeper;
 pub mod link;
 pub mod relay;
+pub mod report;
 pub mod run;
 pub mod scenario;
+pub mod shrink;
 pub mod stand;
 pub mod standing;
 
--- a/crates/storm/src/main.rs
+++ b/crates/storm/src/main.rs
@@ -2,14 +2,18 @@
 
 use std::fs;
 use std::io::{self, Write};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
+use std::time::{Duration, Instant};
 
 use clap::{Parser, Subcommand};
+use indicatif::{ProgressBar, ProgressStyle};
 use pumicehead_storm::check::{self, Find, Service, Summary};
+use pumicehead_storm::history::History;
 use pumicehead_storm::run::{Tools, built, folder, play};
 use pumicehead_storm::scenario::Scenario;
-use pumicehead_storm::{SECOND, keeper, stand, standing};
+use pumicehead_storm::shrink::Shrink;
+use pumicehead_storm::{SECOND, keeper, report, stand, standing};
 use serde::Serialize;
 use tokio::runtime::Builder;
 use tokio::task::LocalSet;
@@ -52,6 +56,43 @@
         /// The folder.
         folder: PathBuf,
     },
+    /// Draws storms and plays them; keeps those that break something, and the one that loses most.
+    Hunt {
+        /// How long, in seconds.
+        #[arg(long, default_value_t = 600)]
+        seconds: u64,
+        /// Of the first storm; each next one has the next.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Nodes.
+        #[arg(long, default_value_t = 5)]
+        nodes: usize,
+        /// Servers.
+        #[arg(long, default_value_t = 4)]
+        servers: usize,
+        /// Where what is found is kept.
+        #[arg(long, default_value = "storms")]
+        keep: PathBuf,
+    },
+    /// Drops and weakens the faults of a scenario while it still breaks a rule, and prints what is left.
+    Shrink {
+        /// The scenario's file.
+        file: PathBuf,
+        /// Plays of each candidate: it fails where one of them does.
+        #[arg(long, default_value_t = 3)]
+        plays: u32,
+        /// No new candidate after so long, in seconds.
+        #[arg(long, default_value_t = 1_200)]
+        seconds: u64,
+    },
+    /// Writes a kept run as one page.
+    Report {
+        /// The folder.
+        folder: PathBuf,
+        /// The page.
+        #[arg(long, default_value = "storm.html")]
+        out: PathBuf,
+    },
     /// Part of a storm: a server.
     #[command(hide = true)]
     Server(stand::Server),
@@ -117,12 +158,25 @@
             Ok(ExitCode::SUCCESS)
         }
         Command::Check { folder } => {
-            let scenario = Scenario::parse(&fs::read_to_string(folder.join("scenario.toml"))?)?;
-            let file = io::BufReader::new(fs::File::open(folder.join("history.jsonl"))?);
-            let history = pumicehead_storm::history::History::read(file)?;
+            let (scenario, history) = kept(&folder)?;
             let finds = check::run(&scenario, &history);
             Ok(show(&scenario, &Service::of(&scenario, &history), &finds, false)?)
         }
+        Command::Hunt { seconds, seed, nodes, servers, keep } => {
+            Scenario::drawn(seed, nodes, servers).check()?;
+            hunt(Duration::from_secs(seconds), seed, (nodes, servers), &keep)
+        }
+        Command::Shrink { file, plays, seconds } => {
+            let name = file.display().to_string();
+            let scenario = find(&name, None)?;
+            shrink(scenario, plays.max(1), Duration::from_secs(seconds))
+        }
+        Command::Report { folder, out } => {
+            let (scenario, history) = kept(&folder)?;
+            fs::write(&out, report::page(&scenario, &history, &check::run(&scenario, &history))?)?;
+            println!("{}", out.display());
+            Ok(ExitCode::SUCCESS)
+        }
         Command::Server(server) => on_a_loop(stand::serve(server)),
         Command::Discover { nodes } => on_a_loop(stand::discover(nodes)),
         Command::Begin { program, arguments } => {
@@ -136,6 +190,116 @@
     }
 }
 
+fn kept(folder: &Path) -> Result<(Scenario, History), Failure> {
+    let named = |name: &str| {
+        let path = folder.join(name);
+        fs::read_to_string(&path).map_err(|error| format!("{}: {error}", path.display()))
+    };
+    let scenario = Scenario::parse(&named("scenario.toml")?)?;
+    let history = History::read(named("history.jsonl")?.as_bytes())?;
+    Ok((scenario, history))
+}
+
+/// Plays a scenario in a folder of its own, and tells what was found; a run that is void is played again.
+fn played(scenario: &Scenario, folder: &Path) -> Result<(Summary, Vec<Find>), Failure> {
+    let tools =
+        Tools { node: built("pumicehead")?, storm: std::env::current_exe()?, folder: folder.to_owned() };
+    for _ in 0..VOID_PLAYS {
+        let history = play(scenario, &tools)?;
+        let finds = check::run(scenario, &history);
+        if finds.iter().any(|find| find.checker == "lag") {
+            continue;
+        }
+        fs::write(folder.join("scenario.toml"), toml::to_string(scenario)?)?;
+        history.write(&mut io::BufWriter::new(fs::File::create(folder.join("history.jsonl"))?))?;
+        return Ok((Service::of(scenario, &history), finds));
+    }
+    Err("this machine is too busy for a storm".into())
+}
+
+/// Plays of a storm that is void before it is given up.
+const VOID_PLAYS: usize = 5;
+
+fn hunt(
+    span: Duration,
+    seed: u64,
+    (nodes, servers): (usize, usize),
+    keep: &Path,
+) -> Result<ExitCode, Failure> {
+    fs::create_dir_all(keep)?;
+    let start = Instant::now();
+    let bar = ProgressBar::new(span.as_secs())
+        .with_style(ProgressStyle::with_template("{bar:40} {pos}/{len} s  {msg}")?);
+    let (mut broken, mut count, mut worst) = (0, 0, None::<(f64, u64)>);
+    while start.elapsed() < span {
+        let number = seed + count;
+        let scenario = Scenario::drawn(number, nodes, servers);
+        let folder = keep.join(&scenario.name);
+        let (summary, finds) = played(&scenario, &folder)?;
+        count += 1;
+        let least = worst.is_none_or(|(served, _)| summary.served[1] < served);
+        if !finds.is_empty() {
+            broken += 1;
+            bar.suspend(|| {
+                println!(
+                    "seed {number}: {} finds, first {}: {}",
+                    finds.len(),
+                    finds[0].checker,
+                    finds[0].text
+                )
+            });
+        } else if least {
+            // What lost most until now is no longer kept.
+            if let Some((_, other)) = worst.replace((summary.served[1], number)) {
+                fs::remove_dir_all(keep.join(format!("drawn-{other}")))?;
+            }
+        } else {
+            fs::remove_dir_all(&folder)?;
+        }
+        bar.set_position(start.elapsed().as_secs());
+        bar.set_message(format!("{count} storms, {broken} broke something"));
+    }
+    bar.finish_and_clear();
+    println!("{count} storms, {broken} broke something; kept in {}", keep.display());
+    if let Some((served, seed)) = worst {
+        println!(
+            "least of those that kept the rules: seed {seed}, {:.1}% of the worth served while faults lasted",
+            served * 100.0
+        );
+    }
+    Ok(if broken == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
+
+fn shrink(scenario: Scenario, plays: u32, span: Duration) -> Result<ExitCode, Failure> {
+    let work = folder("shrink")?;
+    let start = Instant::now();
+    let fails = |one: &Scenario| -> Result<bool, Failure> {
+        for _ in 0..plays {
+            if !played(one, &work)?.1.is_empty() {
+                return Ok(true);
+            }
+        }
+        Ok(false)
+    };
+    if !fails(&scenario)? {
+        fs::remove_dir_all(&work)?;
+        return Err(format!("no rule was broken in {plays} plays: there is nothing to shrink").into());
+    }
+    let mut shrink = Shrink::of(scenario);
+    let bar = ProgressBar::new_spinner();
+    while start.elapsed() < span
+        && let Some(next) = shrink.candidate()
+    {
+        shrink.tell(fails(&next)?);
+        bar.set_message(format!("{} tried, {} faults left", shrink.tried(), shrink.best().fault.len()));
+        bar.tick();
+    }
+    bar.finish_and_clear();
+    fs::remove_dir_all(&work)?;
+    print!("{}", toml::to_string(shrink.best())?);
+    Ok(ExitCode::SUCCESS)
+}
+
 fn find(name: &str, seed: Option<u64>) -> Result<Scenario, Failure> {
     if name == "drawn" {
         return Ok(Scenario::drawn(seed.unwrap_or(1), 5, 4));
