--- a/crates/storm/src/lib.rs
+++ b/crates/storm/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod keeper;
 pub mod link;
 pub mod relay;
+pub mod relay_udp;
 pub mod report;
 pub mod run;
 pub mod scenario;
--- a/crates/storm/src/report.rs
+++ b/crates/storm/src/report.rs
@@ -128,9 +128,14 @@
             .margin(8)
             .x_label_area_size(28)
             .y_label_area_size(260)
-            .build_cartesian_2d(0.0..span, rows.len() as f64..0.0)
+            .build_cartesian_2d(0.0..span, rows.len() as f64 - 0.5..-0.5)
             .map_err(no_plot)?;
-        let label = |y: &f64| rows.get(*y as usize).filter(|_| y.fract() == 0.0).cloned().unwrap_or_default();
+        let label = |y: &f64| {
+            rows.get(y.round() as usize)
+                .filter(|_| (y - y.round()).abs() < 0.01 && *y > -0.4)
+                .cloned()
+                .unwrap_or_default()
+        };
         chart
             .configure_mesh()
             .disable_y_mesh()
@@ -140,7 +145,7 @@
             .map_err(no_plot)?;
         for (row, from, to, colour) in spans(scenario, history) {
             let end = if to == Nanos::MAX { span } else { to as f64 / SECOND as f64 };
-            let corners = [(from as f64 / SECOND as f64, row as f64 + 0.15), (end, row as f64 + 0.85)];
+            let corners = [(from as f64 / SECOND as f64, row as f64 - 0.35), (end, row as f64 + 0.35)];
             chart.draw_series([Rectangle::new(corners, colour.filled())]).map_err(no_plot)?;
         }
         area.present().map_err(no_plot)?;
--- a/crates/storm/src/run/process.rs
+++ b/crates/storm/src/run/process.rs
@@ -138,6 +138,10 @@
 
     /// Waits for its end; one that does not end, or stands still, is killed.
     pub async fn ended(&mut self, limit: Duration) {
+        // Its number may be another's by now.
+        if self.over {
+            return;
+        }
         let _ = signal(self.child.id(), Signal::CONT);
         let end = async {
             while !matches!(self.child.try_wait(), Ok(Some(_)) | Err(_)) {
