Trace: what a recording holds in a file of its own; dump and recorder are no circle

dump used the recorder's Class and Story, and the recorder dump's heads. The two types are plain records; they stand in kept.rs now, and the recorder names them as before. No code changed; the package's tests pass.

--- a/crates/trace/src/dump.rs
+++ b/crates/trace/src/dump.rs
@@ -12,8 +12,8 @@
 use crate::account::Accounts;
 use crate::bytes::{Reader, put, put_bytes, put_some};
 use crate::event::PoolId;
+use crate::kept::{Class, Story};
 use crate::loss::Cause;
-use crate::recorder::{Class, Story};
 use crate::ring::{Record, records};
 use crate::text::Name;
 
--- a/crates/trace/src/export.rs
+++ b/crates/trace/src/export.rs
@@ -6,8 +6,8 @@
 
 use crate::dump::Dump;
 use crate::event::{Event, How};
+use crate::kept::Story;
 use crate::loss::said;
-use crate::recorder::Story;
 use crate::ring::{Record, records};
 use crate::text::plain;
 
--- /dev/null
+++ b/crates/trace/src/kept.rs
@@ -0,0 +1,41 @@
+//! What a recording is made of besides events: plain types that the recorder fills and files hold.
+
+use pumicehead_policy::interface::Nanos;
+
+use crate::event::PoolId;
+use crate::loss::Cause;
+use crate::text::Name;
+
+/// What a pool's classes are.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Class {
+    /// Its name.
+    pub name: String,
+    /// Answers within this earn all.
+    pub aim: Nanos,
+    /// Clients wait so long.
+    pub deadline: Nanos,
+    /// What a request is worth.
+    pub worth: f64,
+    /// The share of it that a late answer earns.
+    pub late_worth: f64,
+}
+
+/// A request's story as it is kept.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Story {
+    /// Its pool.
+    pub pool: PoolId,
+    /// Its class, by its place in the pool.
+    pub class: u16,
+    /// What its client calls it.
+    pub name: Name,
+    /// When it ended.
+    pub at: Nanos,
+    /// What its loss was put down to, if it had one.
+    pub cause: Option<Cause>,
+    /// Its events as a page, to be read by [`crate::ring::records`].
+    pub page: Box<[u8]>,
+    /// Some events did not fit.
+    pub cut: bool,
+}
--- a/crates/trace/src/lib.rs
+++ b/crates/trace/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod dump;
 pub mod event;
 pub mod export;
+pub mod kept;
 pub mod loss;
 pub mod metrics;
 pub mod moment;
--- a/crates/trace/src/recorder.rs
+++ b/crates/trace/src/recorder.rs
@@ -7,6 +7,7 @@
 use crate::account::{Accounts, FlowKey, LossKey, NOBODY, ServerKey};
 use crate::dump::{Head, PoolHead};
 use crate::event::{Event, How, PoolId, Short, Turned, place};
+pub use crate::kept::{Class, Story};
 use crate::loss::{Cause, Life, Verdict, micro};
 use crate::metrics::Meters;
 use crate::reservoir::Reservoir;
@@ -44,25 +45,6 @@
     Full,
 }
 
-/// A request's story as it is kept.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Story {
-    /// Its pool.
-    pub pool: PoolId,
-    /// Its class, by its place in the pool.
-    pub class: u16,
-    /// What its client calls it.
-    pub name: Name,
-    /// When it ended.
-    pub at: Nanos,
-    /// What its loss was put down to, if it had one.
-    pub cause: Option<Cause>,
-    /// Its events as a page, to be read by [`crate::ring::records`].
-    pub page: Box<[u8]>,
-    /// Some events did not fit.
-    pub cut: bool,
-}
-
 impl Story {
     fn size(&self) -> usize {
         STORY + self.page.len() + self.name.start.len()
@@ -81,21 +63,6 @@
     hurdles: Option<Hurdles>,
 }
 
-/// What a pool's classes are.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Class {
-    /// Its name.
-    pub name: String,
-    /// Answers within this earn all.
-    pub aim: Nanos,
-    /// Clients wait so long.
-    pub deadline: Nanos,
-    /// What a request is worth.
-    pub worth: f64,
-    /// The share of it that a late answer earns.
-    pub late_worth: f64,
-}
-
 /// How often a group of class and tenant has come lately.
 #[derive(Clone, Copy, Default)]
 struct Group {
--- a/crates/trace/src/story.rs
+++ b/crates/trace/src/story.rs
@@ -7,9 +7,9 @@
 
 use crate::dump::Head;
 use crate::event::{Event, How};
+use crate::kept::Story;
 use crate::loss::said;
 use crate::moment;
-use crate::recorder::Story;
 use crate::ring::records;
 
 fn hurdle(hurdle: Hurdle) -> &'static str {
