Storm: lying and slow servers, full disks, spoilt files, recordings read for what was found

- Servers that deny what they did, answer for others or send what is no HTTP; servers that take longer.
What a lying server had excuses an effect twice and a foreign answer, and nothing else (planted violations on both sides of the lie).
- No file of a node can grow (a limit on its process; the node sees an error, as from a full disk), nodes that are killed come back to files that are kept, gone, cut or changed, and are asked for recordings.
All recordings are read with the shipped program at the end: one that nobody harmed has to be whole, none may break the reader; what it says is kept as why.txt and stands in the report.
- `cost`: what a link of the storm's adds to a round trip.
- The event loop: turn after turn of over 0.25 s is load and no stall.

--- a/crates/node/src/net/core/mod.rs
+++ b/crates/node/src/net/core/mod.rs
@@ -3,6 +3,7 @@
 
 mod actions;
 mod requests;
+mod stall;
 
 use std::cell::Cell;
 use std::collections::{BTreeSet, VecDeque};
@@ -21,6 +22,7 @@
 use tokio::time::sleep_until;
 use tracing::{info, warn};
 
+use self::stall::Stalls;
 use crate::net::ask::Answer;
 use crate::net::clock::Clock;
 use crate::net::discovery::{List, WatchError};
@@ -44,9 +46,6 @@
 const SWEEP: Nanos = SECOND;
 /// Pause before an agent that pushes the list is asked again.
 const AGENT_PAUSE: Nanos = SECOND / 4;
-/// A loop that comes so late to what is due, or takes so long over a turn, has stood still: some periods (of 100 ms) of a
-/// system that shares out a processor, and much less than any deadline.
-const STALL: Nanos = SECOND / 4;
 /// A pool that is gone from the configuration serves the requests it has for so long; from then on nothing new is
 /// sent, well within the 2 s in which a drain must be kept.
 const GRACE: Nanos = SECOND;
@@ -110,6 +109,7 @@
     retired: bool,
     /// Taken over as servers become known, for as long as it is worth anything.
     learned: Option<Knowledge>,
+    stalls: Stalls,
 }
 
 impl Core {
@@ -138,6 +138,7 @@
             handles,
             retired: false,
             learned: setup.learned,
+            stalls: Stalls::default(),
         };
         core.timers.insert((core.now() + SWEEP, Due::Sweep));
         if let Some(list) = fixed {
@@ -187,13 +188,10 @@
 
     /// Tells the module where this loop got no further from one time to another, and should have.
     fn stood_still(&mut self, from: Nanos, to: Nanos) -> bool {
-        let span = to.saturating_sub(from);
-        let stood = span > STALL;
-        if stood {
-            warn!(target: "loop", "stood still for {:.1} s; nothing is learned from it", span as f64 / SECOND as f64);
-            self.balancer.resume(to, span);
-        }
-        stood
+        let Some(span) = self.stalls.seen(from, to) else { return false };
+        warn!(target: "loop", "stood still for {:.1} s; nothing is learned from it", span as f64 / SECOND as f64);
+        self.balancer.resume(to, span);
+        true
     }
 
     fn now(&self) -> Nanos {
--- a/crates/rig/src/measure/storm.rs
+++ b/crates/rig/src/measure/storm.rs
@@ -59,6 +59,18 @@
     last.ok_or_else(|| io::ErrorKind::Other.into())
 }
 
+/// What a link of the storm's adds to a round trip, in microseconds.
+fn relay() -> io::Result<f64> {
+    #[derive(Deserialize)]
+    struct Cost {
+        direct_us: f64,
+        through_us: f64,
+    }
+    let done = Command::new(built("pumicehead-storm")?).args(["cost", "--json"]).output()?;
+    let cost: Cost = serde_json::from_slice(&done.stdout)?;
+    Ok(cost.through_us - cost.direct_us)
+}
+
 /// Names of all standing scenarios.
 fn all() -> io::Result<Vec<String>> {
     let done = Command::new(built("pumicehead-storm")?).arg("list").output()?;
@@ -106,6 +118,7 @@
         });
         outcomes.extend(done);
     }
+    let relay = relay()?;
     let (mut broken, mut during, mut count, mut lag) = (0, 0.0, 0.0, 0);
     for ((name, node), outcome) in plays.iter().zip(outcomes) {
         let outcome = outcome?;
@@ -151,6 +164,7 @@
     report.figure("scenarios", count);
     report.figure("finds", broken);
     report.figure("served_during", format!("{:.4}", during / f64::max(count, 1.0)));
+    report.figure("relay_us", format!("{relay:.1}"));
     report.figure("lag_ms", format!("{:.1}", lag as f64 / 1e3));
     Ok(report)
 }
--- a/crates/storm/src/check/mod.rs
+++ b/crates/storm/src/check/mod.rs
@@ -5,7 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
-pub use rules::{ColdServers, Crashes, Drains, EffectsOnce, NoneLost};
+pub use rules::{ColdServers, Crashes, Drains, EffectsOnce, NoneLost, Recordings};
 pub use service::{Lag, Resources, Service, Summary};
 
 use crate::Nanos;
@@ -40,6 +40,7 @@
         Box::new(Drains),
         Box::new(ColdServers),
         Box::new(Crashes),
+        Box::new(Recordings),
         Box::new(Resources),
         Box::new(Lag),
     ]
@@ -53,6 +54,9 @@
     finds
 }
 
+/// A server has a request for so long at the most that its answer matters: some times what work takes here.
+const AT_A_SERVER: Nanos = 500 * crate::MS;
+
 /// A request as its client saw it.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Asked {
@@ -113,6 +117,29 @@
     spans
 }
 
+/// Requests that a server had while it said what is not so: nobody can be held to what came of them but for their end.
+pub(crate) fn lied_to(history: &History) -> std::collections::BTreeSet<u64> {
+    let mut lies: Vec<(usize, Nanos, Nanos)> = Vec::new();
+    for event in &history.events {
+        let What::Fault { begins, liars, .. } = &event.what else { continue };
+        for &server in liars {
+            if *begins {
+                // What it had before, it answers now; what it has at the end, a little later.
+                lies.push((server, event.at.saturating_sub(AT_A_SERVER), Nanos::MAX));
+            } else if let Some(lie) = lies.iter_mut().find(|(of, _, to)| *of == server && *to == Nanos::MAX) {
+                lie.2 = event.at + AT_A_SERVER;
+            }
+        }
+    }
+    let had = history.events.iter().filter_map(|event| match event.what {
+        What::Effect { id, server, .. } => Some((id, server, event.at)),
+        _ => None,
+    });
+    had.filter(|(_, server, at)| lies.iter().any(|(of, from, to)| of == server && from <= at && at <= to))
+        .map(|(id, ..)| id)
+        .collect()
+}
+
 pub(crate) fn touches(spans: &[(Nanos, Nanos)], from: Nanos, to: Nanos) -> bool {
     spans.iter().any(|(start, end)| *start <= to && from <= *end)
 }
--- a/crates/storm/src/faults.rs
+++ b/crates/storm/src/faults.rs
@@ -1,7 +1,9 @@
 //! A scenario's faults as steps in time, and what several of them at once make of a link: no I/O.
 
+use serde::{Deserialize, Serialize};
+
 use crate::link::{Conditions, Door};
-use crate::scenario::{Fault, Kind, Scenario, Side};
+use crate::scenario::{Fault, Files, Kind, Lie, Scenario, Side};
 use crate::{Nanos, SECOND};
 
 /// A slow process is stopped for a part of this.
@@ -37,6 +39,14 @@
     StartServer(usize),
     /// Discovery lists a server as leaving, or as active again.
     List(usize, bool),
+    /// What becomes of a node's files while it is down.
+    Harm(usize, Files),
+    /// No file of a node can grow from now on, or they can again.
+    Full(usize, bool),
+    /// A node is asked for a recording.
+    Record(usize),
+    /// What servers do as faults that have begun and are not over want them to.
+    Manners(usize),
     /// Links as faults that have begun and are not over want them; those of this one are reset where it says so.
     Links(usize),
 }
@@ -63,10 +73,23 @@
 
 fn steps_of(number: usize, fault: &Fault, from: Nanos, to: Nanos, all: &mut Vec<(Nanos, Step)>) {
     match &fault.kind {
-        Kind::Kill { nodes } => {
+        Kind::Kill { nodes, files } => {
             all.extend(nodes.iter().map(|&node| (from, Step::Node(node, Sign::Kill))));
+            if *files != Files::Kept {
+                all.extend(nodes.iter().map(|&node| (to, Step::Harm(node, *files))));
+            }
             all.extend(nodes.iter().map(|&node| (to, Step::Start(node))));
         }
+        Kind::Full { nodes } => {
+            for &node in nodes {
+                all.extend([(from, Step::Full(node, true)), (from, Step::Record(node))]);
+                all.extend([(to, Step::Full(node, false)), (to, Step::Record(node))]);
+            }
+        }
+        Kind::Record { nodes } => all.extend(nodes.iter().map(|&node| (from, Step::Record(node)))),
+        Kind::ServerSlow { .. } | Kind::ServerLie { .. } => {
+            all.extend([(from, Step::Manners(number)), (to, Step::Manners(number))]);
+        }
         Kind::Roll { nodes } => {
             let step = (to - from) / nodes.len().max(1) as Nanos;
             for (&node, place) in nodes.iter().zip(0..) {
@@ -128,6 +151,35 @@
     bursts.product()
 }
 
+/// What a server does beside its work.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Manner {
+    /// It takes so many times as long.
+    pub slow: f64,
+    /// It says what is not so.
+    pub lie: Option<Lie>,
+}
+
+impl Default for Manner {
+    fn default() -> Self {
+        Self { slow: 1.0, lie: None }
+    }
+}
+
+/// What faults that are going on make of a server: it is as slow as the product, and tells the lie of the last of them.
+#[must_use]
+pub fn manner(going_on: &[&Fault], server: usize) -> Manner {
+    let mut manner = Manner::default();
+    for fault in going_on {
+        match &fault.kind {
+            Kind::ServerSlow { servers, factor } if servers.contains(&server) => manner.slow *= factor,
+            Kind::ServerLie { servers, lie } if servers.contains(&server) => manner.lie = Some(*lie),
+            _ => {}
+        }
+    }
+    manner
+}
+
 /// An end of one connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub enum End {
@@ -222,6 +274,7 @@
                 let last = |wanted: &[Step]| all.iter().rposition(|(_, step)| wanted.contains(step));
                 let stop = last(&[Step::Node(node, Sign::Stop)]);
                 assert!(stop <= last(&[Step::Node(node, Sign::Continue)]), "seed {seed}");
+                assert!(last(&[Step::Full(node, true)]) <= last(&[Step::Full(node, false)]), "seed {seed}");
                 let end = last(&[Step::Node(node, Sign::Kill), Step::Node(node, Sign::End)]);
                 assert!(end <= last(&[Step::Start(node)]), "seed {seed}");
             }
@@ -230,6 +283,8 @@
                 assert!(last(Step::List(server, true)) <= last(Step::List(server, false)), "seed {seed}");
                 let kill = last(Step::Server(server, Sign::Kill));
                 assert!(kill <= last(Step::StartServer(server)), "seed {seed}");
+                let manners = all.iter().filter(|(_, step)| matches!(step, Step::Manners(_))).count();
+                assert!(manners.is_multiple_of(2), "seed {seed}");
             }
             let begun = all.iter().filter(|(_, step)| matches!(step, Step::Begin(_))).count();
             let over = all.iter().filter(|(_, step)| matches!(step, Step::Over(_))).count();
@@ -237,6 +292,17 @@
         }
     }
 
+    /// Guards what several faults make of a server, and that none is left of them.
+    #[test]
+    fn manners_add_up_and_end() {
+        let fault = |kind| Fault { at_s: 0.0, for_s: 1.0, kind };
+        let slow = fault(Kind::ServerSlow { servers: vec![0, 1], factor: 3.0 });
+        let lie = fault(Kind::ServerLie { servers: vec![1], lie: Lie::Swaps });
+        assert_eq!(manner(&[&slow, &slow, &lie], 1), Manner { slow: 9.0, lie: Some(Lie::Swaps) });
+        assert_eq!(manner(&[&slow, &lie], 0), Manner { slow: 3.0, lie: None });
+        assert_eq!(manner(&[], 1), Manner::default());
+    }
+
     /// Guards links under several faults: partitions need not be symmetric, and what one says the other does not undo.
     #[test]
     fn faults_of_links_add_up() {
--- a/crates/storm/src/history.rs
+++ b/crates/storm/src/history.rs
@@ -59,6 +59,16 @@
     Leaving,
 }
 
+/// How the reading of a file ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Unread {
+    /// The reader said what is wrong with it.
+    Refused,
+    /// The reader itself broke.
+    Broke,
+}
+
 /// What a process is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -151,6 +161,20 @@
         nodes: Vec<usize>,
         /// The links concerned are those from clients.
         clients: bool,
+        /// Servers that say what is not so while it lasts.
+        #[serde(default)]
+        liars: Vec<usize>,
+    },
+    /// A recording that a node wrote, read with the shipped program.
+    Recording {
+        /// The node.
+        node: usize,
+        /// Its name.
+        file: String,
+        /// The storm had changed bytes of it.
+        harmed: bool,
+        /// How the reading ended; `None`: well.
+        failed: Option<Unread>,
     },
     /// A node's process ended, and nobody had told it to.
     Crashed {
--- a/crates/storm/src/lib.rs
+++ b/crates/storm/src/lib.rs
@@ -6,6 +6,8 @@
 
 pub mod check;
 pub mod clock;
+pub mod cost;
+mod draw;
 pub mod faults;
 pub mod history;
 pub mod keeper;
--- a/crates/storm/src/main.rs
+++ b/crates/storm/src/main.rs
@@ -13,7 +13,7 @@
 use pumicehead_storm::run::{Tools, built, folder, play};
 use pumicehead_storm::scenario::Scenario;
 use pumicehead_storm::shrink::Shrink;
-use pumicehead_storm::{SECOND, keeper, report, stand, standing};
+use pumicehead_storm::{SECOND, cost, keeper, report, stand, standing};
 use serde::Serialize;
 use tokio::runtime::Builder;
 use tokio::task::LocalSet;
@@ -78,6 +78,9 @@
     Shrink {
         /// The scenario's file.
         file: PathBuf,
+        /// The node to play it with; as it is built beside this program, where none is named.
+        #[arg(long)]
+        node: Option<PathBuf>,
         /// Plays of each candidate: it fails where one of them does.
         #[arg(long, default_value_t = 3)]
         plays: u32,
@@ -93,6 +96,12 @@
         #[arg(long, default_value = "storm.html")]
         out: PathBuf,
     },
+    /// What a link of the storm's adds to a round trip.
+    Cost {
+        /// One JSON object in place of a line.
+        #[arg(long)]
+        json: bool,
+    },
     /// Part of a storm: a server.
     #[command(hide = true)]
     Server(stand::Server),
@@ -133,7 +142,8 @@
             let kept = keep.is_some();
             let folder = keep.map_or_else(|| folder("run"), Ok)?;
             let node = node.map_or_else(|| built("pumicehead"), Ok)?;
-            let tools = Tools { node, storm: std::env::current_exe()?, folder: folder.clone() };
+            let tools =
+                Tools { node, storm: std::env::current_exe()?, folder: folder.clone(), records: kept };
             let history = play(&scenario, &tools)?;
             if kept {
                 fs::write(folder.join("scenario.toml"), toml::to_string(&scenario)?)?;
@@ -166,17 +176,29 @@
             Scenario::drawn(seed, nodes, servers).check()?;
             hunt(Duration::from_secs(seconds), seed, (nodes, servers), &keep)
         }
-        Command::Shrink { file, plays, seconds } => {
+        Command::Shrink { file, node, plays, seconds } => {
             let name = file.display().to_string();
             let scenario = find(&name, None)?;
-            shrink(scenario, plays.max(1), Duration::from_secs(seconds))
+            let node = node.map_or_else(|| built("pumicehead"), Ok)?;
+            shrink(scenario, &node, plays.max(1), Duration::from_secs(seconds))
         }
         Command::Report { folder, out } => {
             let (scenario, history) = kept(&folder)?;
-            fs::write(&out, report::page(&scenario, &history, &check::run(&scenario, &history))?)?;
+            let why = fs::read_to_string(folder.join("why.txt")).unwrap_or_default();
+            fs::write(&out, report::page(&scenario, &history, &check::run(&scenario, &history), &why)?)?;
             println!("{}", out.display());
             Ok(ExitCode::SUCCESS)
         }
+        Command::Cost { json } => {
+            let cost = cost::measure()?;
+            if json {
+                println!("{}", serde_json::to_string(&cost)?);
+            } else {
+                let (direct, through) = (cost.direct_us, cost.through_us);
+                println!("a round trip takes {direct:.1} us, {through:.1} us through a link");
+            }
+            Ok(ExitCode::SUCCESS)
+        }
         Command::Server(server) => on_a_loop(stand::serve(server)),
         Command::Discover { nodes } => on_a_loop(stand::discover(nodes)),
         Command::Begin { program, arguments } => {
@@ -201,9 +223,14 @@
 }
 
 /// Plays a scenario in a folder of its own, and tells what was found; a run that is void is played again.
-fn played(scenario: &Scenario, folder: &Path) -> Result<(Summary, Vec<Find>), Failure> {
-    let tools =
-        Tools { node: built("pumicehead")?, storm: std::env::current_exe()?, folder: folder.to_owned() };
+fn played(
+    scenario: &Scenario,
+    node: &Path,
+    folder: &Path,
+    records: bool,
+) -> Result<(Summary, Vec<Find>), Failure> {
+    let (node, storm) = (node.to_owned(), std::env::current_exe()?);
+    let tools = Tools { node, storm, folder: folder.to_owned(), records };
     for _ in 0..VOID_PLAYS {
         let history = play(scenario, &tools)?;
         let finds = check::run(scenario, &history);
@@ -226,6 +253,7 @@
     (nodes, servers): (usize, usize),
     keep: &Path,
 ) -> Result<ExitCode, Failure> {
+    let node = built("pumicehead")?;
     fs::create_dir_all(keep)?;
     let start = Instant::now();
     let bar = ProgressBar::new(span.as_secs())
@@ -235,7 +263,7 @@
         let number = seed + count;
         let scenario = Scenario::drawn(number, nodes, servers);
         let folder = keep.join(&scenario.name);
-        let (summary, finds) = played(&scenario, &folder)?;
+        let (summary, finds) = played(&scenario, &node, &folder, true)?;
         count += 1;
         let least = worst.is_none_or(|(served, _)| summary.served[1] < served);
         if !finds.is_empty() {
@@ -270,12 +298,12 @@
     Ok(if broken == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE })
 }
 
-fn shrink(scenario: Scenario, plays: u32, span: Duration) -> Result<ExitCode, Failure> {
+fn shrink(scenario: Scenario, node: &Path, plays: u32, span: Duration) -> Result<ExitCode, Failure> {
     let work = folder("shrink")?;
     let start = Instant::now();
     let fails = |one: &Scenario| -> Result<bool, Failure> {
         for _ in 0..plays {
-            if !played(one, &work)?.1.is_empty() {
+            if !played(one, node, &work, false)?.1.is_empty() {
                 return Ok(true);
             }
         }
--- a/crates/storm/src/report.rs
+++ b/crates/storm/src/report.rs
@@ -20,11 +20,11 @@
     NoPlot(error.to_string())
 }
 
-/// Writes the page.
+/// Writes the page; `why` is what the nodes' recordings say.
 ///
 /// # Errors
 /// A plot that can't be drawn.
-pub fn page(scenario: &Scenario, history: &History, finds: &[Find]) -> Result<String, NoPlot> {
+pub fn page(scenario: &Scenario, history: &History, finds: &[Find], why: &str) -> Result<String, NoPlot> {
     let summary = Service::of(scenario, history);
     let span = history.events.last().map_or(1.0, |event| event.at as f64 / SECOND as f64).max(1.0);
     let mut out = String::from(
@@ -61,6 +61,9 @@
         out += &format!("<tr><td>{at:.3} s<td>{}<td>{}", escaped(&find.checker), escaped(&find.text));
     }
     out += if finds.is_empty() { "</table><p>nothing</p>" } else { "</table>" };
+    if !why.is_empty() {
+        out += &format!("<h2>Why, by the nodes' recordings</h2><pre>{}</pre>", escaped(why));
+    }
     Ok(out)
 }
 
--- a/crates/storm/src/run.rs
+++ b/crates/storm/src/run.rs
@@ -1,6 +1,7 @@
 //! Plays a scenario: starts the fleet, draws its load, does to it what the faults say, and gathers the history.
 
 mod clients;
+mod files;
 mod process;
 
 use std::cell::{Cell, RefCell};
@@ -16,7 +17,7 @@
 use rustix::process::Signal;
 use tokio::runtime::Builder;
 use tokio::task::{LocalSet, spawn_local};
-use tokio::time::{Instant, sleep, sleep_until};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 use crate::faults::{self, End, Sign, Step, steps};
 use crate::history::{Event, History, Listed, State, What};
@@ -35,6 +36,8 @@
 const LIMIT: Duration = Duration::from_secs(30);
 /// After the last request is due all have their ends within this: the client's own margin, and some.
 const REST: Duration = Duration::from_millis(500);
+/// Until a recording that was asked for is there.
+const WRITTEN: Duration = Duration::from_secs(5);
 /// A list that never changes again would not tell a node that has just come to listen from one that does not.
 const SETTLE: Duration = Duration::from_millis(300);
 
@@ -47,6 +50,8 @@
     pub storm: PathBuf,
     /// Where files of nodes, their logs and recordings go.
     pub folder: PathBuf,
+    /// All nodes that live at the end write recordings before they are ended.
+    pub records: bool,
 }
 
 /// Events as they come, with times from the start.
@@ -99,6 +104,9 @@
     links: BTreeMap<(End, End), (SocketAddr, Tell)>,
     /// Faults of links that are going on.
     linked: Vec<usize>,
+    /// Faults of what servers do that are going on.
+    manners: Vec<usize>,
+    files: files::Files,
 }
 
 async fn storm(scenario: &Scenario, tools: &Tools) -> io::Result<History> {
@@ -143,7 +151,12 @@
     while clients.join_next().await.is_some() {}
     sleep(REST).await;
     fleet.look(&late);
+    if tools.records {
+        fleet.record().await?;
+    }
     fleet.end().await;
+    let read = fleet.files.read(scenario.fleet.nodes, &tools.node)?;
+    read.into_iter().for_each(|what| fleet.notes.note(what));
     // What processes wrote last may still be on its way through their pipes.
     sleep(REST).await;
     pulse.abort();
@@ -175,7 +188,10 @@
             exits: BTreeMap::new(),
             links: BTreeMap::new(),
             linked: Vec::new(),
+            manners: Vec::new(),
+            files: files::Files::new(&tools.folder, scenario.seed),
         };
+        fleet.files.clear(nodes)?;
         let mut pairs = Vec::new();
         let nowhere: SocketAddr = ([127, 0, 0, 1], 9).into();
         for (node, discovery) in (0..nodes).zip(at_discovery) {
@@ -222,12 +238,13 @@
         let listens = process.hello(LIMIT).await?;
         let address = *listens.first().ok_or(io::ErrorKind::UnexpectedEof)?;
         process.lines(self.notes.clone());
+        self.servers[server] = Some(process);
+        self.mind(server)?;
         for ((_, to), exit) in &self.exits {
             if *to == End::Server(server) {
                 *exit.borrow_mut() = address;
             }
         }
-        self.servers[server] = Some(process);
         self.notes.note(What::Server { server, epoch, state: State::Up });
         self.list(server, Listed::Active)
     }
@@ -243,6 +260,7 @@
 
     async fn start_node(&mut self, node: usize) -> io::Result<()> {
         let file = self.tools.folder.join(format!("n{node}.conf"));
+        std::fs::create_dir_all(self.files.of(node))?;
         std::fs::write(&file, self.text(node))?;
         let (process, address) = Process::node(self.tools, node, &file, &mut self.keeper, LIMIT).await?;
         if let Some(exit) = self.exits.get(&(End::Clients, End::Node(node))) {
@@ -258,7 +276,8 @@
         let discovery = self.links[&(End::Node(node), End::Discovery)].0;
         let patience = self.scenario.load.patience_ms;
         let (cold_s, cold_from) = self.scenario.fleet.cold;
-        let folder = self.tools.folder.display();
+        let folder = self.files.of(node);
+        let folder = folder.display();
         format!(
             "node {{\n    name n{node}\n    zones a\n    zone a\n    nodes {}\n    number {node}\n}}\n\
              listener public {{\n    address 127.0.0.1:0\n}}\n\
@@ -292,7 +311,11 @@
                     process.ended(LIMIT).await;
                     self.notes.note(What::Node { node, state: State::Down });
                 }
-                self.start_node(node).await?;
+                // One that does not come up again is what a storm is there to find.
+                if let Err(error) = self.start_node(node).await {
+                    self.nodes[node] = None;
+                    self.notes.note(What::Crashed { node, text: error.to_string() });
+                }
             }
             Step::Server(server, sign) => {
                 if let Some(state) = sign_to(&mut self.servers[server], sign) {
@@ -310,22 +333,48 @@
                 self.list(server, if leaving { Listed::Leaving } else { Listed::Active })?;
             }
             Step::Links(number) => self.relink(number),
+            Step::Manners(number) => {
+                toggle(&mut self.manners, number);
+                for server in 0..self.scenario.fleet.servers {
+                    self.mind(server)?;
+                }
+            }
+            Step::Harm(node, how) => self.files.harm(node, how)?,
+            Step::Full(node, full) => {
+                // One that is down has nothing to write.
+                if let Some(process) = self.nodes[node].as_ref().filter(|process| !process.is_told()) {
+                    process.full(full)?;
+                }
+            }
+            Step::Record(node) => {
+                if let Some(process) = self.nodes[node].as_mut().filter(|process| !process.is_told()) {
+                    process.send(Signal::USR1)?;
+                }
+            }
         }
         Ok(())
     }
 
     fn say(&self, number: usize, begins: bool) {
         let fault = &self.scenario.fault[number];
-        let (text, nodes) = (fault.words(), fault.kind.nodes().to_vec());
-        self.notes.note(What::Fault { number, text, begins, nodes, clients: fault.kind.is_of_clients() });
+        let (text, nodes, liars) = (fault.words(), fault.kind.nodes().to_vec(), fault.kind.liars().to_vec());
+        let clients = fault.kind.is_of_clients();
+        self.notes.note(What::Fault { number, text, begins, nodes, clients, liars });
+    }
+
+    /// Tells a server what it is to do beside its work.
+    fn mind(&mut self, server: usize) -> io::Result<()> {
+        let going_on: Vec<_> = self.manners.iter().map(|number| &self.scenario.fault[*number]).collect();
+        let manner = faults::manner(&going_on, server);
+        match self.servers[server].as_mut().filter(|process| !process.is_told()) {
+            Some(process) => process.write(&serde_json::to_string(&manner)?),
+            None => Ok(()),
+        }
     }
 
     /// A fault of links begins, or ends where it has begun: sets all links as those that are going on want them.
     fn relink(&mut self, number: usize) {
-        let before = self.linked.len();
-        self.linked.retain(|other| *other != number);
-        let begins = self.linked.len() == before;
-        self.linked.extend(begins.then_some(number));
+        let begins = toggle(&mut self.linked, number);
         let faults: Vec<_> = self.linked.iter().map(|number| &self.scenario.fault[*number]).collect();
         let forgets = matches!(self.scenario.fault[number].kind, Kind::Link { forgets: true, .. }) && !begins;
         let own = [&self.scenario.fault[number]];
@@ -355,6 +404,24 @@
         }
     }
 
+    /// Has all nodes that live write recordings.
+    async fn record(&mut self) -> io::Result<()> {
+        let before = self.files.recordings(self.nodes.len())?;
+        let mut asked = 0;
+        for process in self.nodes.iter_mut().flatten().filter(|process| !process.is_told()) {
+            process.send(Signal::USR1)?;
+            asked += 1;
+        }
+        let written = async {
+            while self.files.recordings(self.nodes.len())?.difference(&before).count() < asked {
+                sleep(LOOK).await;
+            }
+            io::Result::Ok(())
+        };
+        // A node that writes none says why in its log.
+        timeout(WRITTEN, written).await.unwrap_or(Ok(()))
+    }
+
     /// Ends all in order; what does not end is killed as it is dropped.
     async fn end(&mut self) {
         for (node, process) in self.nodes.iter_mut().enumerate() {
@@ -368,6 +435,15 @@
     }
 }
 
+/// Adds a number to those that go on, or takes it out where it does; whether it goes on now.
+fn toggle(going_on: &mut Vec<usize>, number: usize) -> bool {
+    let before = going_on.len();
+    going_on.retain(|other| *other != number);
+    let begins = going_on.len() == before;
+    going_on.extend(begins.then_some(number));
+    begins
+}
+
 /// Sends a signal to a process that can take it, and tells what it is then.
 fn sign_to(process: &mut Option<Process>, sign: Sign) -> Option<State> {
     let process = process.as_mut().filter(|process| !process.is_told())?;
--- a/crates/storm/src/run/process.rs
+++ b/crates/storm/src/run/process.rs
@@ -9,7 +9,7 @@
 use std::process::{Child, ChildStdin, Command, Stdio};
 use std::time::Duration;
 
-use rustix::process::Signal;
+use rustix::process::{Pid, Resource, Rlimit, Signal, getrlimit, prlimit};
 use tokio::sync::mpsc;
 use tokio::time::{sleep, timeout};
 
@@ -72,7 +72,10 @@
         keeper: &mut Keeper,
         limit: Duration,
     ) -> io::Result<(Self, SocketAddr)> {
-        let (mut child, to) = Self::start(tools, Command::new(&tools.node).arg("run").arg(file), keeper)?;
+        // The shell steps aside: a file that can't grow is to be an error to the node, as a full disk is, and no signal.
+        let mut command = Command::new("/bin/sh");
+        command.args(["-c", "trap '' XFSZ; exec \"$0\" run \"$1\""]).arg(&tools.node).arg(file);
+        let (mut child, to) = Self::start(tools, &mut command, keeper)?;
         let log = fs::File::options()
             .create(true)
             .append(true)
@@ -136,6 +139,18 @@
         Ok(())
     }
 
+    /// Lets none of its files grow, or all again.
+    pub fn full(&self, full: bool) -> io::Result<()> {
+        if self.over {
+            return Err(io::ErrorKind::NotFound.into());
+        }
+        let pid = Pid::from_raw(i32::try_from(self.child.id()).map_err(io::Error::other)?);
+        let most = getrlimit(Resource::Fsize).maximum;
+        let limit = Rlimit { current: if full { Some(0) } else { most }, maximum: most };
+        prlimit(pid, Resource::Fsize, limit)?;
+        Ok(())
+    }
+
     /// Waits for its end; one that does not end, or stands still, is killed.
     pub async fn ended(&mut self, limit: Duration) {
         // Its number may be another's by now.
--- a/crates/storm/src/shrink.rs
+++ b/crates/storm/src/shrink.rs
@@ -81,14 +81,18 @@
     }
     let mut kind = fault.kind.clone();
     let halved = match &mut kind {
-        Kind::Kill { nodes }
+        Kind::Kill { nodes, .. }
+        | Kind::Full { nodes }
+        | Kind::Record { nodes }
         | Kind::Roll { nodes }
         | Kind::Loop { nodes, .. }
         | Kind::Stall { nodes }
         | Kind::Slow { nodes, .. } => halve(nodes),
-        Kind::ServerStall { servers } | Kind::ServerKill { servers } | Kind::Drain { servers } => {
-            halve(servers)
-        }
+        Kind::ServerStall { servers }
+        | Kind::ServerKill { servers }
+        | Kind::ServerSlow { servers, .. }
+        | Kind::ServerLie { servers, .. }
+        | Kind::Drain { servers } => halve(servers),
         Kind::Link { there, back, .. } => {
             let before = (there.clone(), back.clone());
             for way in [&mut *there, &mut *back] {
--- a/crates/storm/src/stand.rs
+++ b/crates/storm/src/stand.rs
@@ -3,7 +3,6 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
-use std::convert::Infallible;
 use std::io::{self, BufRead, Write};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -25,7 +24,9 @@
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
 
+use crate::faults::Manner;
 use crate::history::{Event, Listed, What};
+use crate::scenario::Lie;
 use crate::{Nanos, clock};
 
 /// The field that names a request.
@@ -82,6 +83,15 @@
     waiting: Cell<usize>,
     free: Notify,
     rng: RefCell<StdRng>,
+    manner: RefCell<Manner>,
+}
+
+/// What a server has for a request.
+enum Reply {
+    /// An answer.
+    Answer(Response<Full<Bytes>>),
+    /// The connection ends in place of one: what comes on the next is no answer either.
+    Nothing,
 }
 
 impl Works {
@@ -93,14 +103,11 @@
         ((places as f64 * share).round() as usize).max(1)
     }
 
-    async fn work(self: Rc<Self>, id: u64, via: String) -> Response<Full<Bytes>> {
+    async fn work(self: Rc<Self>, id: u64, via: String) -> Reply {
         let of = self.server.number;
         if self.out.get() >= self.places() && self.waiting.get() >= WAITING * self.places() {
             tell(What::TurnedAway { server: of });
-            let mut away = Response::new(Full::default());
-            *away.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
-            away.headers_mut().insert("x-unprocessed", hyper::header::HeaderValue::from_static("1"));
-            return away;
+            return Reply::Answer(unprocessed());
         }
         // It has been taken: whatever becomes of the connection, this may take effect.
         tell(What::Effect { id, server: of, epoch: self.server.epoch, via });
@@ -113,11 +120,80 @@
         self.out.set(self.out.get() + 1);
         let mean = self.server.takes_ms / 2.0;
         let more = -mean * (1.0 - self.rng.borrow_mut().random::<f64>()).ln();
-        sleep(Duration::from_secs_f64((mean + more) / 1e3)).await;
+        let slow = self.manner.borrow().slow;
+        sleep(Duration::from_secs_f64((mean + more) * slow / 1e3)).await;
         self.out.set(self.out.get() - 1);
         self.free.notify_one();
-        Response::new(Full::new(Bytes::from(format!("{id:x}\n"))))
+        let lie = self.manner.borrow().lie;
+        match lie {
+            None => Reply::Answer(answer(id)),
+            Some(Lie::Swaps) => Reply::Answer(answer(id ^ 1)),
+            Some(Lie::Denies) => Reply::Answer(unprocessed()),
+            Some(Lie::Garbles) => Reply::Nothing,
+        }
+    }
+}
+
+fn answer(id: u64) -> Response<Full<Bytes>> {
+    Response::new(Full::new(Bytes::from(format!("{id:x}\n"))))
+}
+
+/// Nothing was done of it, it says.
+fn unprocessed() -> Response<Full<Bytes>> {
+    let mut away = Response::new(Full::default());
+    *away.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    away.headers_mut().insert("x-unprocessed", hyper::header::HeaderValue::from_static("1"));
+    away
+}
+
+/// Longest head of a request that is read by hand.
+const LONGEST_HEAD: usize = 16 << 10;
+
+/// Bytes up to the end of a head; `None` where none comes.
+async fn head(stream: &mut TcpStream) -> Option<String> {
+    let mut head = Vec::new();
+    while !head.windows(4).any(|end| end == b"\r\n\r\n") {
+        let mut bytes = [0; 1024];
+        let count =
+            stream.read(&mut bytes).await.ok().filter(|count| *count > 0 && head.len() < LONGEST_HEAD)?;
+        head.extend_from_slice(&bytes[..count]);
     }
+    Some(String::from_utf8_lossy(&head).into_owned())
+}
+
+/// A connection of a server that garbles: the request takes effect, and what comes back is no answer, or half of one.
+async fn garble(mut stream: TcpStream, works: Rc<Works>) -> Option<()> {
+    let head = head(&mut stream).await?;
+    let field = |name: &str| {
+        let lines = head.lines().filter_map(|line| line.split_once(':'));
+        lines
+            .filter(|(field, _)| field.eq_ignore_ascii_case(name))
+            .map(|(_, value)| value.trim().to_owned())
+            .next()
+    };
+    let id = u64::from_str_radix(&field(ID)?, 16).ok()?;
+    let (server, epoch) = (works.server.number, works.server.epoch);
+    tell(What::Effect { id, server, epoch, via: field("via").unwrap_or_default() });
+    let said: &[u8] = match id % 3 {
+        0 => b"\x16\x03\x01 what is this\r\n\r\n",
+        1 => b"HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\nhalf",
+        _ => b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Length: 7\r\n\r\nabcdefg",
+    };
+    stream.write_all(said).await.ok()
+}
+
+/// Lines that come to this process, each of a type.
+fn lines<T: serde::de::DeserializeOwned + Send + 'static>() -> tokio::sync::mpsc::UnboundedReceiver<T> {
+    let (lines, came) = tokio::sync::mpsc::unbounded_channel();
+    std::thread::spawn(move || {
+        for line in io::stdin().lock().lines().map_while(Result::ok) {
+            let Ok(one) = serde_json::from_str(&line) else { continue };
+            if lines.send(one).is_err() {
+                return;
+            }
+        }
+    });
+    came
 }
 
 /// Serves until the process is ended.
@@ -135,6 +211,13 @@
         waiting: Cell::new(0),
         free: Notify::new(),
         rng: RefCell::new(StdRng::seed_from_u64(seed)),
+        manner: RefCell::default(),
+    });
+    let (mut told, heeds) = (lines::<Manner>(), works.clone());
+    spawn_local(async move {
+        while let Some(manner) = told.recv().await {
+            *heeds.manner.borrow_mut() = manner;
+        }
     });
     loop {
         let Ok((stream, _)) = listener.accept().await else {
@@ -143,6 +226,10 @@
         };
         let _ = stream.set_nodelay(true);
         let works = works.clone();
+        if works.manner.borrow().lie == Some(Lie::Garbles) {
+            spawn_local(garble(stream, works));
+            continue;
+        }
         spawn_local(async move {
             let service = service_fn(move |request: Request<Incoming>| {
                 let works = works.clone();
@@ -159,11 +246,13 @@
                     let (Some(id), Ok(_)) = (id, body.collect().await) else {
                         let mut none = Response::new(Full::default());
                         *none.status_mut() = StatusCode::BAD_REQUEST;
-                        return Ok::<_, Infallible>(none);
+                        return Ok(none);
                     };
                     // A task of its own: a connection that breaks does not undo what has begun.
-                    let working = spawn_local(works.work(id, text("via")));
-                    Ok(working.await.unwrap_or_default())
+                    match spawn_local(works.work(id, text("via"))).await {
+                        Ok(Reply::Answer(answer)) => Ok(answer),
+                        Ok(Reply::Nothing) | Err(_) => Err(io::Error::from(io::ErrorKind::BrokenPipe)),
+                    }
                 }
             });
             let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
@@ -232,15 +321,7 @@
         });
     }
     hello(listens);
-    let (lines, mut came) = tokio::sync::mpsc::unbounded_channel();
-    std::thread::spawn(move || {
-        for line in io::stdin().lock().lines().map_while(Result::ok) {
-            let Ok(change) = serde_json::from_str::<Change>(&line) else { continue };
-            if lines.send(change).is_err() {
-                return;
-            }
-        }
-    });
+    let mut came = lines::<Change>();
     while let Some(change) = came.recv().await {
         let version = {
             let mut book = book.borrow_mut();
@@ -261,13 +342,7 @@
     book: Rc<RefCell<Book>>,
     mut changes: watch::Receiver<u64>,
 ) -> Option<()> {
-    let mut head = Vec::new();
-    while !head.windows(4).any(|end| end == b"\r\n\r\n") {
-        let mut bytes = [0; 1024];
-        let count = stream.read(&mut bytes).await.ok().filter(|count| *count > 0 && head.len() < 16 << 10)?;
-        head.extend_from_slice(&bytes[..count]);
-    }
-    let head = String::from_utf8_lossy(&head).into_owned();
+    let head = head(&mut stream).await?;
     let path = head.split(' ').nth(1)?;
     let after = path.split_once("after=").and_then(|(_, after)| after.parse().ok()).unwrap_or(0);
     if !path.contains("watch=1") {
--- a/crates/storm/tests/checkers.rs
+++ b/crates/storm/tests/checkers.rs
@@ -1,7 +1,7 @@
 //! Each checker finds what is planted, and nothing in the same history without it.
 
 use pumicehead_storm::check;
-use pumicehead_storm::history::{Class, End, Event, History, Listed, State, What};
+use pumicehead_storm::history::{Class, End, Event, History, Listed, State, Unread, What};
 use pumicehead_storm::scenario::Scenario;
 use pumicehead_storm::{MS, Nanos, SECOND};
 
@@ -53,6 +53,7 @@
             begins,
             nodes: vec![1],
             clients: false,
+            liars: Vec::new(),
         };
         [Event { at, what: What::Node { node: 1, state } }, Event { at, what: fault }]
     };
@@ -124,6 +125,15 @@
     };
     assert_eq!(found(flood(700)), ["cold servers"]);
     assert_eq!(found(flood(400)), Vec::<String>::new());
+    let recording = |harmed, failed| {
+        vec![Event { at, what: What::Recording { node: 0, file: "a.rec".into(), harmed, failed } }]
+    };
+    assert_eq!(found(recording(false, Some(Unread::Refused))), ["recordings"]);
+    assert_eq!(found(recording(true, Some(Unread::Broke))), ["recordings"]);
+    assert_eq!(
+        found([recording(true, Some(Unread::Refused)), recording(false, None)].concat()),
+        Vec::<String>::new()
+    );
     let crashed = Event { at, what: What::Crashed { node: 0, text: "signal 11".into() } };
     assert_eq!(found(vec![crashed]), ["crashes"]);
     let held = Event { at: 10 * SECOND, what: What::Held { node: 0, descriptors: 300, memory_kib: 9_000 } };
@@ -145,6 +155,35 @@
     assert_eq!(found(broken(9 * SECOND, 1)), ["none lost"]);
 }
 
+/// Guards that a lying server excuses what it had while it lied and nothing else.
+#[test]
+fn a_lie_excuses_what_was_lied_about() {
+    let lie = |at, begins| Event {
+        at,
+        what: What::Fault {
+            number: 1,
+            text: String::new(),
+            begins,
+            nodes: vec![],
+            clients: false,
+            liars: vec![0],
+        },
+    };
+    let twice = |at: Nanos| {
+        vec![
+            lie(7 * SECOND, true),
+            lie(8 * SECOND, false),
+            asked(at, 9, Class::Submit, 0),
+            effect(at + MS, 9, 0, 0),
+            effect(at + 2 * MS, 9, 0, 1),
+            ended(at + 9 * MS, 9, 200),
+        ]
+    };
+    assert_eq!(found(twice(7 * SECOND + MS)), Vec::<String>::new());
+    assert_eq!(found(twice(7 * SECOND - 100 * MS)), Vec::<String>::new());
+    assert_eq!(found(twice(9 * SECOND + MS)), ["effects once"]);
+}
+
 /// Guards the summary and the file: what is written is what is read, and service is counted by worth.
 #[test]
 fn histories_are_read_as_written() {
