--- /dev/null
+++ b/crates/members/src/doubt.rs
@@ -0,0 +1,95 @@
+//! Suspicion that ends, and the observer's own health.
+
+use crate::Nanos;
+use crate::card::Key;
+use crate::settings::Settings;
+
+/// Witnesses beside the first that make a suspicion as short as it gets.
+pub const WITNESSES: usize = 3;
+/// The least suspicion, in periods for each power of ten of members.
+const LEAST_PERIODS: f64 = 2.0;
+/// The longest one is so many times the least.
+const MOST_TIMES: f64 = 6.0;
+/// Where the suspect's own kernel refuses connections, it has this many periods to say that it lives.
+const REFUSED_PERIODS: u64 = 1;
+
+/// A member that is held for suspect or stalled, and until when.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Doubt {
+    /// Since when.
+    pub since: Nanos,
+    /// Who says so, each of its own seeing.
+    pub witnesses: Vec<Key>,
+    /// Its kernel refuses connections.
+    pub refused: bool,
+    /// It stands still, and is not suspected of more.
+    pub stalled: bool,
+}
+
+impl Doubt {
+    /// One that begins.
+    #[must_use]
+    pub fn new(since: Nanos, witness: Key, refused: bool, stalled: bool) -> Self {
+        Self { since, witnesses: vec![witness], refused, stalled }
+    }
+
+    /// Another one says so as well; whether that is new and worth telling.
+    pub fn confirm(&mut self, witness: Key, refused: bool) -> bool {
+        let fresh = refused && !self.refused;
+        self.refused |= refused;
+        if self.witnesses.contains(&witness) || self.witnesses.len() > WITNESSES {
+            return fresh;
+        }
+        self.witnesses.push(witness);
+        true
+    }
+
+    /// When it ends in death, for an observer `me` with this health among so many members. One who is alone in its seeing has
+    /// to wait for long: the fault may be its own.
+    #[must_use]
+    pub fn ends(&self, settings: &Settings, me: Key, members: usize, health: Health) -> Nanos {
+        if self.stalled {
+            return self.since + settings.stalled;
+        }
+        if self.refused {
+            return self.since + REFUSED_PERIODS * settings.period;
+        }
+        let least = LEAST_PERIODS * (members.max(1) as f64 + 1.0).log10().max(1.0) * settings.period as f64;
+        let most = MOST_TIMES * least;
+        let others = self.witnesses.iter().filter(|witness| **witness != me).count();
+        // Nobody else is there to see it.
+        let alone = others == 0 && members > 2;
+        if alone {
+            return self.since + settings.alone;
+        }
+        let more = (self.witnesses.len() - 1).min(WITNESSES) as f64;
+        let span = most - (most - least) * (more + 1.0).ln() / (WITNESSES as f64 + 1.0).ln();
+        self.since + (span * f64::from(health.factor())) as Nanos
+    }
+}
+
+/// The observer's own health: 0 is good. Whoever gets answers late, misses those of its helpers or stands still trusts its
+/// own seeing less.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+pub struct Health(u8);
+
+/// Worst health.
+const WORST: u8 = 7;
+
+impl Health {
+    /// Something speaks against it.
+    pub fn worse(&mut self, by: u8) {
+        self.0 = (self.0 + by).min(WORST);
+    }
+
+    /// Something speaks for it.
+    pub fn better(&mut self) {
+        self.0 = self.0.saturating_sub(1);
+    }
+
+    /// How many times as long it waits.
+    #[must_use]
+    pub fn factor(self) -> u32 {
+        1 + u32::from(self.0)
+    }
+}
--- /dev/null
+++ b/crates/members/src/member.rs
@@ -0,0 +1,734 @@
+//! The machine: handed datagrams, ends of exchanges and times, it keeps the view and says what to send. Whoever drives it
+//! calls [`Member::on_timer`] when [`Member::next`] is due, and carries out what [`Member::outputs`] gives, in order.
+
+mod ask;
+mod hear;
+mod sync;
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use prost::Message;
+use rand_core::{RngCore, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use rustc_hash::FxHashMap;
+
+use crate::card::{BadCard, Card, Key, MOST_NUMBER, Phase};
+use crate::doubt::{Doubt, Health};
+use crate::news::News;
+use crate::probe::{Luck, Order, Probe};
+use crate::settings::{BadSettings, LOAD_EACH, LOAD_LEAST, STALL, Settings};
+use crate::share::{Sharing, free_number};
+use crate::state::State;
+use crate::table::{Hearsay, Held, Said, Table};
+use crate::wire::{Datagram, Kind, MAJOR, MINOR, fleet};
+use crate::{Nanos, SECOND};
+
+pub use crate::probe::Checked;
+pub use sync::Exchange;
+
+/// Room in a datagram beside its entries: head, kind and numbers.
+const HEAD: usize = 64;
+/// Most seeds, and addresses that are told for names.
+pub const MOST_SEEDS: usize = 64;
+/// Pauses between two tries to join: the first, and the longest.
+const JOIN: (Nanos, Nanos) = (SECOND / 5, 5 * SECOND);
+/// Seeds that nobody there has the address of are asked this often, whatever is known: a fleet that was cut for longer than
+/// it remembers finds itself again there.
+const RESEED: Nanos = 60 * SECOND;
+/// Suspicions are looked over this often: well under the shortest one.
+const DOUBTS: Nanos = SECOND / 10;
+/// What is no longer needed is looked for this often.
+const TIDY: Nanos = 10 * SECOND;
+
+/// What a member is made of.
+#[derive(Clone, Debug)]
+pub struct Setup {
+    /// How it behaves.
+    pub settings: Settings,
+    /// The fleet's name: members of another are refused.
+    pub fleet: String,
+    /// What it says of itself; incarnation and phase are the machine's.
+    pub card: Card,
+    /// Whom it asks first, at any of these; none: it is the first itself.
+    pub seeds: Vec<SocketAddr>,
+    /// Where this member reaches others, by name, in place of what they say.
+    pub reach: Vec<(String, SocketAddr)>,
+    /// How many nodes there are, until it knows better.
+    pub nodes: u32,
+    /// For its random numbers.
+    pub seed: u64,
+}
+
+/// Why there is no member.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum BadSetup {
+    /// Its own card.
+    #[error(transparent)]
+    Card(#[from] BadCard),
+    /// Its settings.
+    #[error(transparent)]
+    Settings(#[from] BadSettings),
+    /// Too many.
+    #[error("more than {MOST_SEEDS} seeds")]
+    Seeds,
+}
+
+/// Something for people and for other parts of the node.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Event {
+    /// It has heard from the fleet.
+    Joined {
+        /// Members there.
+        members: usize,
+    },
+    /// A member is held for something else.
+    Moved {
+        /// Its name.
+        name: String,
+        /// Before; `None`: it was not known.
+        from: Option<State>,
+        /// Now.
+        to: State,
+        /// Who says so: a name, or nothing where it is not known.
+        witness: String,
+    },
+    /// A member is reached from here no more, or again, while others reach it all along.
+    Reach {
+        /// Its name.
+        name: String,
+        /// Now.
+        here: bool,
+    },
+    /// This process stood still for so long.
+    Stood(Nanos),
+    /// A later process has this member's name: this one is no member any more.
+    Superseded {
+        /// The later one's address.
+        by: String,
+    },
+    /// Somebody of another fleet, or with a link of another version, was refused; told once for each address.
+    Refused {
+        /// Who.
+        from: SocketAddr,
+        /// Why.
+        why: String,
+    },
+}
+
+/// Something to do.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Output {
+    /// Send a datagram.
+    Datagram {
+        /// Where.
+        to: SocketAddr,
+        /// What.
+        bytes: Vec<u8>,
+    },
+    /// Connect, write the frame, and tell [`Member::on_checked`] what came of it within the patience.
+    Check {
+        /// Of the question.
+        seq: u32,
+        /// Where.
+        to: SocketAddr,
+        /// What.
+        frame: Vec<u8>,
+    },
+    /// Connect, write the frame, hand each answer to [`Member::on_reply`] and write what it gives, until it gives nothing.
+    Sync {
+        /// Where.
+        to: SocketAddr,
+        /// What.
+        frame: Vec<u8>,
+    },
+    /// Tell somebody.
+    Event(Event),
+}
+
+/// A question put for another member.
+#[derive(Clone, Debug)]
+struct Help {
+    seq: u32,
+    from: SocketAddr,
+    their_seq: u32,
+    about: Key,
+    ends: Nanos,
+}
+
+/// A member of a fleet.
+#[derive(Clone, Debug)]
+pub struct Member {
+    settings: Settings,
+    fleet: u64,
+    me: Key,
+    card: Card,
+    rng: Pcg64Mcg,
+    seeds: Vec<SocketAddr>,
+    reach: FxHashMap<Key, SocketAddr>,
+    table: Table,
+    news: News,
+    doubts: FxHashMap<Key, Doubt>,
+    /// Who was found to stand still, once, and since when: held so only where it lasts.
+    silent: FxHashMap<Key, Nanos>,
+    health: Health,
+    luck: Luck,
+    order: Order,
+    probe: Option<Probe>,
+    helps: VecDeque<Help>,
+    seq: u32,
+    sharing: Sharing,
+    /// Whether any exchange with the fleet has been whole.
+    joined: bool,
+    over: bool,
+    join_pause: Nanos,
+    next_seed: usize,
+    probe_at: Nanos,
+    gossip_at: Nanos,
+    sync_at: Nanos,
+    recall_at: Nanos,
+    reseed_at: Nanos,
+    tidy_at: Nanos,
+    doubts_at: Nanos,
+    join_at: Nanos,
+    heard_at: Nanos,
+    load_at: Nanos,
+    strangers: VecDeque<SocketAddr>,
+    outputs: VecDeque<Output>,
+    sent: u64,
+}
+
+impl Member {
+    /// One that has just started.
+    ///
+    /// # Errors
+    /// What can't be.
+    pub fn new(setup: Setup, now: Nanos) -> Result<Self, BadSetup> {
+        setup.settings.check()?;
+        if setup.seeds.len() > MOST_SEEDS {
+            return Err(BadSetup::Seeds);
+        }
+        let mut card = setup.card;
+        let own = card.socket();
+        let seeds: Vec<_> = setup.seeds.into_iter().filter(|seed| Some(*seed) != own).collect();
+        card.incarnation = 0;
+        card.minor = MINOR;
+        card.set_phase(if seeds.is_empty() { Phase::Serving } else { Phase::Joining });
+        card.check()?;
+        let mut rng = Pcg64Mcg::seed_from_u64(setup.seed);
+        let mut within = |span: Nanos| now + rng.next_u64() % span.max(1);
+        let s = &setup.settings;
+        let (probe_at, gossip_at, sync_at) = (within(s.period), within(s.gossip), within(s.sync));
+        let (recall_at, reseed_at, tidy_at) = (within(s.recall), within(RESEED), within(TIDY));
+        let mut member = Self {
+            fleet: fleet(&setup.fleet),
+            me: card.key(),
+            reach: setup.reach.iter().map(|(name, address)| (Key::of(name), *address)).collect(),
+            table: Table::default(),
+            news: News::default(),
+            doubts: FxHashMap::default(),
+            silent: FxHashMap::default(),
+            health: Health::default(),
+            luck: Luck::default(),
+            order: Order::default(),
+            probe: None,
+            helps: VecDeque::new(),
+            seq: rng.next_u32(),
+            sharing: Sharing::new(setup.nodes, now),
+            joined: seeds.is_empty(),
+            over: false,
+            join_pause: JOIN.0,
+            next_seed: if seeds.is_empty() { 0 } else { rng.next_u64() as usize % seeds.len() },
+            probe_at,
+            gossip_at,
+            sync_at,
+            recall_at,
+            reseed_at,
+            tidy_at,
+            doubts_at: now,
+            join_at: now,
+            heard_at: now,
+            load_at: now,
+            strangers: VecDeque::new(),
+            outputs: VecDeque::new(),
+            sent: 0,
+            settings: setup.settings,
+            card,
+            rng,
+            seeds,
+        };
+        member.say(now);
+        Ok(member)
+    }
+
+    // ---- What it knows --------------------------------------------------------------------------
+
+    /// Its own key.
+    #[must_use]
+    pub fn key(&self) -> Key {
+        self.me
+    }
+
+    /// What it says of itself.
+    #[must_use]
+    pub fn card(&self) -> &Card {
+        &self.card
+    }
+
+    /// All that it holds.
+    #[must_use]
+    pub fn table(&self) -> &Table {
+        &self.table
+    }
+
+    /// Its settings.
+    #[must_use]
+    pub fn settings(&self) -> &Settings {
+        &self.settings
+    }
+
+    /// Its own health; 1 is good.
+    #[must_use]
+    pub fn health(&self) -> u32 {
+        self.health.factor()
+    }
+
+    /// Whether it takes itself for cut off: most of those that it asks do not answer.
+    #[must_use]
+    pub fn is_cut(&self) -> bool {
+        self.luck.is_cut()
+    }
+
+    /// Whether it has heard from the fleet.
+    #[must_use]
+    pub fn is_joined(&self) -> bool {
+        self.joined
+    }
+
+    /// Whether a later process has its name.
+    #[must_use]
+    pub fn is_over(&self) -> bool {
+        self.over
+    }
+
+    /// Bytes of datagrams sent.
+    #[must_use]
+    pub fn sent(&self) -> u64 {
+        self.sent
+    }
+
+    /// The name of a key, where it is known.
+    #[must_use]
+    pub fn name(&self, key: Key) -> &str {
+        self.table.get(key).map_or("", |held| &held.said.card.name)
+    }
+
+    /// What is suspected of a member, and by whom.
+    #[must_use]
+    pub fn doubt(&self, key: Key) -> Option<&Doubt> {
+        self.doubts.get(&key)
+    }
+
+    /// How many nodes share a server, this one among them; falls by degrees.
+    pub fn nodes(&mut self, now: Nanos) -> u32 {
+        self.sharing.count(&self.table, &self.settings, now)
+    }
+
+    /// Members to ask for what they know: of the own zone first, none that is in doubt, joining, leaving or out of reach; which
+    /// ones is drawn.
+    pub fn peers(&mut self, most: usize) -> Vec<(String, SocketAddr)> {
+        let fit = |held: &&Held| {
+            held.said.key() != self.me
+                && held.state == State::Alive
+                && held.here
+                && held.said.card.phase() == Phase::Serving
+        };
+        let mut all: Vec<_> = self
+            .table
+            .iter()
+            .filter(fit)
+            .filter_map(|held| {
+                let far = held.said.card.zone != self.card.zone;
+                Some((far, held.said.key(), held.said.card.name.clone(), self.address(held)?))
+            })
+            .collect();
+        all.sort_by_key(|peer| (peer.0, peer.1));
+        let near = all.iter().take_while(|peer| !peer.0).count();
+        for span in [0..near, near..all.len()] {
+            for place in span.clone().rev() {
+                let other = span.start + self.rng.next_u64() as usize % (place - span.start + 1);
+                all.swap(place, other);
+            }
+        }
+        all.into_iter().take(most).map(|(.., name, address)| (name, address)).collect()
+    }
+
+    /// What is to be done, in order.
+    pub fn outputs(&mut self) -> impl Iterator<Item = Output> + '_ {
+        self.outputs.drain(..)
+    }
+
+    /// Takes over a view that another member of the fleet has, as if the two had compared theirs.
+    pub fn assume(&mut self, view: &Table) {
+        let own = self.table.get(self.me).cloned();
+        self.table = view.clone();
+        if let Some(own) = own {
+            let Held { said, state, refused, since, witness, .. } = own;
+            self.table.merge(&Hearsay { said, state, refused, since, witness });
+        }
+        self.news = News::default();
+        self.joined = true;
+    }
+
+    // ---- What it says of itself -----------------------------------------------------------------
+
+    /// Says something new of itself.
+    fn change(&mut self, now: Nanos, what: impl FnOnce(&mut Card)) {
+        if self.over {
+            return;
+        }
+        what(&mut self.card);
+        self.card.incarnation = (self.card.incarnation + 1).min(MOST_NUMBER - 1);
+        self.say(now);
+    }
+
+    /// Puts its own saying into its view, and passes it on.
+    fn say(&mut self, now: Nanos) {
+        let said = Said::new(self.card.clone(), self.card.encode_to_vec());
+        let own = Hearsay { said, state: State::Alive, refused: false, since: now as i64, witness: self.me };
+        self.table.merge(&own);
+        self.news.add(self.me);
+    }
+
+    /// Tells how much it has to do, in eighths; not each time, but so often that all members together say no more than some
+    /// pieces of news a second.
+    pub fn set_load(&mut self, now: Nanos, eighths: u32) {
+        let pause = LOAD_LEAST.max(LOAD_EACH * self.table.there() as u64);
+        if self.card.load != eighths && now >= self.load_at + pause {
+            self.load_at = now;
+            self.change(now, |card| card.load = eighths);
+        }
+    }
+
+    /// Staff empty this node, or have it back at work.
+    pub fn set_lame(&mut self, now: Nanos, lame: bool) {
+        let phase = match (lame, self.joined) {
+            (true, _) => Phase::LameDuck,
+            (false, true) => Phase::Serving,
+            (false, false) => Phase::Joining,
+        };
+        if self.card.phase() != phase {
+            self.change(now, |card| card.set_phase(phase));
+        }
+    }
+
+    /// It goes, and says so to some; what is given out is the last of it.
+    pub fn leave(&mut self, now: Nanos) {
+        if self.over {
+            return;
+        }
+        self.change(now, |_| {});
+        if let Some(own) = self.table.get(self.me) {
+            let left = Hearsay {
+                said: own.said.clone(),
+                state: State::Left,
+                refused: false,
+                since: now as i64,
+                witness: self.me,
+            };
+            self.table.merge(&left);
+        }
+        self.news.add(self.me);
+        for to in self.some(2 * self.settings.fanout, |_| true) {
+            self.push(now, to);
+        }
+        self.over = true;
+    }
+
+    // ---- Time -----------------------------------------------------------------------------------
+
+    /// When [`Member::on_timer`] is due.
+    #[must_use]
+    pub fn next(&self) -> Nanos {
+        if self.over {
+            return Nanos::MAX;
+        }
+        let mut next =
+            self.probe_at.min(self.sync_at).min(self.recall_at).min(self.reseed_at).min(self.tidy_at);
+        if !self.joined {
+            next = next.min(self.join_at);
+        }
+        if !self.news.is_empty() {
+            next = next.min(self.gossip_at);
+        }
+        next = next.min(self.news.next().unwrap_or(Nanos::MAX));
+        if let Some(probe) = &self.probe
+            && probe.helpers == 0
+            && !probe.direct
+        {
+            next = next.min(probe.help_at);
+        }
+        next = self.helps.front().map_or(next, |help| next.min(help.ends));
+        if self.doubts.is_empty() { next } else { next.min(self.doubts_at) }
+    }
+
+    fn doubt_ends(&self, doubt: &Doubt) -> Nanos {
+        doubt.ends(&self.settings, self.me, self.table.there(), self.health)
+    }
+
+    /// Does what is due.
+    pub fn on_timer(&mut self, now: Nanos) {
+        self.wake(now);
+        if self.over {
+            return;
+        }
+        self.news.due(now);
+        self.end_helps(now);
+        if let Some(probe) = &self.probe
+            && probe.helpers == 0
+            && !probe.direct
+            && now >= probe.help_at
+        {
+            self.ask_others(now);
+        }
+        if now >= self.probe_at {
+            self.conclude(now);
+            self.ask_next(now);
+        }
+        if !self.doubts.is_empty() && now >= self.doubts_at {
+            self.doubts_at = now + DOUBTS;
+            self.end_doubts(now);
+        }
+        if !self.joined && now >= self.join_at {
+            self.join(now);
+        }
+        if now >= self.gossip_at {
+            self.gossip_at = now + self.settings.gossip;
+            if !self.news.is_empty() {
+                for to in self.some(self.settings.fanout, |held| held.state == State::Alive) {
+                    self.push(now, to);
+                }
+            }
+        }
+        if now >= self.sync_at {
+            self.sync_at = now + self.spread(self.settings.sync);
+            let with = self.some(1, |held| held.state == State::Alive);
+            with.into_iter().for_each(|key| self.sync_with(now, key));
+        }
+        if now >= self.recall_at {
+            self.recall_at = now + self.spread(self.settings.recall);
+            self.recall(now);
+        }
+        if now >= self.reseed_at {
+            self.reseed_at = now + self.spread(RESEED);
+            self.reseed(now);
+        }
+        if now >= self.tidy_at {
+            self.tidy_at = now + TIDY;
+            self.tidy(now);
+        }
+    }
+
+    /// A span, drawn around what it is on the mean: members that started together do not go on together.
+    fn spread(&mut self, span: Nanos) -> Nanos {
+        span / 2 + self.rng.next_u64() % span.max(1)
+    }
+
+    /// Notices that this process stood still. What ran out meanwhile did not: nobody could have answered it.
+    fn wake(&mut self, now: Nanos) {
+        let due = self.next();
+        if self.over || now < due.saturating_add(STALL) {
+            return;
+        }
+        let span = now - due;
+        self.outputs.push_back(Output::Event(Event::Stood(span)));
+        if span > self.settings.memory / 2 {
+            return self.begin_anew(now);
+        }
+        for doubt in self.doubts.values_mut() {
+            doubt.since += span;
+        }
+        self.silent.clear();
+        self.probe = None;
+        self.helps.clear();
+        self.luck = Luck::default();
+        self.health.worse(2);
+        self.heard_at += span;
+        for at in [
+            &mut self.probe_at,
+            &mut self.gossip_at,
+            &mut self.sync_at,
+            &mut self.recall_at,
+            &mut self.reseed_at,
+            &mut self.join_at,
+            &mut self.doubts_at,
+        ] {
+            *at = (*at).max(now);
+        }
+        if span > self.settings.period {
+            // Others may hold it for stalled by now, or worse: it says that it is there before anybody asks.
+            self.change(now, |_| {});
+        }
+    }
+
+    /// It was away for so long that others have forgotten what it still holds: none of that may come back through it.
+    fn begin_anew(&mut self, now: Nanos) {
+        let mut known: Vec<_> = self
+            .table
+            .iter()
+            .filter(|held| held.said.key() != self.me && held.state != State::Left)
+            .filter_map(|held| self.address(held))
+            .filter(|address| !self.seeds.contains(address))
+            .collect();
+        known.truncate(MOST_SEEDS - self.seeds.len().min(MOST_SEEDS));
+        self.seeds.extend(known);
+        self.table.keep_only(self.me);
+        self.news = News::default();
+        self.doubts.clear();
+        self.silent.clear();
+        self.probe = None;
+        self.helps.clear();
+        self.luck = Luck::default();
+        self.joined = self.seeds.is_empty();
+        (self.join_at, self.join_pause, self.heard_at) = (now, JOIN.0, now);
+        for at in [&mut self.probe_at, &mut self.gossip_at, &mut self.sync_at, &mut self.recall_at] {
+            *at = (*at).max(now);
+        }
+        let joined = self.joined;
+        self.change(now, |card| {
+            if card.phase() == Phase::Serving && !joined {
+                card.set_phase(Phase::Joining);
+            }
+        });
+    }
+
+    fn tidy(&mut self, now: Nanos) {
+        self.table.forget(now, self.settings.memory);
+        let there = &self.table;
+        self.doubts.retain(|key, _| there.get(*key).is_some_and(|held| held.state.is_there()));
+        self.silent.retain(|key, _| there.get(*key).is_some_and(|held| held.state.is_there()));
+        if there.len() > 1 && now > self.heard_at + self.settings.memory / 2 {
+            self.begin_anew(now);
+        }
+        if self.joined && self.card.number == 0 {
+            self.number(now);
+        }
+    }
+
+    /// Takes the lowest number that is free.
+    fn number(&mut self, now: Nanos) {
+        let number = free_number(&self.table, self.me);
+        if self.card.number != number {
+            self.change(now, |card| card.number = number);
+        }
+    }
+
+    // ---- Sending --------------------------------------------------------------------------------
+
+    /// Where a member is reached from here.
+    fn address(&self, held: &Held) -> Option<SocketAddr> {
+        self.reach.get(&held.said.key()).copied().or_else(|| held.said.card.socket())
+    }
+
+    /// Some members, drawn.
+    fn some(&mut self, most: usize, may: impl Fn(&Held) -> bool) -> Vec<Key> {
+        let count = self.table.len();
+        let mut drawn = Vec::new();
+        // Of a large table some places are tried; a small one is looked through.
+        if count > 64 {
+            for _ in 0..(8 * most) {
+                let held = self.table.at(self.rng.next_u64() as usize % count);
+                let key = held.said.key();
+                if key != self.me && held.state.is_there() && may(held) && !drawn.contains(&key) {
+                    drawn.push(key);
+                }
+                if drawn.len() == most {
+                    return drawn;
+                }
+            }
+            return drawn;
+        }
+        drawn.extend(
+            self.table
+                .iter()
+                .filter(|held| held.said.key() != self.me && held.state.is_there() && may(held))
+                .map(|held| held.said.key()),
+        );
+        drawn.sort_unstable();
+        for place in (1..drawn.len()).rev() {
+            drawn.swap(place, self.rng.next_u64() as usize % (place + 1));
+        }
+        drawn.truncate(most);
+        drawn
+    }
+
+    fn datagram(&self, kind: Kind, seq: u32, about: Key) -> Datagram {
+        Datagram {
+            major: MAJOR,
+            minor: MINOR,
+            fleet: self.fleet,
+            from: self.me.0,
+            epoch: self.card.epoch,
+            kind: kind as i32,
+            seq,
+            about: about.0,
+            unknown: false,
+            news: Vec::new(),
+        }
+    }
+
+    /// Fills a datagram with news up to a size, what is held against its receiver first, and sends it.
+    fn send(
+        &mut self,
+        now: Nanos,
+        mut datagram: Datagram,
+        to: SocketAddr,
+        receiver: Option<Key>,
+        most: usize,
+    ) {
+        let mut room = most.saturating_sub(HEAD);
+        let mut first = Vec::new();
+        if let Some(held) = receiver.and_then(|key| self.table.get(key))
+            && held.state != State::Alive
+        {
+            let entry = held.entry(now);
+            let size = size(&entry);
+            if size <= room {
+                room -= size;
+                first.push(entry);
+            }
+        }
+        let (table, most_told) = (&self.table, crate::news::times(self.table.there()));
+        let taken = self.news.take(room, most_told, |key| table.get(key).map(|held| size(&held.entry(now))));
+        datagram.news = first;
+        datagram.news.extend(taken.into_iter().filter_map(|key| Some(table.get(key)?.entry(now))));
+        self.put(&datagram, to);
+    }
+
+    fn put(&mut self, datagram: &Datagram, to: SocketAddr) {
+        let bytes = datagram.encode_to_vec();
+        self.sent += bytes.len() as u64;
+        self.outputs.push_back(Output::Datagram { to, bytes });
+    }
+
+    /// Passes news on to a member.
+    fn push(&mut self, now: Nanos, to: Key) {
+        let Some(address) = self.table.get(to).and_then(|held| self.address(held)) else { return };
+        let datagram = self.datagram(Kind::News, 0, Key::default());
+        self.send(now, datagram, address, Some(to), crate::settings::LARGEST_DATAGRAM);
+    }
+
+    /// Says so of a member by its own seeing.
+    fn claim(&mut self, now: Nanos, key: Key, state: State, refused: bool) {
+        let Some(held) = self.table.get(key) else { return };
+        let said: Arc<Said> = held.said.clone();
+        let heard = Hearsay { said, state, refused, since: now as i64, witness: self.me };
+        self.take(now, &heard);
+    }
+}
+
+/// Bytes of an entry within a message.
+fn size(entry: &crate::wire::Entry) -> usize {
+    entry.encoded_len() + 4
+}
--- /dev/null
+++ b/crates/members/src/member/hear.rs
@@ -0,0 +1,281 @@
+//! What comes: datagrams, and what they say of others.
+
+use std::net::SocketAddr;
+
+use super::{Event, Member, Output};
+use crate::card::{Epoch, Key, MOST_NUMBER, Phase, Stamp};
+use crate::doubt::Doubt;
+use crate::settings::{FLAPS, LARGEST_DATAGRAM};
+use crate::state::State;
+use crate::table::{Hearsay, Merged, read};
+use crate::wire::{BadBytes, Datagram, Entry, Kind};
+use crate::{Nanos, SECOND};
+
+/// A member raises its own numbers by one; whoever claims far more of one that is known is lying, or mistaken.
+const MOST_JUMP: u64 = 1 << 20;
+/// Strangers that are remembered, so that each is told of once.
+const MOST_STRANGERS: usize = 32;
+/// One that comes and goes is told of no sooner than this after its last change, twice as long with each more.
+const HOLD: Nanos = 5 * SECOND;
+/// ... and no later than so many times that.
+const MOST_HOLD: u32 = 4;
+
+impl Member {
+    /// A datagram has come.
+    pub fn on_datagram(&mut self, now: Nanos, from: SocketAddr, bytes: &[u8]) {
+        self.wake(now);
+        if self.over {
+            return;
+        }
+        let datagram = match Datagram::read(bytes, self.fleet) {
+            Ok(datagram) => datagram,
+            Err(error) => return self.refuse(from, &error),
+        };
+        let sender = Key(datagram.from);
+        if sender == self.me {
+            // Its own, come back by some way; or another process of its name, which a comparison of views settles.
+            return;
+        }
+        self.heard_at = now;
+        let epoch = Epoch(datagram.epoch);
+        let known = self.table.get(sender).filter(|held| held.said.card.stamp().epoch >= epoch);
+        let (unknown, current) =
+            (known.is_none(), known.is_some_and(|held| held.said.card.stamp().epoch == epoch));
+        if current {
+            self.hear_from(now, sender);
+        }
+        for entry in &datagram.news {
+            self.hear(now, entry);
+        }
+        let kind = Kind::try_from(datagram.kind).unwrap_or(Kind::News);
+        let about = Key(datagram.about);
+        match kind {
+            Kind::News => {}
+            Kind::Ping => {
+                // For another one that had this address before: whoever asks is not to take this one for it.
+                let mut ack = self.datagram(Kind::Ack, datagram.seq, self.me);
+                ack.unknown = unknown;
+                // Whoever asks may have put another's address on it: it gets no more than it sent.
+                self.send(now, ack, from, current.then_some(sender), bytes.len().min(LARGEST_DATAGRAM));
+            }
+            Kind::PingFor if about != self.me => self.help(now, from, datagram.seq, about),
+            Kind::PingFor => {}
+            Kind::Ack => self.on_ack(now, sender, datagram.seq, about),
+            Kind::Nack => {
+                if let Some(probe) = self.probe.as_mut().filter(|p| p.seq == datagram.seq && p.key == about) {
+                    probe.nacks = probe.nacks.saturating_add(1);
+                }
+            }
+        }
+        if datagram.unknown && kind == Kind::Ack {
+            // It does not know this member yet, which does know it.
+            self.news.add(self.me);
+            self.push(now, sender);
+        }
+    }
+
+    /// A sign of life of a member's present process, seen here.
+    fn hear_from(&mut self, now: Nanos, key: Key) {
+        if let Some(held) = self.table.get_mut(key) {
+            held.heard = now as i64;
+            if held.state == State::Alive && !held.here {
+                self.set_here(key, true);
+            }
+        }
+    }
+
+    fn on_ack(&mut self, now: Nanos, sender: Key, seq: u32, about: Key) {
+        if let Some(place) = self.helps.iter().position(|help| help.seq == seq && help.about == sender)
+            && let Some(help) = self.helps.remove(place)
+        {
+            let ack = self.datagram(Kind::Ack, help.their_seq, sender);
+            self.put(&ack, help.from);
+            return;
+        }
+        if let Some(probe) = self.probe.as_mut().filter(|probe| probe.seq == seq && probe.key == about) {
+            if sender == about {
+                probe.direct = true;
+            } else {
+                probe.through = true;
+            }
+            return;
+        }
+        // The answer of one that was held dead.
+        if self.table.get(sender).is_some_and(|held| !held.state.is_there()) {
+            self.sync_with(now, sender);
+        }
+    }
+
+    pub(super) fn refuse(&mut self, from: SocketAddr, error: &BadBytes) {
+        if !matches!(error, BadBytes::Fleet | BadBytes::Version(_)) || self.strangers.contains(&from) {
+            return;
+        }
+        self.strangers.push_back(from);
+        if self.strangers.len() > MOST_STRANGERS {
+            self.strangers.pop_front();
+        }
+        let why = error.to_string();
+        self.outputs.push_back(Output::Event(Event::Refused { from, why }));
+    }
+
+    /// Something is said of a member.
+    pub(super) fn hear(&mut self, now: Nanos, entry: &Entry) {
+        if let Some(heard) = read(entry, now) {
+            self.take(now, &heard);
+        }
+    }
+
+    pub(super) fn take(&mut self, now: Nanos, heard: &Hearsay) {
+        let key = heard.said.key();
+        if key == self.me {
+            return self.on_own(now, heard);
+        }
+        let gone = !heard.state.is_there();
+        let age = (now as i64).saturating_sub(heard.since).max(0) as Nanos;
+        if gone && age > self.settings.memory {
+            return;
+        }
+        let stamp = heard.said.card.stamp();
+        let mut before = None;
+        if let Some(held) = self.table.get(key) {
+            let own = held.said.card.stamp();
+            if stamp.epoch == own.epoch && stamp.incarnation.0 > own.incarnation.0.saturating_add(MOST_JUMP) {
+                return;
+            }
+            before = Some((own.epoch, held.state));
+            // This member has heard from it since: it lives, and has to be told what is said of it.
+            let in_doubt = matches!(heard.state, State::Stalled | State::Suspect | State::Dead);
+            if stamp == own && in_doubt && heard.state > held.state && held.heard > heard.since {
+                return self.contest(now, heard);
+            }
+        } else if gone && heard.state == State::Dead && !self.joined {
+            // Nothing is lost by not knowing it, and views are compared soon.
+            before = None;
+        }
+        match self.table.merge(heard) {
+            Merged::Older => {}
+            Merged::Same => {
+                if let Some(doubt) = self.doubts.get_mut(&key)
+                    && doubt.confirm(heard.witness, heard.refused)
+                {
+                    self.pass_on(now, key, false);
+                }
+            }
+            Merged::New => self.moved(now, key, None, heard),
+            Merged::Newer(was) => {
+                let restarted = before.is_some_and(|(epoch, _)| epoch != stamp.epoch);
+                self.moved(now, key, Some(was), heard);
+                if restarted && let Some(held) = self.table.get_mut(key) {
+                    (held.heard, held.here, held.missed) = (i64::MIN, true, 0);
+                }
+            }
+        }
+    }
+
+    /// What is held of a member has changed.
+    fn moved(&mut self, now: Nanos, key: Key, was: Option<State>, heard: &Hearsay) {
+        let to = heard.state;
+        let changed = was != Some(to);
+        self.pass_on(now, key, changed && was.is_some());
+        if !matches!(to, State::Suspect | State::Stalled) {
+            self.doubts.remove(&key);
+        }
+        if to == State::Alive {
+            self.silent.remove(&key);
+            self.check_number(now, key);
+        } else if matches!(to, State::Suspect | State::Stalled) {
+            let doubt = Doubt::new(now, heard.witness, heard.refused, to == State::Stalled);
+            self.begin_doubt(now, key, doubt);
+        }
+        if changed {
+            let name = heard.said.card.name.clone();
+            let witness = self.name(heard.witness).to_owned();
+            self.outputs.push_back(Output::Event(Event::Moved { name, from: was, to, witness }));
+        }
+    }
+
+    /// Passes on what has changed; of one that comes and goes later, and once.
+    fn pass_on(&mut self, now: Nanos, key: Key, changed: bool) {
+        let span = self.settings.flap_span as i64;
+        let Some(held) = self.table.get_mut(key) else { return };
+        if changed {
+            // The age of the change before this one is gone with it; flaps fade by halves as time goes on.
+            let quiet = (now as i64).saturating_sub(held.heard.max(0)) > span;
+            held.flaps = if quiet { 1 } else { held.flaps.saturating_add(1) };
+        }
+        let over = u32::from(held.flaps).saturating_sub(FLAPS * 2);
+        if over > 0 {
+            self.news.add_at(key, now + HOLD * Nanos::from(over.min(MOST_HOLD)));
+        } else {
+            self.news.add(key);
+        }
+    }
+
+    /// Somebody says of a member that it is gone or in doubt, and it was heard from since: it is told, and answers for itself.
+    fn contest(&mut self, now: Nanos, heard: &Hearsay) {
+        let key = heard.said.key();
+        let Some(to) = self.table.get(key).and_then(|held| self.address(held)) else { return };
+        let age = ((now as i64).saturating_sub(heard.since).max(0) / 100_000_000) as u32;
+        let mut datagram = self.datagram(Kind::News, 0, Key::default());
+        if let Some(held) = self.table.get(key) {
+            let mut entry = held.entry(now);
+            (entry.state, entry.age, entry.witness) = (heard.state.number(), age, heard.witness.0);
+            entry.refused = heard.refused;
+            datagram.news.push(entry);
+            self.put(&datagram, to);
+        }
+    }
+
+    /// Something is said of this member itself.
+    fn on_own(&mut self, now: Nanos, heard: &Hearsay) {
+        let (stamp, own) = (heard.said.card.stamp(), self.card.stamp());
+        if stamp.epoch > own.epoch {
+            if self.joined || heard.said.card.epoch + 1 >= MOST_NUMBER {
+                self.over = true;
+                let by = heard.said.card.address.clone();
+                self.outputs.push_back(Output::Event(Event::Superseded { by }));
+                return;
+            }
+            // An earlier process of this name counted further; its clock may have been ahead. This one is later all the same.
+            let (epoch, number) = (heard.said.card.epoch + 1, heard.said.card.number);
+            return self.change(now, |card| {
+                card.epoch = epoch;
+                card.incarnation = 0;
+                card.number = if card.number == 0 { number } else { card.number };
+            });
+        }
+        if stamp.epoch < own.epoch {
+            if self.card.number == 0 && heard.said.card.number != 0 {
+                // The number that it had before is still its own.
+                let number = heard.said.card.number;
+                self.change(now, |card| card.number = number);
+            } else {
+                self.news.add(self.me);
+            }
+            return;
+        }
+        let other = heard.said.card.address != self.card.address && stamp == own;
+        if other && heard.said.card.address > self.card.address {
+            // Two processes drew one epoch: one of them, the same for both, goes on.
+            self.over = true;
+            let by = heard.said.card.address.clone();
+            self.outputs.push_back(Output::Event(Event::Superseded { by }));
+            return;
+        }
+        if stamp.incarnation > own.incarnation || heard.state > State::Alive && stamp == own || other {
+            let next = Stamp { incarnation: stamp.incarnation.max(own.incarnation), ..own };
+            self.health.worse(u8::from(matches!(heard.state, State::Suspect | State::Dead)));
+            self.change(now, |card| card.incarnation = next.incarnation.0.min(MOST_NUMBER - 2));
+        }
+    }
+
+    /// Two members have one number: the one with the greater key takes another.
+    fn check_number(&mut self, now: Nanos, key: Key) {
+        let Some(held) = self.table.get(key) else { return };
+        let number = held.said.card.number;
+        let same = number != 0 && number == self.card.number && held.said.card.phase() != Phase::Joining;
+        if same && key < self.me {
+            self.number(now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/members/src/member/sync.rs
@@ -0,0 +1,227 @@
+//! Comparing whole views over streams, and joining, which is the first time.
+//!
+//! Who begins sends its fingerprint and its own entry. The other one says that its own is the same, or gives the fingerprints
+//! of the parts. Who began sends its entries of the parts that differ, and gets those of the other. Neither keeps anything
+//! between two frames: what is merged counts the same whenever it comes.
+
+use std::net::SocketAddr;
+
+use prost::Message;
+
+use super::{Event, JOIN, Member, Output};
+use crate::Nanos;
+use crate::card::{Key, Phase};
+use crate::settings::LARGEST_FRAME;
+use crate::state::State;
+use crate::table::PARTS;
+use crate::wire::{BadBytes, Entry, Frame, Kind, MAJOR, MINOR, Step};
+
+/// What a frame came to.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Exchange {
+    /// This goes back.
+    Answer(Vec<u8>),
+    /// It is over.
+    Over,
+}
+
+/// Bytes of entries in one frame; what does not fit comes with the next comparison.
+const MOST_ENTRIES: usize = LARGEST_FRAME - 4_096;
+
+impl Member {
+    pub(super) fn frame(&self, step: Step) -> Frame {
+        Frame {
+            major: MAJOR,
+            minor: MINOR,
+            fleet: self.fleet,
+            from: self.me.0,
+            epoch: self.card.epoch,
+            step: step as i32,
+            ..Frame::default()
+        }
+    }
+
+    /// The first frame of a comparison.
+    fn digest(&self, now: Nanos) -> Vec<u8> {
+        let mut frame = self.frame(Step::Digest);
+        frame.fingerprint = self.table.fingerprint();
+        frame.entries = self.table.get(self.me).map(|held| held.entry(now)).into_iter().collect();
+        frame.encode_to_vec()
+    }
+
+    pub(super) fn sync_with(&mut self, now: Nanos, key: Key) {
+        let Some(to) = self.table.get(key).and_then(|held| self.address(held)) else { return };
+        let frame = self.digest(now);
+        self.outputs.push_back(Output::Sync { to, frame });
+    }
+
+    /// Asks the next seed.
+    pub(super) fn join(&mut self, now: Nanos) {
+        self.join_at = now + self.spread(self.join_pause);
+        self.join_pause = (2 * self.join_pause).min(JOIN.1);
+        if self.seeds.is_empty() {
+            return;
+        }
+        let to = self.seeds[self.next_seed % self.seeds.len()];
+        self.next_seed += 1;
+        let frame = self.digest(now);
+        self.outputs.push_back(Output::Sync { to, frame });
+    }
+
+    /// Asks some seed that is no address of anybody there.
+    pub(super) fn reseed(&mut self, now: Nanos) {
+        let there: Vec<SocketAddr> = self
+            .table
+            .iter()
+            .filter(|held| held.state.is_there())
+            .filter_map(|held| self.address(held))
+            .collect();
+        let lost: Vec<_> = self.seeds.iter().filter(|seed| !there.contains(seed)).copied().collect();
+        if lost.is_empty() {
+            return;
+        }
+        let to = lost[self.next_seed % lost.len()];
+        self.next_seed += 1;
+        let frame = self.digest(now);
+        self.outputs.push_back(Output::Sync { to, frame });
+    }
+
+    /// Asks one of those that are held dead, whether it is back: one at a time, however many there are.
+    pub(super) fn recall(&mut self, now: Nanos) {
+        if self.table.count(State::Dead) == 0 {
+            return;
+        }
+        let mut dead: Vec<_> =
+            self.table.iter().filter(|held| held.state == State::Dead).map(|held| held.said.key()).collect();
+        dead.sort_unstable();
+        let place = rand_core::RngCore::next_u64(&mut self.rng) as usize % dead.len();
+        let key = dead[place];
+        let Some(to) = self.table.get(key).and_then(|held| self.address(held)) else { return };
+        self.seq = self.seq.wrapping_add(1);
+        let datagram = self.datagram(Kind::Ping, self.seq, key);
+        // With what is held of it: if it lives, it says something new.
+        self.send(now, datagram, to, Some(key), crate::settings::LARGEST_DATAGRAM);
+    }
+
+    fn entries(&self, now: Nanos, parts: &[u64]) -> Vec<Entry> {
+        let mut room = MOST_ENTRIES;
+        let memory = self.settings.memory as i64;
+        let told = self
+            .table
+            .of_parts(parts)
+            .filter(|held| held.state.is_there() || (now as i64).saturating_sub(held.since) <= memory);
+        told.map(|held| held.entry(now))
+            .take_while(|entry| {
+                let size = super::size(entry);
+                let fits = size <= room;
+                room = room.saturating_sub(size);
+                fits
+            })
+            .collect()
+    }
+
+    /// A frame has come to this member; what goes back.
+    ///
+    /// # Errors
+    /// Bytes that are of no frame of this fleet; a refusal goes back where that helps whoever sent them.
+    pub fn on_frame(
+        &mut self,
+        now: Nanos,
+        from: SocketAddr,
+        bytes: &[u8],
+    ) -> Result<Exchange, (BadBytes, Vec<u8>)> {
+        self.wake(now);
+        let frame = match Frame::read(bytes, self.fleet) {
+            Ok(frame) => frame,
+            Err(error) => {
+                self.refuse(from, &error);
+                let mut refusal = self.frame(Step::Refuse);
+                refusal.why = error.to_string();
+                // Its own fleet's number would be no use to others.
+                refusal.fleet = 0;
+                return Err((error, refusal.encode_to_vec()));
+            }
+        };
+        if self.over {
+            return Ok(Exchange::Over);
+        }
+        self.heard_at = now;
+        for entry in &frame.entries {
+            self.hear(now, entry);
+        }
+        let mut answer = match Step::try_from(frame.step).unwrap_or(Step::Other) {
+            Step::Check => self.frame(Step::Here),
+            Step::Digest if frame.fingerprint == self.table.fingerprint() => self.frame(Step::Same),
+            Step::Digest => {
+                let mut answer = self.frame(Step::Parts);
+                answer.parts = self.table.parts().to_vec();
+                answer
+            }
+            Step::Entries => {
+                let mut answer = self.frame(Step::Entries);
+                answer.entries = self.entries(now, &frame.parts);
+                answer
+            }
+            _ => return Ok(Exchange::Over),
+        };
+        // What is held against whoever asks: it answers for itself.
+        if let Some(held) = self.table.get(Key(frame.from))
+            && held.state != State::Alive
+            && answer.entries.is_empty()
+        {
+            answer.entries.push(held.entry(now));
+        }
+        answer.fingerprint = self.table.fingerprint();
+        Ok(Exchange::Answer(answer.encode_to_vec()))
+    }
+
+    /// An answer has come to a frame of this member's; what goes next.
+    pub fn on_reply(&mut self, now: Nanos, from: SocketAddr, bytes: &[u8]) -> Exchange {
+        self.wake(now);
+        if self.over {
+            return Exchange::Over;
+        }
+        let frame = match Frame::read(bytes, self.fleet) {
+            Ok(frame) => frame,
+            Err(error) => {
+                self.refuse(from, &error);
+                return Exchange::Over;
+            }
+        };
+        self.heard_at = now;
+        for entry in &frame.entries {
+            self.hear(now, entry);
+        }
+        match Step::try_from(frame.step).unwrap_or(Step::Other) {
+            Step::Parts => {
+                let own = self.table.parts();
+                let differ = (0..PARTS).filter(|&part| frame.parts.get(part) != Some(&own[part]));
+                let parts: Vec<u64> = differ.map(|part| part as u64).collect();
+                let mut next = self.frame(Step::Entries);
+                next.entries = self.entries(now, &parts);
+                next.parts = parts;
+                Exchange::Answer(next.encode_to_vec())
+            }
+            Step::Same | Step::Entries => {
+                self.has_joined(now);
+                Exchange::Over
+            }
+            _ => Exchange::Over,
+        }
+    }
+
+    fn has_joined(&mut self, now: Nanos) {
+        if std::mem::replace(&mut self.joined, true) {
+            return;
+        }
+        self.join_pause = JOIN.0;
+        if self.card.phase() == Phase::Joining {
+            self.change(now, |card| card.set_phase(Phase::Serving));
+        }
+        if self.card.number == 0 {
+            self.number(now);
+        }
+        let members = self.table.there();
+        self.outputs.push_back(Output::Event(Event::Joined { members }));
+    }
+}
--- /dev/null
+++ b/crates/members/src/probe.rs
@@ -0,0 +1,157 @@
+//! Whom to ask next whether it is there, and what an exchange came to.
+
+use std::collections::VecDeque;
+
+use rand_core::RngCore;
+
+use crate::Nanos;
+use crate::card::{Key, Stamp};
+
+/// Members to be asked out of turn; more than this are asked in theirs.
+const MOST_URGENT: usize = 32;
+
+/// A round through all members, in a new order each time: each is asked once in a round, and nobody's turn can be foreseen.
+#[derive(Clone, Debug, Default)]
+pub struct Order {
+    round: Vec<Key>,
+    urgent: VecDeque<Key>,
+}
+
+impl Order {
+    /// Asks this one next.
+    pub fn urge(&mut self, key: Key) {
+        if !self.urgent.contains(&key) && self.urgent.len() < MOST_URGENT {
+            self.urgent.push_back(key);
+        }
+    }
+
+    /// Whether somebody is to be asked out of turn.
+    #[must_use]
+    pub fn is_urgent(&self) -> bool {
+        !self.urgent.is_empty()
+    }
+
+    /// The next one that `may` be asked; `all` is who there is, once a round is over.
+    pub fn next(
+        &mut self,
+        may: impl Fn(Key) -> bool,
+        all: impl FnOnce() -> Vec<Key>,
+        rng: &mut impl RngCore,
+    ) -> Option<Key> {
+        while let Some(key) = self.urgent.pop_front() {
+            if may(key) {
+                return Some(key);
+            }
+        }
+        let mut whole = Some(all);
+        loop {
+            while let Some(key) = self.round.pop() {
+                if may(key) {
+                    return Some(key);
+                }
+            }
+            // One new round, not more: there may be nobody.
+            self.round = whole.take()?();
+            for place in (1..self.round.len()).rev() {
+                self.round.swap(place, rng.next_u64() as usize % (place + 1));
+            }
+        }
+    }
+}
+
+/// What asking over a stream came to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Checked {
+    /// It answered, under its name.
+    Answered,
+    /// The connection was refused or reset: nobody listens there.
+    Refused,
+    /// It came up, and nobody answered on it.
+    Silent,
+    /// It did not come up.
+    Unreachable,
+}
+
+/// A question that is out.
+#[derive(Clone, Debug)]
+pub struct Probe {
+    /// Whom it is about.
+    pub key: Key,
+    /// Of which saying.
+    pub stamp: Stamp,
+    /// Its number.
+    pub seq: u32,
+    /// When it was asked.
+    pub asked: Nanos,
+    /// When others are asked to ask.
+    pub help_at: Nanos,
+    /// So many were.
+    pub helpers: u8,
+    /// So many of those said that they get no answer either.
+    pub nacks: u8,
+    /// It answered itself.
+    pub direct: bool,
+    /// It answered others.
+    pub through: bool,
+    /// What asking over a stream came to, once it has.
+    pub checked: Option<Checked>,
+}
+
+/// What a question came to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// It is there, and reached from here.
+    Here,
+    /// It is there, and only others reach it.
+    Elsewhere,
+    /// Nobody listens at its address.
+    Refused,
+    /// Its kernel takes connections and it does not answer.
+    Silent,
+    /// Nothing came back; `helped`: others said the same, so that the fault is not this member's own.
+    Nothing {
+        /// Others did their part.
+        helped: bool,
+    },
+}
+
+impl Probe {
+    /// What it came to, at the end of its time.
+    #[must_use]
+    pub fn verdict(&self) -> Verdict {
+        if self.direct || self.checked == Some(Checked::Answered) {
+            return Verdict::Here;
+        }
+        if self.through {
+            return Verdict::Elsewhere;
+        }
+        match self.checked {
+            Some(Checked::Refused) => Verdict::Refused,
+            Some(Checked::Silent) => Verdict::Silent,
+            _ => Verdict::Nothing { helped: self.helpers == 0 || self.nacks > 0 },
+        }
+    }
+}
+
+/// What the last questions came to: whoever gets no answer from most of those that it asks is itself cut off.
+#[derive(Clone, Debug, Default)]
+pub struct Luck(VecDeque<bool>);
+
+/// Questions looked back on, and of those without an answer from which on the fault is taken for this member's own.
+const BACK: (usize, usize) = (4, 3);
+
+impl Luck {
+    /// What one came to.
+    pub fn note(&mut self, answered: bool) {
+        self.0.push_back(answered);
+        if self.0.len() > BACK.0 {
+            self.0.pop_front();
+        }
+    }
+
+    /// Whether it is this member that is cut off.
+    #[must_use]
+    pub fn is_cut(&self) -> bool {
+        self.0.iter().filter(|answered| !**answered).count() >= BACK.1
+    }
+}
--- /dev/null
+++ b/crates/members/src/settings.rs
@@ -0,0 +1,102 @@
+//! Spans and bounds, with their reasons.
+
+use crate::{MS, Nanos, SECOND};
+
+/// Most members: what a view's memory (some 300 bytes an entry) and a whole table over a stream (1 MiB) are sized for.
+pub const MOST_MEMBERS: usize = 16_384;
+/// Most dead and departed members that are remembered; the oldest go first.
+pub const MOST_GONE: usize = 4_096;
+/// Largest datagram: what passes every usual network in one piece.
+pub const LARGEST_DATAGRAM: usize = 1_200;
+/// Largest frame of a stream: all entries of the largest fleet.
+pub const LARGEST_FRAME: usize = 4 << 20;
+
+/// How a member behaves. All members of a fleet should have the same.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// Between two questions to others whether they are there.
+    pub period: Nanos,
+    /// Until a question is put through others, and over a stream.
+    pub patience: Nanos,
+    /// Through so many others: enough that one of them has a way, at 30% loss too.
+    pub helpers: usize,
+    /// Between two rounds of passing news on, while there are any.
+    pub gossip: Nanos,
+    /// To so many others each time.
+    pub fanout: usize,
+    /// Between two comparisons of whole views with some member.
+    pub sync: Nanos,
+    /// Between two questions to some member that is held dead: whether it is back, or was cut off.
+    pub recall: Nanos,
+    /// One that stands still for so long is taken for dead.
+    pub stalled: Nanos,
+    /// One that only this member misses, and nobody else says so, is taken for dead after this.
+    pub alone: Nanos,
+    /// The dead and departed are remembered for so long; who was away longer begins anew.
+    pub memory: Nanos,
+    /// A member that is known to be gone has rights for so long.
+    pub lease: Nanos,
+    /// One that is merely out of sight has them for so long: the other side of a cut uses them.
+    pub lost_lease: Nanos,
+    /// Changes in this span from which on a member counts as one that comes and goes.
+    pub flap_span: Nanos,
+}
+
+/// Changes from which on a member counts as one that comes and goes: a restart and a stall in a minute are none.
+pub const FLAPS: u32 = 4;
+/// A timer that comes so late tells that this process stood still.
+pub const STALL: Nanos = 300 * MS;
+/// A member's own load is said anew no more often than this for each member there is: what all say together stays the same.
+pub const LOAD_EACH: Nanos = 4 * SECOND;
+/// ... and no more often than this.
+pub const LOAD_LEAST: Nanos = 10 * SECOND;
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            period: 500 * MS,
+            patience: 200 * MS,
+            helpers: 3,
+            gossip: 200 * MS,
+            fanout: 3,
+            sync: 10 * SECOND,
+            recall: 2 * SECOND,
+            stalled: 60 * SECOND,
+            alone: 60 * SECOND,
+            memory: 3_600 * SECOND,
+            lease: 5 * SECOND,
+            lost_lease: 600 * SECOND,
+            flap_span: 60 * SECOND,
+        }
+    }
+}
+
+/// Why settings can't be used.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("`{0}` is out of its bounds")]
+pub struct BadSettings(pub &'static str);
+
+impl Settings {
+    /// Whether they can be used: each span can hold what happens within it.
+    ///
+    /// # Errors
+    /// The first that is out of bounds.
+    pub fn check(&self) -> Result<(), BadSettings> {
+        let within = |name, value: Nanos, least: Nanos, most: Nanos| {
+            if (least..=most).contains(&value) { Ok(()) } else { Err(BadSettings(name)) }
+        };
+        within("period", self.period, 50 * MS, 60 * SECOND)?;
+        within("patience", self.patience, 5 * MS, self.period / 2)?;
+        within("gossip", self.gossip, 20 * MS, 10 * SECOND)?;
+        within("sync", self.sync, self.period, 3_600 * SECOND)?;
+        within("recall", self.recall, self.period, 3_600 * SECOND)?;
+        within("stalled", self.stalled, self.period, 3_600 * SECOND)?;
+        within("alone", self.alone, self.period, 3_600 * SECOND)?;
+        within("memory", self.memory, self.stalled.max(self.alone), 7 * 86_400 * SECOND)?;
+        within("lost_lease", self.lost_lease, self.lease, 86_400 * SECOND)?;
+        if !(1..=10).contains(&self.helpers) || !(1..=10).contains(&self.fanout) {
+            return Err(BadSettings("helpers"));
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/members/src/share.rs
@@ -0,0 +1,64 @@
+//! How many nodes share a server, and this one's number among them.
+//!
+//! A node that counts fewer than there are takes more of each server than its part. So whoever has gone counts until its
+//! rights have ended: soon where it said so itself or its own kernel did, after long where it is merely out of sight: the other
+//! side of a cut uses the same servers. More are believed at once, fewer by degrees.
+
+use crate::card::Key;
+use crate::settings::Settings;
+use crate::state::State;
+use crate::table::Table;
+use crate::{Nanos, SECOND};
+
+/// The number of nodes falls by this part of itself a second at the most: limits are learned within some seconds.
+const FALL: f64 = 0.1;
+
+/// The number of nodes that share.
+#[derive(Clone, Debug)]
+pub struct Sharing {
+    nodes: f64,
+    at: Nanos,
+}
+
+impl Sharing {
+    /// Begins with what the operator's file says: a node that has not heard from others yet is not alone.
+    #[must_use]
+    pub fn new(nodes: u32, now: Nanos) -> Self {
+        Self { nodes: f64::from(nodes.max(1)), at: now }
+    }
+
+    /// How many there are now, this one among them.
+    pub fn count(&mut self, table: &Table, settings: &Settings, now: Nanos) -> u32 {
+        let counted = counted(table, settings, now) as f64;
+        let span = now.saturating_sub(self.at) as f64 / SECOND as f64;
+        self.at = now;
+        let least = self.nodes * (-FALL * span).exp();
+        self.nodes = counted.max(least).max(1.0);
+        self.nodes.ceil() as u32
+    }
+}
+
+/// Members with rights: those there are, and those gone whose rights have not ended.
+#[must_use]
+pub fn counted(table: &Table, settings: &Settings, now: Nanos) -> usize {
+    let has = |state: State, refused: bool, since: i64| {
+        let age = (now as i64).saturating_sub(since).max(0) as Nanos;
+        match state {
+            State::Alive | State::Stalled | State::Suspect => true,
+            State::Left => false,
+            State::Dead => age < if refused { settings.lease } else { settings.lost_lease },
+        }
+    };
+    table.iter().filter(|held| has(held.state, held.refused, held.since)).count()
+}
+
+/// The lowest number that no other member has, from 1.
+#[must_use]
+pub fn free_number(table: &Table, me: Key) -> u32 {
+    let others = table.iter().filter(|held| held.said.key() != me && held.state.is_there());
+    let mut taken: Vec<_> = others.map(|held| held.said.card.number).filter(|number| *number > 0).collect();
+    taken.sort_unstable();
+    taken.dedup();
+    let gap = taken.iter().zip(1..).find(|(number, place)| **number != *place);
+    gap.map_or(taken.len() as u32 + 1, |(_, place)| place)
+}
--- /dev/null
+++ b/crates/members/tests/settles.rs
@@ -0,0 +1,297 @@
+//! Fleets in virtual time: what is found out, how soon, and that nobody is wronged. A failing seed replays.
+
+use pumicehead_members::sim::{Plan, Sim};
+use pumicehead_members::{MS, SECOND, State};
+
+const STEP: u64 = 50 * MS;
+
+fn running(nodes: usize, seed: u64) -> Sim {
+    let mut sim = Sim::new(Plan::calm(nodes, seed));
+    sim.start_all_known();
+    sim.run(5 * SECOND);
+    sim
+}
+
+/// Whether all that run hold one for this.
+fn all_hold(sim: &Sim, nodes: usize, of: usize, state: State) -> bool {
+    (0..nodes).filter(|&by| by != of && sim.is_up(by)).all(|by| sim.held(by, of) == Some(state))
+}
+
+/// Guards the calm: nobody is ever doubted, views stay equal, and it costs little.
+#[test]
+fn nothing_happens_in_the_calm() {
+    for seed in 0..5 {
+        let mut sim = running(30, seed);
+        let (before, _) = sim.sent();
+        sim.run(60 * SECOND);
+        assert!(sim.is_settled(), "seed {seed}");
+        for of in 0..30 {
+            assert!(all_hold(&sim, 30, of, State::Alive), "seed {seed}");
+        }
+        let each = (sim.sent().0 - before) / 30 / 60;
+        assert!(each < 1_024, "seed {seed}: {each} bytes a second");
+    }
+}
+
+/// Guards joins: fifty at once through one seed that dies in the middle find each other all the same.
+#[test]
+fn fifty_join_through_a_seed_that_dies() {
+    for seed in 0..10 {
+        let mut sim = Sim::new(Plan::calm(51, seed));
+        sim.start(0, &[]);
+        for node in 1..51 {
+            sim.start(node, &[0, 1]);
+            sim.run(2 * MS);
+        }
+        sim.kill(0);
+        let settled = |sim: &Sim| {
+            sim.is_settled()
+                && all_hold(sim, 51, 0, State::Dead)
+                && (1..51).all(|n| all_hold(sim, 51, n, State::Alive))
+        };
+        let took = sim.run_until(STEP, 60 * SECOND, settled);
+        assert!(took.is_some(), "seed {seed}");
+        let mut numbers: Vec<_> = (1..51).filter_map(|n| Some(sim.member(n)?.card().number)).collect();
+        numbers.sort_unstable();
+        numbers.dedup();
+        assert!(numbers.len() == 50 && !numbers.contains(&0), "seed {seed}: numbers {numbers:?}");
+    }
+}
+
+/// Guards detection: a crash is known to the first within 2 s, to the last within 5 s, and to nobody wrongly.
+#[test]
+fn a_crash_is_found_out() {
+    for seed in 0..20 {
+        let mut sim = running(50, seed);
+        sim.kill(7);
+        let knows = |sim: &Sim, count: usize| {
+            (0..50).filter(|&by| by != 7 && sim.held(by, 7) == Some(State::Dead)).count() >= count
+        };
+        let first = sim.run_until(STEP, 20 * SECOND, |sim| knows(sim, 1)).expect("found");
+        let rest = sim.run_until(STEP, 20 * SECOND, |sim| knows(sim, 49)).expect("known to all");
+        assert!(first <= 3 * SECOND && first + rest <= 5 * SECOND, "seed {seed}: {first} {rest}");
+        assert!((0..50).filter(|of| *of != 7).all(|of| all_hold(&sim, 50, of, State::Alive)), "seed {seed}");
+    }
+}
+
+/// Guards restarts faster than detection: the new process counts, the old one never comes back.
+#[test]
+fn a_restart_is_a_new_process() {
+    for seed in 0..20 {
+        let mut sim = running(20, seed);
+        let old = sim.member(3).map(|member| member.card().epoch);
+        sim.kill(3);
+        sim.run(100 * MS);
+        sim.start(3, &[0, 1]);
+        let settled = |sim: &Sim| sim.is_settled() && all_hold(sim, 20, 3, State::Alive);
+        assert!(sim.run_until(STEP, 30 * SECOND, settled).is_some(), "seed {seed}");
+        let new = sim.member(3).map(|member| (member.card().epoch, member.card().number));
+        assert!(
+            new.map(|(epoch, _)| epoch) > old && new.map(|(_, number)| number) == Some(4),
+            "seed {seed}: {new:?}"
+        );
+    }
+}
+
+/// Guards stalls under, at and over the times of suspicion: who wakes is alive for all again soon, and has declared nobody dead.
+#[test]
+fn who_stood_still_wrongs_nobody() {
+    for seed in 0..10 {
+        for span in [SECOND / 2, SECOND, 2 * SECOND, 5 * SECOND, 20 * SECOND, 90 * SECOND] {
+            let mut sim = running(20, seed);
+            for node in [4, 5, 6] {
+                sim.stop(node);
+            }
+            sim.run(span);
+            if span == 5 * SECOND {
+                assert!(all_hold(&sim, 20, 4, State::Stalled), "seed {seed}: told from dead");
+            }
+            for node in [4, 5, 6] {
+                sim.resume(node);
+            }
+            let well = |sim: &Sim| sim.is_settled() && (0..20).all(|of| all_hold(sim, 20, of, State::Alive));
+            let wronged = |sim: &mut Sim| {
+                (0..20).filter(|of| ![4, 5, 6].contains(of)).any(|of| !all_hold(sim, 20, of, State::Alive))
+            };
+            for _ in 0..100 {
+                sim.run(STEP);
+                assert!(!wronged(&mut sim), "seed {seed}, {span}: somebody else is doubted");
+            }
+            assert!(sim.run_until(STEP, 20 * SECOND, well).is_some(), "seed {seed}, {span}");
+        }
+    }
+}
+
+/// Guards loss: an hour at 5%, a tenth of the nodes standing still for 2 s at a time, and nobody who lives is held dead.
+#[test]
+fn loss_and_stalls_kill_nobody() {
+    for seed in 0..2 {
+        let mut sim = Sim::new(Plan { loss: 0.05, twice: 0.02, ..Plan::calm(30, seed) });
+        sim.start_all_known();
+        for round in 0..300 {
+            let still = [round * 3 % 30, (round * 7 + 11) % 30, (round * 13 + 5) % 30];
+            still.into_iter().for_each(|node| sim.stop(node));
+            sim.run(2 * SECOND);
+            still.into_iter().for_each(|node| sim.resume(node));
+            sim.run(500 * MS);
+            for by in 0..30 {
+                let dead = (0..30).find(|&of| sim.held(by, of) == Some(State::Dead));
+                assert_eq!(dead, None, "seed {seed}, round {round}: held dead by {by}");
+            }
+        }
+    }
+}
+
+/// Guards 30% loss: everybody stays, and a crash is found out.
+#[test]
+fn heavy_loss_hides_no_crash() {
+    for seed in 0..5 {
+        let mut sim = Sim::new(Plan { loss: 0.3, ..Plan::calm(20, seed) });
+        sim.start_all_known();
+        sim.run(60 * SECOND);
+        assert!((0..20).all(|of| (0..20).all(|by| sim.held(by, of) != Some(State::Dead))), "seed {seed}");
+        sim.kill(2);
+        assert!(
+            sim.run_until(STEP, 30 * SECOND, |sim| all_hold(sim, 20, 2, State::Dead)).is_some(),
+            "seed {seed}"
+        );
+    }
+}
+
+/// Guards a cut that is neither symmetric nor transitive: a hears b, b hears c, a never hears c; all live on, and a knows that
+/// it does not reach c itself.
+#[test]
+fn out_of_reach_from_here_is_not_dead() {
+    for seed in 0..10 {
+        let mut sim = running(8, seed);
+        sim.cut(|from, to| (from, to) == (0, 7) || (from, to) == (7, 0) || (from, to) == (2, 3));
+        sim.run(60 * SECOND);
+        for of in 0..8 {
+            assert!(all_hold(&sim, 8, of, State::Alive), "seed {seed}: {of}");
+        }
+        let key = pumicehead_members::Key::of("n7");
+        let here = |sim: &Sim| sim.member(0).and_then(|member| member.table().get(key).map(|held| held.here));
+        assert_eq!(here(&sim), Some(false), "seed {seed}");
+        sim.cut(|_, _| false);
+        assert!(sim.run_until(STEP, 30 * SECOND, |sim| here(sim) == Some(true)).is_some(), "seed {seed}");
+    }
+}
+
+/// Guards the observer that is cut off itself: it declares nobody dead within a minute, and is whole again soon after.
+#[test]
+fn who_is_cut_off_blames_itself() {
+    for seed in 0..10 {
+        let mut sim = running(20, seed);
+        sim.cut(|from, to| from == 9 || to == 9);
+        sim.run(40 * SECOND);
+        let dead = (0..20).filter(|&of| sim.held(9, of) == Some(State::Dead)).count();
+        assert_eq!(dead, 0, "seed {seed}");
+        assert!(sim.member(9).is_some_and(|member| member.is_cut()), "seed {seed}");
+        sim.cut(|_, _| false);
+        let well = |sim: &Sim| sim.is_settled() && (0..20).all(|of| all_hold(sim, 20, of, State::Alive));
+        assert!(sim.run_until(STEP, 20 * SECOND, well).is_some(), "seed {seed}");
+    }
+}
+
+/// Guards partitions: three sides that heal in the order 1-2, then 3, become one view each time, soon.
+#[test]
+fn three_sides_find_each_other_again() {
+    for seed in 0..10 {
+        let mut sim = running(30, seed);
+        let side = |node: usize| node % 3;
+        sim.cut(move |from, to| side(from) != side(to));
+        sim.run(60 * SECOND);
+        assert_eq!(sim.held(0, 1), Some(State::Dead), "seed {seed}");
+        sim.cut(move |from, to| (side(from) == 2) != (side(to) == 2));
+        let two = |sim: &Sim| {
+            (0..30).filter(|n| side(*n) != 2).all(|by| {
+                (0..30).filter(|n| side(*n) != 2).all(|of| by == of || sim.held(by, of) == Some(State::Alive))
+            })
+        };
+        assert!(sim.run_until(STEP, 10 * SECOND, two).is_some(), "seed {seed}: two sides");
+        sim.cut(|_, _| false);
+        let well = |sim: &Sim| sim.is_settled() && (0..30).all(|of| all_hold(sim, 30, of, State::Alive));
+        let took = sim.run_until(STEP, 20 * SECOND, well);
+        assert!(took.is_some(), "seed {seed}: all");
+    }
+}
+
+/// Guards the others against one that crashes and comes back every second: it may lag, nobody else's state moves.
+#[test]
+fn one_that_comes_and_goes_disturbs_nobody() {
+    for seed in 0..5 {
+        let mut sim = running(20, seed);
+        (0..20).for_each(|node| drop(sim.events(node)));
+        let (before, _) = sim.sent();
+        for _ in 0..60 {
+            sim.kill(5);
+            sim.run(500 * MS);
+            sim.start(5, &[0, 1]);
+            sim.run(500 * MS);
+        }
+        for node in (0..20).filter(|node| *node != 5) {
+            for event in sim.events(node) {
+                if let pumicehead_members::Event::Moved { name, .. } = event {
+                    assert_eq!(name, "n5", "seed {seed}");
+                }
+            }
+        }
+        let each = (sim.sent().0 - before) / 20 / 60;
+        assert!(each < 4_096, "seed {seed}: {each} bytes a second");
+        let well = |sim: &Sim| sim.is_settled() && all_hold(sim, 20, 5, State::Alive);
+        assert!(sim.run_until(STEP, 60 * SECOND, well).is_some(), "seed {seed}");
+    }
+}
+
+/// Guards departures: told by who goes, at once, and never taken back.
+#[test]
+fn who_leaves_has_left() {
+    for seed in 0..10 {
+        let mut sim = running(20, seed);
+        sim.leave(11);
+        let took = sim.run_until(STEP, 10 * SECOND, |sim| all_hold(sim, 20, 11, State::Left));
+        assert!(took.is_some_and(|took| took < 3 * SECOND), "seed {seed}: {took:?}");
+        sim.run(20 * SECOND);
+        assert!(all_hold(&sim, 20, 11, State::Left), "seed {seed}");
+    }
+}
+
+/// Guards memory: the dead are forgotten, and one that was away for longer brings nobody back.
+#[test]
+fn the_forgotten_stay_forgotten() {
+    let mut plan = Plan::calm(8, 3);
+    plan.settings.memory = 120 * SECOND;
+    let mut sim = Sim::new(plan);
+    sim.start_all_known();
+    sim.run(5 * SECOND);
+    // 7 stands still; 6 dies for good meanwhile and is forgotten.
+    sim.stop(7);
+    sim.run(SECOND);
+    sim.kill(6);
+    sim.run(400 * SECOND);
+    assert_eq!((sim.held(0, 6), sim.held(0, 7)), (None, None));
+    sim.resume(7);
+    let back = sim.run_until(STEP, 30 * SECOND, |sim| all_hold(sim, 7, 7, State::Alive));
+    assert!(back.is_some());
+    for _ in 0..200 {
+        sim.run(STEP);
+        assert!((0..6).all(|by| sim.held(by, 6).is_none()), "nobody holds it for anything again");
+    }
+}
+
+/// Guards the bytes and the time at size: no more than a logarithm over the small fleet.
+#[test]
+fn a_thousand_cost_hardly_more_than_fifty() {
+    let cost = |nodes: usize| {
+        let mut sim = running(nodes, 1);
+        let (before, _) = sim.sent();
+        sim.run(20 * SECOND);
+        let each = (sim.sent().0 - before) as f64 / nodes as f64 / 20.0;
+        sim.kill(1);
+        let known = sim.run_until(100 * MS, 30 * SECOND, |sim| all_hold(sim, nodes, 1, State::Dead));
+        (each, known.expect("known to all"))
+    };
+    let ((small, _), (large, last)) = (cost(50), cost(1_000));
+    assert!(large < 2.0 * small && large < 2_048.0, "{small} {large}");
+    assert!(last < 10 * SECOND, "{last}");
+}
