--- a/crates/lang/src/check/mod.rs
+++ b/crates/lang/src/check/mod.rs
@@ -1,6 +1,7 @@
 //! From statements to meaning. `blocks` reads each kind of block, `meaning` looks at what they mean together.
 
 mod blocks;
+mod fleet;
 mod meaning;
 mod observe;
 mod reader;
@@ -14,10 +15,12 @@
 use reader::Reader;
 
 /// Blocks of a file, by their first word.
-const KINDS: [&str; 8] = ["node", "listener", "pool", "class", "tenant", "route", "limits", "observe"];
+const KINDS: [&str; 9] =
+    ["node", "listener", "pool", "class", "tenant", "route", "limits", "observe", "fleet"];
 /// All that may begin a statement of a file.
-const TOP: [&str; 10] =
-    ["node", "listener", "pool", "class", "tenant", "route", "limits", "observe", "const", "include"];
+const TOP: [&str; 11] = [
+    "node", "listener", "pool", "class", "tenant", "route", "limits", "observe", "fleet", "const", "include",
+];
 /// Most entries of one kind: places of classes and zones are 16-bit numbers in the decision module.
 const MOST_ENTRIES: usize = 20_000;
 /// Longest name.
@@ -69,6 +72,7 @@
     let node = check.single("node", of("node"), Check::node).unwrap_or_else(Node::unwritten);
     let limits = check.single("limits", of("limits"), Check::limits).unwrap_or_else(Limits::unwritten);
     let observe = check.single("observe", of("observe"), Check::observe).unwrap_or_else(Observe::unwritten);
+    let fleet = check.single("fleet", of("fleet"), Check::fleet);
     let listeners: Vec<_> = listeners.iter().map(|block| check.listener(block)).collect();
     let pools: Vec<_> = pools.iter().map(|block| check.pool(block, &node)).collect();
     let classes: Vec<_> = classes.iter().map(|block| check.class(block)).collect();
@@ -80,6 +84,7 @@
         node,
         limits,
         observe,
+        fleet,
         listeners: all(listeners)?,
         pools: all(pools)?,
         classes: all(classes)?,
--- a/crates/lang/src/check/reader.rs
+++ b/crates/lang/src/check/reader.rs
@@ -114,6 +114,7 @@
         "observe" => {
             const { &[one("calls"), one("log"), one("log-form"), one("recorder"), one("recordings")] }
         }
+        "fleet" => const { &[one("name"), one("address"), one("told-as"), one("seeds"), many("reach")] },
         _ => &[],
     }
 }
@@ -253,7 +254,8 @@
     }
 
     pub(super) fn missing(&mut self, reader: &Reader<'_>, name: &str) {
-        let message = format!("the {} `{}` has no `{name}`", reader.kind, reader.name);
+        let of = if reader.name.is_empty() { String::new() } else { format!(" `{}`", reader.name) };
+        let message = format!("the {}{of} has no `{name}`", reader.kind);
         self.say(Diagnostic::error("missing-setting", reader.at.name, message));
     }
 
--- a/crates/lang/src/diff.rs
+++ b/crates/lang/src/diff.rs
@@ -8,8 +8,8 @@
 use pumicehead_route::Methods;
 
 use crate::model::{
-    Class, Config, KeyOf, Limits, Listener, Members, Node, Observe, Places, Pool, Repeats, Route, Server,
-    Tenant, TenantOf,
+    Class, Config, Fleet, KeyOf, Limits, Listener, Members, Node, Observe, Places, Pool, Repeats, Route,
+    Server, Tenant, TenantOf,
 };
 use crate::span::{Sources, Span};
 use crate::units::{show_size, show_time};
@@ -71,7 +71,7 @@
 #[must_use]
 pub fn facts(config: &Config) -> Facts {
     let mut facts = Facts::default();
-    let Config { node, listeners, pools, classes, tenants, routes, limits, observe } = config;
+    let Config { node, listeners, pools, classes, tenants, routes, limits, observe, fleet } = config;
     let mut add = |kind, name: &str, at: &Places, values: Vec<(&'static str, String)>| {
         let entry = Entry { at: at.clone(), values: values.into_iter().collect() };
         facts.entries.insert((kind, name.to_owned()), entry);
@@ -203,6 +203,18 @@
         ("recordings", recordings.display().to_string()),
     ];
     add("observe", "", at, values);
+    if let Some(Fleet { name, address, told_as, seeds, reach, at }) = fleet {
+        let reach = reach.iter().map(|(name, address)| format!("{name} {address}")).collect::<Vec<_>>();
+        let seeds = seeds.iter().map(ToString::to_string).collect::<Vec<_>>();
+        let values = vec![
+            ("name", name.clone()),
+            ("address", address.to_string()),
+            ("told-as", told_as.unwrap_or(*address).to_string()),
+            ("seeds", seeds.join(" ")),
+            ("reach", reach.join(", ")),
+        ];
+        add("fleet", "", at, values);
+    }
     facts
 }
 
--- a/crates/lang/src/model.rs
+++ b/crates/lang/src/model.rs
@@ -31,6 +31,8 @@
     pub limits: Limits,
     /// What the node tells of itself.
     pub observe: Observe,
+    /// The nodes that it belongs to, where it knows of others.
+    pub fleet: Option<Fleet>,
 }
 
 /// Places of an entry: of its name, and of each value that is written.
@@ -311,6 +313,23 @@
     pub at: Places,
 }
 
+/// The nodes that know of each other.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Fleet {
+    /// Its name: nodes of another one are refused.
+    pub name: String,
+    /// Where this node listens, for datagrams and streams; port 0 is any free one.
+    pub address: SocketAddr,
+    /// Where others reach it, if not there.
+    pub told_as: Option<SocketAddr>,
+    /// Whom it asks first; none: it is the first itself.
+    pub seeds: Vec<SocketAddr>,
+    /// Where this node reaches others, by name, in place of what they tell.
+    pub reach: Vec<(String, SocketAddr)>,
+    /// Places.
+    pub at: Places,
+}
+
 impl Config {
     /// The compiled routes.
     #[must_use]
--- /dev/null
+++ b/crates/members/tests/hostile.rs
@@ -0,0 +1,337 @@
+//! What strangers, liars, doubles and old messages can do, and that what is held is a join.
+
+use proptest::prelude::*;
+use prost::Message;
+use pumicehead_members::card::BadCard;
+use pumicehead_members::member::{Event, Exchange, Member, Output, Setup};
+use pumicehead_members::sim::{Plan, Sim, address, name};
+use pumicehead_members::table::{Hearsay, Merged, Said, Table, read};
+use pumicehead_members::wire::{BadBytes, Datagram, Entry, Frame, Kind, MAJOR, Step, fleet};
+use pumicehead_members::{Card, Epoch, Incarnation, Key, Nanos, SECOND, Settings, Stamp, State, Version};
+
+const NOW: Nanos = 1_000 * SECOND;
+
+fn card(of: usize, epoch: u64, incarnation: u64) -> Card {
+    let address = address(of).to_string();
+    Card { name: name(of), epoch, incarnation, address, ..Card::default() }
+}
+
+fn entry(card: &Card, state: State, age: u32) -> Entry {
+    Entry { card: card.encode_to_vec(), state: state.number(), age, witness: 0, refused: false }
+}
+
+fn member(of: usize, fleet: &str, seeds: &[usize]) -> Member {
+    let setup = Setup {
+        settings: Settings::default(),
+        fleet: fleet.into(),
+        card: card(of, 5, 0),
+        seeds: seeds.iter().map(|seed| address(*seed)).collect(),
+        reach: Vec::new(),
+        nodes: 1,
+        seed: 1,
+    };
+    Member::new(setup, NOW).unwrap()
+}
+
+fn datagram(own: u64, kind: Kind, news: Vec<Entry>) -> Datagram {
+    Datagram {
+        major: MAJOR,
+        minor: 0,
+        fleet: own,
+        from: Key::of("n9").0,
+        epoch: 5,
+        kind: kind as i32,
+        seq: 3,
+        about: Key::of("n0").0,
+        unknown: false,
+        news,
+    }
+}
+
+fn sent(member: &mut Member) -> Vec<(std::net::SocketAddr, Vec<u8>)> {
+    let outputs: Vec<_> = member.outputs().collect();
+    outputs
+        .into_iter()
+        .filter_map(|output| match output {
+            Output::Datagram { to, bytes } => Some((to, bytes)),
+            _ => None,
+        })
+        .collect()
+}
+
+proptest! {
+    /// Guards the join: whatever is heard, in whatever order and how often, the same is held.
+    #[test]
+    fn order_and_repeats_do_not_matter(
+        all in prop::collection::vec((0usize..5, 1u64..4, 0u64..4, 0u32..5, 0u8..2), 1..40),
+        seed in any::<u64>(),
+    ) {
+        let heard: Vec<_> = all.iter().map(|&(of, epoch, incarnation, state, zone)| {
+            let card = Card { zone: format!("z{zone}"), ..card(of, epoch, incarnation) };
+            read(&entry(&card, State::of(state).unwrap(), 0), NOW).unwrap()
+        }).collect();
+        let play = |order: &[usize]| {
+            let mut table = Table::default();
+            for &place in order {
+                table.merge(&heard[place]);
+            }
+            let mut held: Vec<_> =
+                table.iter().map(|held| (held.said.key(), held.version(), held.said.card.zone.clone())).collect();
+            held.sort();
+            let counted: usize = State::ALL.iter().map(|state| table.count(*state)).sum();
+            (held, table.fingerprint(), counted == table.len())
+        };
+        let straight: Vec<_> = (0..heard.len()).collect();
+        let mut mixed = [straight.clone(), straight.clone()].concat();
+        let mut state = seed | 1;
+        for place in (1..mixed.len()).rev() {
+            state = state.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
+            mixed.swap(place, (state >> 33) as usize % (place + 1));
+        }
+        let (one, two) = (play(&straight), play(&mixed));
+        prop_assert!(one.2);
+        prop_assert_eq!(one, two);
+    }
+
+    /// Guards against bytes: nothing that arrives breaks a member, or has it send more than came to where it came from.
+    #[test]
+    fn no_bytes_break_a_member(bytes in prop::collection::vec(any::<u8>(), 0..1_500), cut in 0usize..200, at in 0usize..200) {
+        let mut one = member(0, "a", &[1]);
+        drop(sent(&mut one));
+        let stranger = address(77);
+        one.on_datagram(NOW, stranger, &bytes);
+        let _ = one.on_frame(NOW, stranger, &bytes);
+        let mut good = datagram(fleet("a"), Kind::Ping, vec![entry(&card(1, 5, 0), State::Alive, 0)]).encode_to_vec();
+        let place = at % good.len();
+        good[place] ^= bytes.first().copied().unwrap_or(1);
+        good.truncate(good.len().saturating_sub(cut % 100));
+        one.on_datagram(NOW, stranger, &good);
+        for (to, bytes) in sent(&mut one) {
+            prop_assert!(to != stranger || bytes.len() <= good.len().max(64));
+        }
+    }
+}
+
+/// Guards the address of a question, which may be another's: no answer is larger than what it answers.
+#[test]
+fn nobody_is_an_amplifier() {
+    let mut one = member(0, "a", &[]);
+    for of in 1..200 {
+        let news = vec![entry(&card(of, 5, 0), State::Alive, 0)];
+        one.on_datagram(NOW, address(9), &datagram(fleet("a"), Kind::News, news).encode_to_vec());
+    }
+    drop(sent(&mut one));
+    for news in [vec![], vec![entry(&card(9, 5, 0), State::Suspect, 0)]] {
+        let ping = datagram(fleet("a"), Kind::Ping, news).encode_to_vec();
+        one.on_datagram(NOW, address(78), &ping);
+        let back: Vec<_> = sent(&mut one).into_iter().filter(|(to, _)| *to == address(78)).collect();
+        assert!(back.len() == 1 && back[0].1.len() <= ping.len(), "{} for {}", back[0].1.len(), ping.len());
+    }
+    // Put through it, a question goes to a member's own address, once, and is small.
+    let asked = Datagram { about: Key::of("n3").0, ..datagram(fleet("a"), Kind::PingFor, vec![]) };
+    for _ in 0..500 {
+        one.on_datagram(NOW, address(78), &asked.encode_to_vec());
+    }
+    let through = sent(&mut one);
+    assert!(through.len() <= 64 && through.iter().all(|(to, bytes)| *to == address(3) && bytes.len() < 64));
+}
+
+/// Guards two fleets that a wrong seed points at each other, and another major version: each is told once, nothing is learned.
+#[test]
+fn other_fleets_and_versions_are_refused_once() {
+    let mut one = member(0, "a", &[]);
+    let mut two = member(1, "b", &[0]);
+    two.on_timer(NOW + SECOND);
+    let frame = two
+        .outputs()
+        .find_map(|output| match output {
+            Output::Sync { frame, .. } => Some(frame),
+            _ => None,
+        })
+        .unwrap();
+    let (error, refusal) = one.on_frame(NOW, address(1), &frame).unwrap_err();
+    assert_eq!(error, BadBytes::Fleet);
+    assert!(matches!(two.on_reply(NOW + SECOND, address(0), &refusal), Exchange::Over));
+    for _ in 0..5 {
+        let _ = one.on_frame(NOW, address(1), &frame);
+        one.on_datagram(NOW, address(1), &datagram(fleet("b"), Kind::Ping, vec![]).encode_to_vec());
+    }
+    let later = Datagram { major: MAJOR + 1, ..datagram(fleet("a"), Kind::Ping, vec![]) };
+    one.on_datagram(NOW, address(2), &later.encode_to_vec());
+    let refused: Vec<_> =
+        one.outputs().filter(|output| matches!(output, Output::Event(Event::Refused { .. }))).collect();
+    assert_eq!(refused.len(), 2, "{refused:?}");
+    assert_eq!((one.table().len(), two.table().len()), (1, 1));
+}
+
+/// Guards fields of a later version: they are passed on as they came.
+#[test]
+fn fields_that_are_not_known_pass_through() {
+    #[derive(Clone, PartialEq, Message)]
+    struct Later {
+        #[prost(string, tag = "1")]
+        name: String,
+        #[prost(uint64, tag = "2")]
+        epoch: u64,
+        #[prost(string, tag = "4")]
+        address: String,
+        #[prost(string, tag = "99")]
+        later: String,
+    }
+    let later = Later { name: name(4), epoch: 7, address: address(4).to_string(), later: "kept".into() };
+    let mut one = member(0, "a", &[]);
+    let news = Entry { card: later.encode_to_vec(), ..entry(&card(4, 7, 0), State::Alive, 0) };
+    one.on_datagram(NOW, address(9), &datagram(fleet("a"), Kind::News, vec![news]).encode_to_vec());
+    let held = one.table().get(Key::of("n4")).unwrap();
+    assert_eq!(Later::decode(&*held.entry(NOW).card).unwrap(), later);
+    // A state of a later version is nothing that this one could go by.
+    let news = Entry { state: 9, ..entry(&card(5, 7, 0), State::Alive, 0) };
+    one.on_datagram(NOW, address(9), &datagram(fleet("a"), Kind::News, vec![news]).encode_to_vec());
+    assert!(one.table().get(Key::of("n5")).is_none());
+}
+
+/// Guards cards: what can't be one is not taken.
+#[test]
+fn cards_that_cannot_be_are_not_taken() {
+    let good = card(1, 5, 0);
+    assert_eq!(Card::read(&good.encode_to_vec()).as_ref(), Ok(&good));
+    for bad in [
+        Card { name: String::new(), ..good.clone() },
+        Card { name: "x".repeat(65), ..good.clone() },
+        Card { name: "a\u{1b}[2J".into(), ..good.clone() },
+        Card { address: "example.org:80".into(), ..good.clone() },
+        Card { address: "0.0.0.0:80".into(), ..good.clone() },
+        Card { address: "255.255.255.255:80".into(), ..good.clone() },
+        Card { address: "10.0.0.1:0".into(), ..good.clone() },
+        Card { epoch: u64::MAX, ..good.clone() },
+        Card { incarnation: u64::MAX, ..good.clone() },
+        Card { offers: vec!["x".into(); 17], ..good.clone() },
+    ] {
+        assert!(Card::read(&bad.encode_to_vec()).is_err(), "{bad:?}");
+    }
+    assert!(matches!(Card::read(&[0; 5_000]), Err(BadCard::Bytes(_))));
+}
+
+/// Guards a whole large fleet in one frame: 1,250 names are taken, in a bounded time.
+#[test]
+fn a_frame_of_1250_names_is_taken() {
+    let mut one = member(0, "a", &[1]);
+    let entries = (1..1_251).map(|of| entry(&card(of, 5, 0), State::Alive, 0)).collect();
+    let frame = Frame {
+        major: MAJOR,
+        fleet: fleet("a"),
+        from: Key::of("n1").0,
+        epoch: 5,
+        step: Step::Entries as i32,
+        entries,
+        ..Frame::default()
+    };
+    assert_eq!(one.on_reply(NOW, address(1), &frame.encode_to_vec()), Exchange::Over);
+    assert_eq!((one.table().there(), one.is_joined()), (1_251, true));
+}
+
+/// Guards one name in two processes: the later one counts, the earlier one ends its part, with one message.
+#[test]
+fn the_later_process_of_a_name_counts() {
+    let mut sim = Sim::new(Plan::calm(6, 1));
+    sim.start_all_known();
+    sim.run(3 * SECOND);
+    let mut double = member(2, "sim", &[0]);
+    // Its clock is days behind; the fleet tells it how far its name has counted.
+    double.on_timer(NOW);
+    let seed = sim.member(0).unwrap().table().get(Key::of("n2")).unwrap().entry(0);
+    let old = sim.member(2).unwrap().card().epoch;
+    let news = datagram(fleet("sim"), Kind::News, vec![seed]).encode_to_vec();
+    double.on_datagram(NOW, address(0), &news);
+    assert_eq!(double.card().epoch, old + 1);
+    let own = double.table().get(Key::of("n2")).unwrap().entry(NOW);
+    let news = datagram(fleet("sim"), Kind::News, vec![own]).encode_to_vec();
+    sim.with(0, |member, now| member.on_datagram(now, address(9), &news));
+    sim.run(5 * SECOND);
+    let events = sim.events(2);
+    let ended = events.iter().filter(|event| matches!(event, Event::Superseded { .. })).count();
+    assert!(ended == 1 && sim.member(2).unwrap().is_over(), "{events:?}");
+}
+
+/// Guards against a liar: whom it calls dead stays, and is alive for all again within seconds; whom it invents goes again.
+#[test]
+fn a_liar_does_bounded_harm() {
+    for seed in 0..5 {
+        let mut sim = Sim::new(Plan::calm(12, seed));
+        sim.start_all_known();
+        sim.run(5 * SECOND);
+        for round in 0..20 {
+            for victim in 1..12 {
+                let mut card = sim.member(victim).unwrap().card().clone();
+                // Also with numbers far beyond what the victim ever said.
+                card.incarnation += if round % 2 == 0 { 0 } else { 1 << 40 };
+                let lies = vec![
+                    entry(&card, State::Dead, 0),
+                    entry(&self::card(500 + round, 1, 0), State::Alive, 0),
+                ];
+                let news = datagram(fleet("sim"), Kind::News, lies).encode_to_vec();
+                sim.with(3, |member, now| member.on_datagram(now, address(0), &news));
+            }
+            sim.run(SECOND);
+        }
+        let dead_for = |sim: &Sim| {
+            (0..12)
+                .flat_map(|by| (0..12).map(move |of| (by, of)))
+                .filter(|&(by, of)| sim.held(by, of) != Some(State::Alive))
+                .count()
+        };
+        let well = sim.run_until(SECOND / 10, 30 * SECOND, |sim| dead_for(sim) == 0);
+        assert!(well.is_some(), "seed {seed}");
+        let gone = sim.run_until(SECOND, 300 * SECOND, |sim| sim.member(1).unwrap().table().there() == 12);
+        assert!(gone.is_some(), "seed {seed}: {}", sim.member(1).unwrap().table().there());
+    }
+}
+
+/// Guards old messages: a datagram of before that comes an hour late, or again, changes nothing.
+#[test]
+fn what_comes_late_changes_nothing() {
+    let mut one = member(0, "a", &[]);
+    let say = |one: &mut Member, now: Nanos, card: &Card, state: State| {
+        let news = vec![entry(card, state, 0)];
+        one.on_datagram(now, address(9), &datagram(fleet("a"), Kind::News, news).encode_to_vec());
+    };
+    say(&mut one, NOW, &card(1, 5, 3), State::Alive);
+    say(&mut one, NOW, &card(1, 6, 0), State::Alive);
+    let print = one.table().fingerprint();
+    for (epoch, incarnation, state) in
+        [(5, 3, State::Alive), (5, 9, State::Alive), (5, 9, State::Dead), (6, 0, State::Alive)]
+    {
+        say(&mut one, NOW, &card(1, epoch, incarnation), state);
+        say(&mut one, NOW, &card(1, epoch, incarnation), state);
+    }
+    assert_eq!(one.table().fingerprint(), print);
+    let stamp = Stamp { epoch: Epoch(6), incarnation: Incarnation(0) };
+    assert_eq!(one.table().get(Key::of("n1")).unwrap().version(), Version { stamp, state: State::Alive });
+    // Of one that nobody remembers, what is older than memory.
+    say(&mut one, NOW, &card(2, 5, 0), State::Alive);
+    let news = vec![entry(&card(3, 5, 0), State::Dead, 10 * 3_601)];
+    one.on_datagram(NOW, address(9), &datagram(fleet("a"), Kind::News, news).encode_to_vec());
+    assert!(one.table().get(Key::of("n3")).is_none() && one.table().get(Key::of("n2")).is_some());
+}
+
+/// Guards bounds: a table takes no more than the largest fleet, and remembers no more than some of the gone.
+#[test]
+fn tables_are_bounded() {
+    let mut table = Table::default();
+    let heard = |of: usize, state: State| {
+        let card = card(of, 1, 0);
+        let raw = card.encode_to_vec();
+        Hearsay { said: Said::new(card, raw), state, refused: false, since: of as i64, witness: Key(0) }
+    };
+    for of in 0..20_000 {
+        table.merge(&heard(of, if of < 8_000 { State::Dead } else { State::Alive }));
+    }
+    assert_eq!(table.len(), 16_384);
+    table.forget(SECOND, 3_600 * SECOND);
+    assert_eq!((table.count(State::Dead), table.there()), (4_096, 16_384 - 8_000));
+    assert!(table.get(Key::of("n100")).is_none() && table.get(Key::of("n7999")).is_some(), "the oldest go");
+    assert_eq!(table.merge(&heard(30_000, State::Alive)), Merged::New);
+    let before = table.fingerprint();
+    table.forget(4_000 * SECOND, 3_600 * SECOND);
+    assert!(table.count(State::Dead) == 0 && table.fingerprint() != before);
+}
--- a/crates/node/src/cli.rs
+++ b/crates/node/src/cli.rs
@@ -15,7 +15,7 @@
 use pumicehead_lang::{Checked, Files, Severity, Sources, check};
 
 use crate::report::{Format, print, report};
-use crate::{log, why};
+use crate::{fleet_cli, log, why};
 
 /// A configuration with mistakes.
 const MISTAKES: u8 = 1;
@@ -66,6 +66,11 @@
         #[arg(long = "as", value_enum)]
         form: why::ExportForm,
     },
+    /// The fleet as a running node sees it.
+    Fleet {
+        #[command(subcommand)]
+        question: fleet_cli::Question,
+    },
     /// Checks configurations.
     Check {
         /// The configurations.
@@ -125,6 +130,7 @@
         }
         Command::Trace { address, out } => why::fetch(address, &out).map(|()| ExitCode::SUCCESS),
         Command::Why(why) => why.tell().map(|()| ExitCode::SUCCESS),
+        Command::Fleet { question } => fleet_cli::tell(&question).map(|()| ExitCode::SUCCESS),
         Command::Export { file, form } => why::export(&file, form).map(|()| ExitCode::SUCCESS),
         Command::Check { files, format, deny_warnings } => Ok(check_all(&files, format, deny_warnings)),
         Command::Fmt { files, check } => format_all(&files, check),
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -4,6 +4,8 @@
 mod calls;
 mod cli;
 mod eyes;
+mod fleet;
+mod fleet_cli;
 mod log;
 mod net;
 mod places;
--- a/crates/node/src/net/core/mod.rs
+++ b/crates/node/src/net/core/mod.rs
@@ -309,6 +309,10 @@
                     warn!(target: "settings", "settings that can't be changed in place are not used");
                 }
             }
+            Message::Sharing(sharing) => {
+                self.tell(&Told::Sharing { nodes: sharing.nodes, number: sharing.me });
+                self.events.push_back(Event::Sharing(sharing));
+            }
             Message::Retire { gone } => {
                 self.retired = true;
                 self.watch.stop();
--- a/crates/node/src/net/handle.rs
+++ b/crates/node/src/net/handle.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
 
-use pumicehead_policy::interface::{RequestId, Settings};
+use pumicehead_policy::interface::{RequestId, Settings, Sharing};
 use pumicehead_policy::policy::Knowledge;
 use pumicehead_trace::event::{Event, Turned};
 use rustc_hash::FxHashSet;
@@ -120,6 +120,11 @@
         let _ = self.messages.send(Message::Retune(Box::new(settings)));
     }
 
+    /// So many nodes share the servers from now on.
+    pub fn share(&self, sharing: Sharing) {
+        let _ = self.messages.send(Message::Sharing(sharing));
+    }
+
     /// No more requests come. The loop ends with the last that it has; where the servers are `gone`, nothing new
     /// goes to them after a grace.
     pub fn retire(&self, gone: bool) {
--- a/crates/node/src/net/message.rs
+++ b/crates/node/src/net/message.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use pumicehead_policy::interface::{AttemptNo, Nanos, RequestId, ServerId, Settings};
+use pumicehead_policy::interface::{AttemptNo, Nanos, RequestId, ServerId, Settings, Sharing};
 use pumicehead_policy::policy::Knowledge;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
@@ -38,6 +38,8 @@
     Moved(SocketAddr),
     Servers(List),
     Retune(Box<Settings>),
+    /// So many nodes share the servers.
+    Sharing(Sharing),
     Retire {
         gone: bool,
     },
--- a/crates/node/src/platform/admin.rs
+++ b/crates/node/src/platform/admin.rs
@@ -112,6 +112,7 @@
             Call::Rejoin => self.set_lame(false).await,
             Call::Detach(server) => self.set_out(&server, true).await,
             Call::Attach(server) => self.set_out(&server, false).await,
+            Call::Members | Call::WhyMember(_) => no("this node shares nothing with others"),
             // The eyes' own.
             Call::Trace | Call::Metrics | Call::Filter(_) | Call::Record(_) => String::new(),
         }
--- a/crates/node/src/standalone/mod.rs
+++ b/crates/node/src/standalone/mod.rs
@@ -8,18 +8,23 @@
 use std::hash::{BuildHasher, Hasher, RandomState};
 use std::path::PathBuf;
 use std::rc::Rc;
+use std::time::Duration;
 
 use pumicehead_lang::disk::Disk;
 use pumicehead_lang::model::Observe;
 use pumicehead_lang::{Checked, check};
 use pumicehead_ops::call::{Call, no, yes};
+use pumicehead_policy::interface::Sharing;
 use pumicehead_trace::recorder::Level;
 use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::watch;
 use tokio::task;
+use tokio::time::sleep;
 use tracing::{info, warn};
 
 use crate::calls::{self, Answers};
 use crate::eyes::Eyes;
+use crate::fleet::Fleet;
 use crate::log::{Form, Log};
 use crate::net::clock::Clock;
 use crate::net::front;
@@ -27,6 +32,9 @@
 use record::Recorder;
 use site::Site;
 
+/// How often the fleet may be told of this node's load; it passes on far less of it.
+const LOAD: Duration = Duration::from_secs(1);
+
 /// Serves what a file says until SIGTERM; SIGHUP reads it again. What is asked is written to `record`.
 ///
 /// # Errors
@@ -57,15 +65,27 @@
     let listener =
         calls.map(|address| front::listen(address).map_err(|error| format!("listen on {address}: {error}")));
     let listener = listener.transpose()?;
+    let fleet = match &config.fleet {
+        Some(block) => Some(Fleet::start(block, &config.node, eyes.clock(), seed).await?),
+        None => None,
+    };
     let site = Site::start(config, recorder.transpose()?, eyes)?;
+    if let Some(fleet) = &fleet {
+        task::spawn_local(share(site.clone(), fleet.sharing()));
+        task::spawn_local(tell_load(site.clone(), fleet.clone()));
+    }
     if let Some(listener) = listener {
         info!(target: "node", "takes calls on {}", listener.local_addr()?);
-        task::spawn_local(calls::serve(site.clone(), listener));
+        let staff = Rc::new(Staff { site: site.clone(), fleet: fleet.clone() });
+        task::spawn_local(calls::serve(staff, listener));
     }
     let reloads = task::spawn_local(reload_on(site.clone(), path, async move || hangup.recv().await));
     term.recv().await;
     // A reload that is half done would bind listeners anew.
     reloads.abort();
+    if let Some(fleet) = fleet {
+        fleet.leave().await;
+    }
     site.end().await;
     Ok(())
 }
@@ -101,14 +121,56 @@
     }
 }
 
-impl Answers for Site {
+/// Tells all pools how many nodes share their servers, whenever that changes.
+async fn share(site: Rc<Site>, mut sharing: watch::Receiver<Option<Sharing>>) {
+    while sharing.changed().await.is_ok() {
+        let now = *sharing.borrow_and_update();
+        if let Some(now) = now {
+            site.share(now);
+        }
+    }
+}
+
+/// Tells the fleet how much this node has to do.
+async fn tell_load(site: Rc<Site>, fleet: Rc<Fleet>) {
+    loop {
+        sleep(LOAD).await;
+        fleet.set_load(site.load());
+    }
+}
+
+/// Who answers staff.
+struct Staff {
+    site: Rc<Site>,
+    fleet: Option<Rc<Fleet>>,
+}
+
+impl Answers for Staff {
     async fn answer(&self, call: Call) -> Vec<u8> {
-        if let Some(answer) = self.eyes().answer(&call, async || self.gauges().await).await {
+        let gauges = async || {
+            let mut all = self.site.gauges().await;
+            all.extend(self.fleet.iter().flat_map(|fleet| fleet.gauges()));
+            all
+        };
+        if let Some(answer) = self.site.eyes().answer(&call, gauges).await {
             return answer;
         }
-        let text = match call {
-            Call::Ping => yes(""),
-            _ => no("calls here are PING, TRACE, METRICS, FILTER LEVELS, RECORD off|on|full"),
+        let text = match (&call, &self.fleet) {
+            (Call::Ping, _) if self.site.is_lame() => yes("serves what comes, and is emptied"),
+            (Call::Ping, _) => yes(""),
+            (Call::LameDuck | Call::Rejoin, fleet) => {
+                let lame = call == Call::LameDuck;
+                self.site.set_lame(lame);
+                if let Some(fleet) = fleet {
+                    fleet.set_lame(lame);
+                }
+                yes("")
+            }
+            (Call::Members | Call::WhyMember(_), Some(fleet)) => fleet.answer(&call).unwrap_or_default(),
+            (Call::Members | Call::WhyMember(_), None) => no("the configuration has no block `fleet`"),
+            _ => no(
+                "calls here are PING, LAMEDUCK, REJOIN, TRACE, METRICS, FILTER LEVELS, RECORD off|on|full, FLEET members, FLEET why NODE",
+            ),
         };
         text.into_bytes()
     }
--- a/crates/node/src/standalone/site.rs
+++ b/crates/node/src/standalone/site.rs
@@ -1,6 +1,6 @@
 //! What runs: a loop for each pool, a front for each listener, and how a new file changes them.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::collections::hash_map::RandomState;
 use std::hash::{BuildHasher, Hasher};
@@ -11,7 +11,7 @@
 use pumicehead_lang::Span;
 use pumicehead_lang::diff::{Change, What, diff};
 use pumicehead_lang::model::{Config, Limits, Members, Pool, Protocol};
-use pumicehead_policy::interface::{Nanos, Settings};
+use pumicehead_policy::interface::{Nanos, Settings, Sharing};
 use thiserror::Error;
 use tokio::net::TcpListener;
 use tokio::sync::oneshot;
@@ -22,6 +22,7 @@
 use super::record::Recorder;
 use crate::calls::MOST_CALLERS;
 use crate::eyes::Eyes;
+use crate::fleet;
 use crate::net::connections::Connections;
 use crate::net::core::{Core, Setup, Source};
 use crate::net::discovery::{Health, Host, List};
@@ -141,6 +142,10 @@
     seed: u64,
     eyes: Rc<Eyes>,
     running: RefCell<Running>,
+    /// How many nodes share the servers, where the fleet says so.
+    sharing: Cell<Option<Sharing>>,
+    /// Staff empty this node.
+    lame: Cell<bool>,
 }
 
 impl Site {
@@ -151,7 +156,8 @@
     pub fn start(config: Config, recorder: Option<Recorder>, eyes: Rc<Eyes>) -> Result<Rc<Self>, SiteError> {
         let listeners = bind(&config, &[])?;
         let limits = &config.limits;
-        let others = if config.observe.calls.is_some() { 1 + MOST_CALLERS } else { 0 };
+        let calls = if config.observe.calls.is_some() { 1 + MOST_CALLERS } else { 0 };
+        let others = calls + if config.fleet.is_some() { fleet::DESCRIPTORS } else { 0 };
         let places = Places::of(limits.descriptors, config.listeners.len() + others);
         let connections = Connections::new(places.servers);
         // Hash tables are seeded from the system's source of randomness.
@@ -177,6 +183,8 @@
             seed,
             eyes,
             running: RefCell::new(Running { config: config.clone(), pools, fronts: Vec::new() }),
+            sharing: Cell::new(None),
+            lame: Cell::new(false),
         });
         site.start_fronts(&config, listeners);
         site.set_protocols(&config);
@@ -215,6 +223,9 @@
         if (old.calls, old.recorder, &old.recordings) != (new.calls, new.recorder, &new.recordings) {
             warn!(target: "settings", "reload: `calls`, `recorder` and `recordings` wait for the next start");
         }
+        if running.config.fleet != config.fleet {
+            warn!(target: "settings", "reload: `fleet` waits for the next start");
+        }
         super::set_log(self.eyes.log(), new);
         let mut pools = HashMap::new();
         let mut cores = Vec::new();
@@ -239,7 +250,12 @@
                 }
                 None => {
                     let shared = (&self.connections, &self.room);
-                    start_pool(&config, place, &footing, shared, self.seed, &self.held, &self.eyes)
+                    let fresh =
+                        start_pool(&config, place, &footing, shared, self.seed, &self.held, &self.eyes);
+                    if let Some(sharing) = self.sharing.get() {
+                        fresh.share(sharing);
+                    }
+                    fresh
                 }
             };
             if let Some(replaced) = replaced {
@@ -293,6 +309,7 @@
                 self.room.clone(),
             );
             front.set_tap(self.eyes.front_tap());
+            front.set_lame(self.lame.get());
             let (stop, stopped) = oneshot::channel();
             let stopped = async move { stopped.await.unwrap_or(Ending::Process) };
             let done = task::spawn_local(front.clone().run(listener, stopped));
@@ -300,6 +317,29 @@
         }
     }
 
+    /// So many nodes share the servers of all pools from now on.
+    pub fn share(&self, sharing: Sharing) {
+        self.sharing.set(Some(sharing));
+        self.running.borrow().pools.values().for_each(|pool| pool.handle.share(sharing));
+    }
+
+    /// Staff empty this node, or have it back at work: connections of clients end with their next answers.
+    pub fn set_lame(&self, lame: bool) {
+        self.lame.set(lame);
+        self.running.borrow().fronts.iter().for_each(|front| front.front.set_lame(lame));
+    }
+
+    /// Whether staff empty it.
+    pub fn is_lame(&self) -> bool {
+        self.lame.get()
+    }
+
+    /// How much it has to do: requests in hand, in eighths of what it may hold.
+    pub fn load(&self) -> u32 {
+        let most = self.running.borrow().config.limits.held.max(1);
+        (self.held.count() * 8 / most).min(8) as u32
+    }
+
     /// What the node can be asked about itself.
     pub fn eyes(&self) -> &Eyes {
         &self.eyes
--- a/crates/ops/src/call.rs
+++ b/crates/ops/src/call.rs
@@ -9,7 +9,7 @@
 
 /// All there are.
 const CALLS: &str = "PING, INFO, DETACH ID, ATTACH ID, LAMEDUCK, REJOIN, TRACE, METRICS, FILTER LEVELS, \
-    RECORD off|on|full";
+    RECORD off|on|full, FLEET members, FLEET why NODE";
 
 /// What is asked.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -34,6 +34,10 @@
     Filter(String),
     /// How much is recorded from now on.
     Record(Amount),
+    /// The fleet as this node sees it, as JSON.
+    Members,
+    /// Why a node is held for what it is, as JSON.
+    WhyMember(String),
 }
 
 /// How much is recorded.
@@ -108,6 +112,11 @@
                 (Some(levels), None) => Ok(Self::Filter(levels.to_owned())),
                 _ => Err(CallError::Needs("FILTER", "levels, as `info` or `warn,discovery=debug`")),
             },
+            "FLEET" => match (server, rest, words.next()) {
+                (Some("members"), None, _) => Ok(Self::Members),
+                (Some("why"), Some(node), None) if is_name(node) => Ok(Self::WhyMember(node.to_owned())),
+                _ => Err(CallError::Needs("FLEET", "`members`, or `why` and a node")),
+            },
             "RECORD" => match (server, rest) {
                 (Some("off"), None) => Ok(Self::Record(Amount::Off)),
                 (Some("on"), None) => Ok(Self::Record(Amount::On)),
--- a/crates/policy/src/advice.rs
+++ b/crates/policy/src/advice.rs
@@ -4,7 +4,7 @@
 
 use rustc_hash::FxHashMap;
 
-use crate::interface::{Advice, Nanos, ServerId};
+use crate::interface::{Advice, Nanos, ServerId, Sharing};
 
 /// A server that is advised against looks this many times as slow: it gets work where no other has room, so that advice
 /// against all servers, or all but one, changes little.
@@ -23,6 +23,8 @@
     granted_until: Nanos,
     /// By server, the process that was told to be draining. That stays told for as long as it is that process.
     draining: FxHashMap<ServerId, Nanos>,
+    /// How many nodes share the servers, where the fleet says so.
+    pub sharing: Option<Sharing>,
 }
 
 impl Advised {
--- a/crates/policy/src/interface.rs
+++ b/crates/policy/src/interface.rs
@@ -311,6 +311,15 @@
     pub complete: bool,
 }
 
+/// How many nodes share the servers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Sharing {
+    /// This node's number among them: its place on the ring of servers. Any number will do, each node having another.
+    pub me: u32,
+    /// How many there are, this one among them.
+    pub nodes: u32,
+}
+
 /// What planners advise, from what many nodes have seen.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Advice {
@@ -352,6 +361,8 @@
     Timer(TimerToken),
     /// Planners' advice, which replaces what they said before.
     Advice(Advice),
+    /// What the fleet's own view says of how many share the servers, in place of [`Settings::nodes`] and [`Settings::me`].
+    Sharing(Sharing),
     /// Another node's note.
     Note {
         /// Its number.
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -18,6 +18,7 @@
 mod knowledge;
 mod listen;
 mod retune;
+mod share;
 mod stall;
 
 use std::sync::Arc;
@@ -218,6 +219,7 @@
             Event::ClientGone(id) => self.on_over(id, None, actions),
             Event::Timer(token) => self.on_timer(token, actions),
             Event::Advice(advice) => self.advised.hear(&advice, self.now),
+            Event::Sharing(sharing) => self.share(sharing),
             Event::Note { from, body } => self.peers.hear(from, &body, self.now),
         }
         self.dispatch(actions);
@@ -659,9 +661,8 @@
         server.broken += BROKEN * (1.0 - server.broken);
         let own = ((server.broken - OWN_FAULT.0 * common) / OWN_FAULT.1).clamp(0.0, 1.0);
         let fault = if broke { own } else { 1.0 };
-        let (id, from) = (server.id, server.limit);
-        server.limit = (from * CUT.powf(fault)).max(least);
-        let to = server.limit;
+        let (id, from, to) = (server.id, server.limit, (server.limit * CUT.powf(fault)).max(least));
+        server.limit = to;
         server.failures += count;
         // Failing fast must not look like being fast.
         server.stretch = server.faded(self.now).max(3.0 * fault);
@@ -1192,8 +1193,7 @@
         } else {
             actions.push(Action::Fail(id));
         }
-        let held = matches!(rule, Rule::WaitShare | Rule::NearlyOut);
-        if held && !std::mem::replace(&mut self.overload, true) {
+        if matches!(rule, Rule::WaitShare | Rule::NearlyOut) && !std::mem::replace(&mut self.overload, true) {
             self.notes.push(Note::Overload { held: self.queues.order.len() as u32 });
         }
         self.note(|_| Note::Over { id, rule, pressure });
--- a/crates/policy/src/policy/retune.rs
+++ b/crates/policy/src/policy/retune.rs
@@ -41,6 +41,7 @@
     /// Goes on with other settings; they should have passed [`Settings::check`]. Requests that are held keep their worth
     /// and their aim. Tells whether [`Settings::retunes_to`] allows it; where not, nothing is changed.
     pub fn retune(&mut self, settings: Settings) -> bool {
+        let settings = self.shared(settings);
         if !self.settings.retunes_to(&settings) {
             return false;
         }
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -40,6 +40,8 @@
     Fastcgi(Options),
     /// Many nodes and servers in virtual time.
     Fleet(Options),
+    /// The fleet's view of itself: detection, wrongs, healing and bytes, beside heartbeats to all.
+    View(Options),
     /// Fleets of processes under crashes, stalls and bad links.
     Storm {
         #[command(flatten)]
@@ -71,6 +73,7 @@
         Command::Eyes(options) => measure("eyes", &options),
         Command::Fastcgi(options) => measure("fastcgi", &options),
         Command::Fleet(options) => measure("fleet", &options),
+        Command::View(options) => measure("view", &options),
         Command::Storm { options, beside } => {
             storm::measure(options.plan(), beside.as_deref()).map(|report| show(&report, &options))
         }
--- a/crates/rig/src/measure/mod.rs
+++ b/crates/rig/src/measure/mod.rs
@@ -6,6 +6,7 @@
 pub mod fastcgi;
 pub mod fleet;
 pub mod storm;
+pub mod view;
 
 use std::io;
 
@@ -24,10 +25,11 @@
 pub type Measurement = fn(Plan) -> io::Result<Report>;
 
 /// All measurements that take no more than a plan; `storm` takes another node as well.
-pub const ALL: [(&str, Measurement); 5] = [
+pub const ALL: [(&str, Measurement); 6] = [
     ("config", config::measure),
     ("cost", cost::measure),
     ("eyes", eyes::measure),
     ("fastcgi", fastcgi::measure),
     ("fleet", fleet::measure),
+    ("view", view::measure),
 ];
--- a/crates/storm/src/check/mod.rs
+++ b/crates/storm/src/check/mod.rs
@@ -2,11 +2,13 @@
 
 mod rules;
 mod service;
+mod views;
 
 use serde::{Deserialize, Serialize};
 
 pub use rules::{ColdServers, Crashes, Drains, EffectsOnce, NoneLost, Recordings};
 pub use service::{Lag, Resources, Service, Summary};
+pub use views::{Views, ViewsSettle, views};
 
 use crate::Nanos;
 use crate::history::{Class, End, History, Listed, State, What};
@@ -42,6 +44,7 @@
         Box::new(Crashes),
         Box::new(Recordings),
         Box::new(Resources),
+        Box::new(ViewsSettle),
         Box::new(Lag),
     ]
 }
--- a/crates/storm/src/check/service.rs
+++ b/crates/storm/src/check/service.rs
@@ -35,6 +35,9 @@
     pub unanswered: u64,
     /// Most lag of the storm's own relay, in microseconds.
     pub lag_us: u64,
+    /// How the members' views of each other went, where they have any.
+    #[serde(default)]
+    pub views: Option<super::Views>,
     /// By second: worth asked and worth served.
     pub by_second: Vec<(f64, f64)>,
 }
@@ -87,6 +90,7 @@
             (over..last).rfind(|&at| share(at, at + 2) < RECOVERED * served[0]).map_or(over, |at| at + 1);
         summary.recovered_s = (back + 2 <= last).then(|| (back - over) as f64);
         (summary.served, summary.worst) = (served, worst);
+        summary.views = super::views(scenario, history);
         summary.lag_us = lags(history).map(|(_, lag)| lag).max().unwrap_or_default();
         summary
     }
--- a/crates/storm/src/draw.rs
+++ b/crates/storm/src/draw.rs
@@ -28,6 +28,7 @@
                 takes_ms: takes_ms(),
                 cold: cold(),
                 links: Conditions::default(),
+                members: false,
             },
             load: Load { rate: 30.0, submits: submits(), patience_ms: patience_ms() },
             calm_s: [4.0, 8.0],
--- a/crates/storm/src/faults.rs
+++ b/crates/storm/src/faults.rs
@@ -120,7 +120,9 @@
                 at += SLICE;
             }
         }
-        Kind::Link { .. } => all.extend([(from, Step::Links(number)), (to, Step::Links(number))]),
+        Kind::Link { .. } | Kind::Partition { .. } => {
+            all.extend([(from, Step::Links(number)), (to, Step::Links(number))]);
+        }
         Kind::ServerStall { servers } => {
             all.extend(servers.iter().map(|&server| (from, Step::Server(server, Sign::Stop))));
             all.extend(servers.iter().map(|&server| (to, Step::Server(server, Sign::Continue))));
@@ -220,6 +222,14 @@
 pub fn state(usual: &Conditions, going_on: &[&Fault], from: End, to: End) -> State {
     let mut state = State { door: Door::Open, there: usual.clone(), back: usual.clone() };
     for fault in going_on {
+        if let Kind::Partition { groups } = &fault.kind
+            && let (End::Node(a), End::Node(b)) = (from, to)
+        {
+            let group = |node: usize| groups.iter().position(|group| group.contains(&node));
+            if group(a).is_some() && group(b).is_some() && group(a) != group(b) {
+                (state.there.cut, state.back.cut) = (true, true);
+            }
+        }
         let Kind::Link { from: a, to: b, door, there, back, .. } = &fault.kind else { continue };
         if !(a.has(from) && b.has(to)) {
             continue;
@@ -334,5 +344,12 @@
         );
         assert_eq!(of(End::Node(0), End::Discovery).door, Door::Silent);
         assert_eq!(of(End::Node(1), End::Discovery).door, Door::Open);
+        let groups = vec![vec![0, 1], vec![2]];
+        let parted = Fault { at_s: 0.0, for_s: 1.0, kind: Kind::Partition { groups } };
+        let of = |from, to| state(&usual, &[&parted], End::Node(from), End::Node(to)).door;
+        assert_eq!(
+            [of(0, 1), of(0, 2), of(2, 1), of(3, 2)],
+            [Door::Open, Door::Silent, Door::Silent, Door::Open]
+        );
     }
 }
--- a/crates/storm/src/history.rs
+++ b/crates/storm/src/history.rs
@@ -1,5 +1,6 @@
 //! What happened, by one clock: the file that a storm leaves and that checkers read.
 
+use std::collections::BTreeMap;
 use std::io::{self, BufRead, Write};
 
 use serde::{Deserialize, Serialize};
@@ -59,6 +60,22 @@
     Leaving,
 }
 
+/// What a member holds another one for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Holds {
+    /// It answers.
+    Alive,
+    /// It stands still.
+    Stalled,
+    /// It may be dead.
+    Suspect,
+    /// It is dead.
+    Dead,
+    /// It said that it goes.
+    Left,
+}
+
 /// How the reading of a file ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -165,6 +182,15 @@
         #[serde(default)]
         liars: Vec<usize>,
     },
+    /// A member's view has changed.
+    View {
+        /// Whose.
+        node: usize,
+        /// The same where two hold the same.
+        fingerprint: String,
+        /// What each node is held for.
+        holds: BTreeMap<usize, Holds>,
+    },
     /// A recording that a node wrote, read with the shipped program.
     Recording {
         /// The node.
--- a/crates/storm/src/lib.rs
+++ b/crates/storm/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod faults;
 pub mod history;
 pub mod keeper;
+mod kind;
 pub mod link;
 pub mod relay;
 pub mod relay_udp;
--- a/crates/storm/src/main.rs
+++ b/crates/storm/src/main.rs
@@ -380,6 +380,12 @@
             Some(after) => writeln!(out, "recovered      {after:.0} s after the last fault")?,
             None => writeln!(out, "recovered      no")?,
         }
+        if let Some(views) = &summary.views {
+            let found =
+                views.found_s.map_or("no".into(), |(first, last)| format!("{first:.1} to {last:.1} s"));
+            let settled = views.settled_s.map_or("no".into(), |after| format!("{after:.1} s"));
+            writeln!(out, "views          found {found}   settled {settled}   wronged {}", views.wronged)?;
+        }
         writeln!(out, "storm's lag    {:.1} ms at most", summary.lag_us as f64 / 1e3)?;
         for find in finds.iter().take(SHOWN) {
             writeln!(out, "{:9.3} s  {}: {}", find.at as f64 / SECOND as f64, find.checker, find.text)?;
--- a/crates/storm/src/relay.rs
+++ b/crates/storm/src/relay.rs
@@ -72,6 +72,20 @@
     late: Lateness,
 ) -> io::Result<(SocketAddr, Tell)> {
     let listener = TcpListener::bind("127.0.0.1:0").await?;
+    open_on(listener, to, state, seed, late)
+}
+
+/// The same on a listener that is there.
+///
+/// # Errors
+/// A listener that has no address.
+pub fn open_on(
+    listener: TcpListener,
+    to: Rc<RefCell<SocketAddr>>,
+    state: State,
+    seed: u64,
+    late: Lateness,
+) -> io::Result<(SocketAddr, Tell)> {
     let address = listener.local_addr()?;
     let (tell, now) = watch::channel(Now { state, resets: 0 });
     spawn_local(accept(listener, address, to, now, seed, late));
--- a/crates/storm/src/relay_udp.rs
+++ b/crates/storm/src/relay_udp.rs
@@ -9,7 +9,7 @@
 
 use rand::SeedableRng;
 use rand::rngs::StdRng;
-use tokio::net::UdpSocket;
+use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::watch;
 use tokio::task::{JoinSet, spawn_local};
 use tokio::time::sleep;
@@ -17,7 +17,7 @@
 use crate::clock;
 use crate::faults::State;
 use crate::link::{Conditions, Door, Way};
-use crate::relay::{Lateness, Now, Tell};
+use crate::relay::{self, Lateness, Now, Tell};
 
 /// The largest datagram there is.
 const LARGEST: usize = 65_536;
@@ -78,7 +78,40 @@
     seed: u64,
     late: Lateness,
 ) -> io::Result<(SocketAddr, Tell)> {
-    let near = Rc::new(UdpSocket::bind("127.0.0.1:0").await?);
+    open_on(UdpSocket::bind("127.0.0.1:0").await?, to, state, seed, late)
+}
+
+/// Tries to find a port that is free for datagrams and streams alike.
+const PORTS: usize = 64;
+
+/// A link for datagrams and one for streams, at one address.
+///
+/// # Errors
+/// Sockets that can't be opened.
+pub async fn open_both(
+    to: Rc<RefCell<SocketAddr>>,
+    state: State,
+    seed: u64,
+    late: Lateness,
+) -> io::Result<(SocketAddr, [Tell; 2])> {
+    for _ in 0..PORTS {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let Ok(socket) = UdpSocket::bind(listener.local_addr()?).await else { continue };
+        let (address, streams) = relay::open_on(listener, to.clone(), state.clone(), seed, late.clone())?;
+        let (_, datagrams) = open_on(socket, to, state, seed.wrapping_add(1 << 16), late)?;
+        return Ok((address, [streams, datagrams]));
+    }
+    Err(io::ErrorKind::AddrInUse.into())
+}
+
+fn open_on(
+    near: UdpSocket,
+    to: Rc<RefCell<SocketAddr>>,
+    state: State,
+    seed: u64,
+    late: Lateness,
+) -> io::Result<(SocketAddr, Tell)> {
+    let near = Rc::new(near);
     let address = near.local_addr()?;
     let (tell, now) = watch::channel(Now { state, resets: 0 });
     spawn_local(carry(near, to, now, seed, late));
--- a/crates/storm/src/run.rs
+++ b/crates/storm/src/run.rs
@@ -3,6 +3,7 @@
 mod clients;
 mod files;
 mod process;
+mod views;
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -23,6 +24,7 @@
 use crate::history::{Event, History, Listed, State, What};
 use crate::keeper::Keeper;
 use crate::relay::{self, Lateness, Now, Tell};
+use crate::relay_udp;
 use crate::scenario::{Kind, Scenario};
 use crate::stand::Change;
 use crate::{Nanos, clock};
@@ -101,7 +103,8 @@
     discovery: Process,
     /// Where each node's clients, server links and discovery link come out, as processes come and go.
     exits: BTreeMap<(End, End), Rc<RefCell<SocketAddr>>>,
-    links: BTreeMap<(End, End), (SocketAddr, Tell)>,
+    links: BTreeMap<(End, End), (SocketAddr, Vec<Tell>)>,
+    views: views::Views,
     /// Faults of links that are going on.
     linked: Vec<usize>,
     /// Faults of what servers do that are going on.
@@ -187,6 +190,7 @@
             discovery,
             exits: BTreeMap::new(),
             links: BTreeMap::new(),
+            views: views::Views::new(nodes),
             linked: Vec::new(),
             manners: Vec::new(),
             files: files::Files::new(&tools.folder, scenario.seed),
@@ -198,12 +202,20 @@
             pairs.push((End::Clients, End::Node(node), nowhere));
             pairs.push((End::Node(node), End::Discovery, discovery));
             pairs.extend((0..servers).map(|server| (End::Node(node), End::Server(server), nowhere)));
+            let others = (0..nodes).filter(|other| *other != node && scenario.fleet.members);
+            pairs.extend(others.map(|other| (End::Node(node), End::Node(other), nowhere)));
         }
         for (number, (from, to, exit)) in pairs.into_iter().enumerate() {
             let exit = Rc::new(RefCell::new(exit));
             let state = faults::state(&scenario.fleet.links, &[], from, to);
             let seed = scenario.seed.wrapping_mul(1 << 20).wrapping_add((number as u64) << 32);
-            let link = relay::open(exit.clone(), state, seed, late.clone()).await?;
+            let link = if matches!((from, to), (End::Node(_), End::Node(_))) {
+                let (address, tells) = relay_udp::open_both(exit.clone(), state, seed, late.clone()).await?;
+                (address, tells.into())
+            } else {
+                let (address, tell) = relay::open(exit.clone(), state, seed, late.clone()).await?;
+                (address, vec![tell])
+            };
             fleet.exits.insert((from, to), exit);
             fleet.links.insert((from, to), link);
         }
@@ -262,10 +274,15 @@
         let file = self.tools.folder.join(format!("n{node}.conf"));
         std::fs::create_dir_all(self.files.of(node))?;
         std::fs::write(&file, self.text(node))?;
-        let (process, address) = Process::node(self.tools, node, &file, &mut self.keeper, LIMIT).await?;
-        if let Some(exit) = self.exits.get(&(End::Clients, End::Node(node))) {
-            *exit.borrow_mut() = address;
+        let (process, listens) = Process::node(self.tools, node, &file, &mut self.keeper, LIMIT).await?;
+        for ((from, to), exit) in &self.exits {
+            if *to == End::Node(node) {
+                let of_members = matches!(from, End::Node(_));
+                *exit.borrow_mut() =
+                    if of_members { listens.fleet.unwrap_or(listens.clients) } else { listens.clients };
+            }
         }
+        self.views.started(node, listens.calls);
         self.nodes[node] = Some(process);
         self.notes.note(What::Node { node, state: State::Up });
         Ok(())
@@ -286,14 +303,35 @@
              class submit {{\n    aim {}ms\n    deadline {patience}ms\n    worth 10\n    late-worth 30%\n    repeats unsafe\n}}\n\
              route submit {{\n    path /runs/**\n    method POST\n    class submit\n    pool boards\n}}\n\
              route read {{\n    path /**\n    class read\n    pool boards\n}}\n\
-             observe {{\n    recordings \"{folder}\"\n}}\n",
+             observe {{\n    calls 127.0.0.1:0\n    recordings \"{folder}\"\n}}\n{}",
             self.scenario.fleet.nodes,
             cold_from * 100.0,
             patience / 2,
             patience / 2,
+            self.fleet_text(node),
         )
     }
 
+    /// The block of a member: where it reaches each other one, as an operator with several networks would write it.
+    fn fleet_text(&self, node: usize) -> String {
+        if !self.scenario.fleet.members {
+            return String::new();
+        }
+        let reached = |other: usize| self.links.get(&(End::Node(node), End::Node(other))).map(|link| link.0);
+        let mut text = "fleet {\n    name storm\n    address 127.0.0.1:0\n".to_owned();
+        // Two seeds: each is told of the other one.
+        let seeds: Vec<_> = (0..2).filter_map(reached).map(|address| address.to_string()).collect();
+        if !seeds.is_empty() {
+            text += &format!("    seeds {}\n", seeds.join(" "));
+        }
+        for other in 0..self.scenario.fleet.nodes {
+            if let Some(address) = reached(other) {
+                text += &format!("    reach n{other} {address}\n");
+            }
+        }
+        text + "}\n"
+    }
+
     async fn act(&mut self, step: Step) -> io::Result<()> {
         match step {
             Step::Begin(number) => self.say(number, true),
@@ -378,14 +416,16 @@
         let faults: Vec<_> = self.linked.iter().map(|number| &self.scenario.fault[*number]).collect();
         let forgets = matches!(self.scenario.fault[number].kind, Kind::Link { forgets: true, .. }) && !begins;
         let own = [&self.scenario.fault[number]];
-        for (&(from, to), (_, tell)) in &self.links {
+        for (&(from, to), (_, tells)) in &self.links {
             let state = faults::state(&self.scenario.fleet.links, &faults, from, to);
             let usual = faults::state(&self.scenario.fleet.links, &[], from, to);
             let concerned = faults::state(&self.scenario.fleet.links, &own, from, to) != usual;
-            let resets = tell.borrow().resets + u32::from(forgets && concerned);
-            let now = Now { state, resets };
-            if *tell.borrow() != now {
-                tell.send_replace(now);
+            for tell in tells {
+                let resets = tell.borrow().resets + u32::from(forgets && concerned);
+                let now = Now { state: state.clone(), resets };
+                if *tell.borrow() != now {
+                    tell.send_replace(now);
+                }
             }
         }
     }
@@ -393,6 +433,9 @@
     /// What nodes hold, and whether any has ended by itself.
     fn look(&mut self, late: &Lateness) {
         self.notes.note(What::Lag { most_us: late.take() });
+        if self.scenario.fleet.members {
+            self.views.look(&self.notes);
+        }
         for (node, process) in self.nodes.iter_mut().enumerate() {
             let Some(process) = process else { continue };
             if let Some(text) = process.crashed() {
--- a/crates/storm/src/run/process.rs
+++ b/crates/storm/src/run/process.rs
@@ -23,6 +23,17 @@
 /// Between two looks at whether a process has ended.
 const LOOK: Duration = Duration::from_millis(10);
 
+/// Where a node listens.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Listens {
+    /// For clients.
+    pub clients: SocketAddr,
+    /// For calls of staff.
+    pub calls: SocketAddr,
+    /// For other members.
+    pub fleet: Option<SocketAddr>,
+}
+
 /// A process; killed when dropped.
 pub(crate) struct Process {
     child: Child,
@@ -64,14 +75,14 @@
         Ok(Self { child, to: Some(to), lines: RefCell::new(Some(lines)), told: false, over: false })
     }
 
-    /// Starts a node, and waits until it listens. Its log goes to a file.
+    /// Starts a node, and waits until it listens where it is to. Its log goes to a file.
     pub async fn node(
         tools: &Tools,
         number: usize,
         file: &Path,
         keeper: &mut Keeper,
         limit: Duration,
-    ) -> io::Result<(Self, SocketAddr)> {
+    ) -> io::Result<(Self, Listens)> {
         // The shell steps aside: a file that can't grow is to be an error to the node, as a full disk is, and no signal.
         let mut command = Command::new("/bin/sh");
         command.args(["-c", "trap '' XFSZ; exec \"$0\" run \"$1\""]).arg(&tools.node).arg(file);
@@ -83,17 +94,21 @@
         let mut lines = read(child.stderr.take(), Some(log))?;
         let mut process = Self { child, to: Some(to), lines: RefCell::new(None), told: false, over: false };
         let said = async {
+            let (mut fleet, mut clients) = (None, None);
             while let Some(line) = lines.recv().await {
-                let address =
-                    line.split_once(" listens on ").and_then(|(_, address)| address.trim().parse().ok());
-                if address.is_some() {
-                    return address;
+                let after =
+                    |words: &str| line.split_once(words).and_then(|(_, address)| address.trim().parse().ok());
+                fleet = fleet.or(after(" speaks on "));
+                clients = clients.or(after(" listens on "));
+                // The last of what it says of addresses.
+                if let (Some(clients), Some(calls)) = (clients, after(" takes calls on ")) {
+                    return Some(Listens { clients, calls, fleet });
                 }
             }
             None
         };
         match timeout(limit, said).await {
-            Ok(Some(address)) => Ok((process, address)),
+            Ok(Some(listens)) => Ok((process, listens)),
             _ => {
                 process.told = true;
                 Err(io::Error::other(format!("node {number} does not start: see {}", tools.folder.display())))
--- a/crates/storm/src/scenario.rs
+++ b/crates/storm/src/scenario.rs
@@ -2,7 +2,8 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::link::{BadConditions, Conditions, Door};
+pub use crate::kind::{Fault, Files, Kind, Lie, Side};
+use crate::link::{BadConditions, Conditions};
 
 /// Most nodes: 50 processes and their relays are what two cores carry.
 pub const MOST_NODES: usize = 50;
@@ -10,6 +11,8 @@
 pub const MOST_SERVERS: usize = 50;
 /// See [`MOST_SERVERS`].
 pub const MOST_PAIRS: usize = 1_000;
+/// Most pairs of members: 50 nodes have 2,450, each with a listener and a socket for datagrams.
+pub const MOST_LINKED: usize = 2_450;
 /// Most requests a second over all nodes: what two cores carry beside the processes.
 pub const MOST_RATE: f64 = 2_000.0;
 /// Longest run, in seconds.
@@ -89,6 +92,9 @@
     /// Links are like this without a fault.
     #[serde(default)]
     pub links: Conditions,
+    /// Nodes are members of a fleet, and know of each other over links as well.
+    #[serde(default)]
+    pub members: bool,
 }
 
 pub(crate) fn places() -> usize {
@@ -125,239 +131,6 @@
     1_200
 }
 
-/// A fault with its time.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Fault {
-    /// Seconds after the calm.
-    pub at_s: f64,
-    /// How long, in seconds.
-    #[serde(default)]
-    pub for_s: f64,
-    /// What.
-    #[serde(flatten)]
-    pub kind: Kind,
-}
-
-/// An end of links.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum Side {
-    /// All clients.
-    Clients,
-    /// These nodes.
-    Nodes(Vec<usize>),
-    /// These servers.
-    Servers(Vec<usize>),
-    /// Discovery.
-    Discovery,
-}
-
-/// What a node that is started again finds of its files.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum Files {
-    /// All that it wrote.
-    #[default]
-    Kept,
-    /// Nothing: another machine stands in for it.
-    Gone,
-    /// Each is cut off at a byte drawn from the seed.
-    Cut,
-    /// In each some bytes are others, drawn from the seed.
-    Flipped,
-}
-
-/// What a server says that is not so.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum Lie {
-    /// Nothing was done of it, where it was.
-    Denies,
-    /// The answer to another request in place of its own.
-    Swaps,
-    /// What is no HTTP, or an answer that ends before its stated length.
-    Garbles,
-}
-
-/// What goes wrong.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case", tag = "kind", deny_unknown_fields)]
-pub enum Kind {
-    /// Nodes are killed outright, and started again at the end of the fault.
-    Kill {
-        /// Which.
-        nodes: Vec<usize>,
-        /// What they find of their files then.
-        #[serde(default)]
-        files: Files,
-    },
-    /// Nodes are told to end (SIGTERM) and started again, one after another over the span of the fault.
-    Roll {
-        /// Which.
-        nodes: Vec<usize>,
-    },
-    /// Nodes are killed and started again, over and over, until the end of the fault.
-    Loop {
-        /// Which.
-        nodes: Vec<usize>,
-        /// Seconds from one kill to the next.
-        every_s: f64,
-    },
-    /// Nodes are stopped: their kernel goes on.
-    Stall {
-        /// Which.
-        nodes: Vec<usize>,
-    },
-    /// Nodes are stopped for a part of each 100 ms.
-    Slow {
-        /// Which.
-        nodes: Vec<usize>,
-        /// The part.
-        share: f64,
-    },
-    /// No file of these nodes can grow, as on a disk that is full; they are asked for a recording meanwhile, and after.
-    Full {
-        /// Which.
-        nodes: Vec<usize>,
-    },
-    /// Nodes are asked for a recording, as the fault begins.
-    Record {
-        /// Which.
-        nodes: Vec<usize>,
-    },
-    /// Links from one side to another are in other conditions, and back from there.
-    Link {
-        /// Who opens connections.
-        from: Side,
-        /// Who takes them.
-        to: Side,
-        /// New connections.
-        #[serde(default)]
-        door: Door,
-        /// The way there.
-        #[serde(default)]
-        there: Conditions,
-        /// The way back.
-        #[serde(default)]
-        back: Conditions,
-        /// At the end of the fault open connections are reset, as by a device that has forgotten them.
-        #[serde(default)]
-        forgets: bool,
-    },
-    /// Servers are stopped.
-    ServerStall {
-        /// Which.
-        servers: Vec<usize>,
-    },
-    /// Servers are killed, and started again at the end of the fault, cold; discovery tells so.
-    ServerKill {
-        /// Which.
-        servers: Vec<usize>,
-    },
-    /// Servers take so many times as long.
-    ServerSlow {
-        /// Which.
-        servers: Vec<usize>,
-        /// How many times.
-        factor: f64,
-    },
-    /// Servers say what is not so.
-    ServerLie {
-        /// Which.
-        servers: Vec<usize>,
-        /// What.
-        lie: Lie,
-    },
-    /// Servers are listed as leaving until the end of the fault.
-    Drain {
-        /// Which.
-        servers: Vec<usize>,
-    },
-    /// So many times as much is asked.
-    Burst {
-        /// How many times.
-        factor: f64,
-    },
-}
-
-impl Kind {
-    /// Nodes whose processes or links it concerns: each link has nodes on one side.
-    #[must_use]
-    pub fn nodes(&self) -> &[usize] {
-        match self {
-            Self::Kill { nodes, .. }
-            | Self::Roll { nodes }
-            | Self::Loop { nodes, .. }
-            | Self::Stall { nodes }
-            | Self::Slow { nodes, .. }
-            | Self::Link { from: Side::Nodes(nodes), .. }
-            | Self::Link { to: Side::Nodes(nodes), .. } => nodes,
-            _ => &[],
-        }
-    }
-
-    /// Servers that say what is not so.
-    #[must_use]
-    pub fn liars(&self) -> &[usize] {
-        if let Self::ServerLie { servers, .. } = self { servers } else { &[] }
-    }
-
-    /// Whether it concerns links from clients.
-    #[must_use]
-    pub fn is_of_clients(&self) -> bool {
-        matches!(self, Self::Link { from: Side::Clients, .. })
-    }
-}
-
-impl Fault {
-    /// In words.
-    #[must_use]
-    pub fn words(&self) -> String {
-        let list = |of: &[usize]| of.iter().map(ToString::to_string).collect::<Vec<_>>().join(" ");
-        let side = |side: &Side| match side {
-            Side::Clients => "clients".to_owned(),
-            Side::Nodes(nodes) => format!("nodes {}", list(nodes)),
-            Side::Servers(servers) => format!("servers {}", list(servers)),
-            Side::Discovery => "discovery".to_owned(),
-        };
-        match &self.kind {
-            Kind::Kill { nodes, files } => {
-                let files = match files {
-                    Files::Kept => "",
-                    Files::Gone => ", their files are gone",
-                    Files::Cut => ", their files are cut",
-                    Files::Flipped => ", their files have other bytes",
-                };
-                format!("nodes {} are killed{files}", list(nodes))
-            }
-            Kind::Roll { nodes } => format!("nodes {} restart in turn", list(nodes)),
-            Kind::Loop { nodes, every_s } => format!("nodes {} crash every {every_s} s", list(nodes)),
-            Kind::Stall { nodes } => format!("nodes {} stand still", list(nodes)),
-            Kind::Slow { nodes, share } => {
-                format!("nodes {} stand still for {share} of the time", list(nodes))
-            }
-            Kind::Full { nodes } => format!("files of nodes {} can't grow", list(nodes)),
-            Kind::Record { nodes } => format!("nodes {} write recordings", list(nodes)),
-            Kind::Link { from, to, .. } => format!("links from {} to {}", side(from), side(to)),
-            Kind::ServerStall { servers } => format!("servers {} stand still", list(servers)),
-            Kind::ServerKill { servers } => format!("servers {} are killed", list(servers)),
-            Kind::ServerSlow { servers, factor } => {
-                format!("servers {} take {factor} times as long", list(servers))
-            }
-            Kind::ServerLie { servers, lie } => {
-                let lie = match lie {
-                    Lie::Denies => "say that nothing was done",
-                    Lie::Swaps => "give answers to other requests",
-                    Lie::Garbles => "send what is no answer",
-                };
-                format!("servers {} {lie}", list(servers))
-            }
-            Kind::Drain { servers } => format!("servers {} drain", list(servers)),
-            Kind::Burst { factor } => format!("{factor} times as much is asked"),
-        }
-    }
-}
-
 fn within(name: &'static str, value: f64, least: f64, most: f64) -> Result<(), BadScenario> {
     // Not a number is in no bounds.
     if (least..=most).contains(&value) {
@@ -387,6 +160,9 @@
         within("fleet.nodes", *nodes as f64, 1.0, MOST_NODES as f64)?;
         within("fleet.servers", *servers as f64, 1.0, MOST_SERVERS as f64)?;
         within("fleet.nodes times fleet.servers", (nodes * servers) as f64, 1.0, MOST_PAIRS as f64)?;
+        // Each pair of members has two links more.
+        let pairs = if self.fleet.members { nodes * (nodes - 1) } else { 0 };
+        within("pairs of members", pairs as f64, 0.0, MOST_LINKED as f64)?;
         within("fleet.places", *places as f64, 1.0, 1_000.0)?;
         within("fleet.takes_ms", *takes_ms, 1.0, 10_000.0)?;
         within("fleet.cold, seconds", cold.0, 0.1, 120.0)?;
@@ -458,9 +234,11 @@
                     (from, to),
                     (Side::Clients, Side::Nodes(_)) | (Side::Nodes(_), Side::Servers(_) | Side::Discovery)
                 );
-                if !opens {
+                let members = matches!((from, to), (Side::Nodes(_), Side::Nodes(_))) && self.fleet.members;
+                if !opens && !members {
                     return Err(
-                        "connections go from clients to nodes, and from nodes to servers or discovery".into(),
+                        "connections go from clients to nodes, from nodes to servers or discovery, and between members"
+                            .into(),
                     );
                 }
                 [there, back]
@@ -479,6 +257,12 @@
             | Kind::ServerKill { servers: of }
             | Kind::ServerLie { servers: of, .. }
             | Kind::Drain { servers: of } => servers(of),
+            Kind::Partition { groups } => {
+                if !self.fleet.members || groups.len() < 2 {
+                    return Err("a partition is of two groups of members at the least".into());
+                }
+                groups.iter().try_for_each(|group| nodes(group))
+            }
             Kind::Burst { factor } => times("factor", *factor, 20.0),
         }
     }
--- a/crates/storm/src/shrink.rs
+++ b/crates/storm/src/shrink.rs
@@ -101,6 +101,7 @@
             }
             (&before.0, &before.1) != (&*there, &*back)
         }
+        Kind::Partition { groups } => groups.len() > 2 && groups.pop().is_some(),
         Kind::Burst { factor } => {
             *factor = 1.0 + (*factor - 1.0) / 2.0;
             *factor > 1.1
--- a/crates/storm/tests/checkers.rs
+++ b/crates/storm/tests/checkers.rs
@@ -1,7 +1,7 @@
 //! Each checker finds what is planted, and nothing in the same history without it.
 
 use pumicehead_storm::check;
-use pumicehead_storm::history::{Class, End, Event, History, Listed, State, Unread, What};
+use pumicehead_storm::history::{Class, End, Event, History, Holds, Listed, State, Unread, What};
 use pumicehead_storm::scenario::Scenario;
 use pumicehead_storm::{MS, Nanos, SECOND};
 
@@ -184,6 +184,55 @@
     assert_eq!(found(twice(9 * SECOND + MS)), ["effects once"]);
 }
 
+/// Guards the checker of views: three members, of which node 2 is killed and comes back; a node that runs is not held dead, and
+/// views end equal, with all who run alive in them.
+#[test]
+fn views_that_wrong_or_never_settle_are_found() {
+    let text = "name = \"x\"\nfleet = { nodes = 3, servers = 1, members = true }\nload = { rate = 10 }\ncalm_s = [2, 15]\n\
+         [[fault]]\nat_s = 0\nfor_s = 3\nkind = \"kill\"\nnodes = [2]";
+    let scenario = Scenario::parse(text).unwrap();
+    let view = |at: Nanos, node: usize, print: &str, holds: [Holds; 3]| Event {
+        at: at * SECOND,
+        what: What::View { node, fingerprint: print.into(), holds: holds.into_iter().enumerate().collect() },
+    };
+    let node =
+        |at: Nanos, node: usize, state: State| Event { at: at * SECOND, what: What::Node { node, state } };
+    let fault = |at: Nanos, begins: bool| {
+        let (text, nodes) = (String::new(), vec![2]);
+        let what = What::Fault { number: 0, text, begins, nodes, clients: false, liars: vec![] };
+        Event { at: at * SECOND, what }
+    };
+    let (alive, dead) = ([Holds::Alive; 3], [Holds::Alive, Holds::Alive, Holds::Dead]);
+    let good = || {
+        let mut all: Vec<_> = (0..3).flat_map(|n| [node(0, n, State::Up), view(1, n, "a", alive)]).collect();
+        all.extend([node(10, 2, State::Down), fault(10, true)]);
+        all.extend([view(12, 0, "b", dead), view(13, 1, "b", dead)]);
+        all.extend([node(20, 2, State::Up), fault(20, false)]);
+        all.extend((0..3).map(|n| view(22, n, "c", alive)));
+        all
+    };
+    let found = |planted: Vec<Event>| {
+        let history = History::of(good().into_iter().chain(planted).collect());
+        let finds = check::run(&scenario, &history);
+        (
+            finds.iter().filter(|find| find.checker == "views").count(),
+            check::views(&scenario, &history).unwrap(),
+        )
+    };
+    let (finds, views) = found(Vec::new());
+    assert_eq!((finds, views.found_s, views.settled_s, views.wronged), (0, Some((2.0, 3.0)), Some(2.0), 0));
+    // 0 holds 1 dead, long before or after anything that concerned either, and takes it back.
+    let wrong = [Holds::Alive, Holds::Dead, Holds::Alive];
+    assert_eq!(found(vec![view(5, 0, "x", wrong), view(6, 0, "a", alive)]).0, 0, "just started");
+    assert_eq!(found(vec![view(60, 0, "x", wrong), view(61, 0, "c", alive)]).1.wronged, 1);
+    // Soon after its restart the killed one may still be held dead.
+    assert_eq!(found(vec![view(24, 0, "x", dead), view(25, 0, "c", alive)]).1.wronged, 0);
+    // Views that stay apart, or agree on what is not so.
+    assert_eq!(found(vec![view(24, 1, "d", alive)]).0, 1);
+    let all_wrong: Vec<_> = (0..3).map(|n| view(24, n, "e", dead)).collect();
+    assert_eq!(found(all_wrong).0, 1);
+}
+
 /// Guards the summary and the file: what is written is what is read, and service is counted by worth.
 #[test]
 fn histories_are_read_as_written() {
--- a/crates/storm/tests/storms.rs
+++ b/crates/storm/tests/storms.rs
@@ -75,6 +75,32 @@
     weathers("spoilt-files");
 }
 
+#[test]
+fn members_find_out_who_is_dead() {
+    let outcome = weathers("members-crash");
+    assert!(outcome["views"]["found_s"].is_array(), "{}", outcome["views"]);
+}
+
+#[test]
+fn members_that_stand_still_come_back() {
+    weathers("members-stall");
+}
+
+#[test]
+fn members_join_through_a_seed_that_dies() {
+    weathers("members-join");
+}
+
+#[test]
+fn three_sides_of_a_fleet_become_one() {
+    weathers("members-partition");
+}
+
+#[test]
+fn members_that_hear_only_some_of_the_others_stay() {
+    weathers("members-asymmetric");
+}
+
 /// A storm that is under way in a folder: its nodes run.
 fn under_way(folder: &Path) -> std::process::Child {
     let child = storm()
--- a/crates/trace/src/event.rs
+++ b/crates/trace/src/event.rs
@@ -163,6 +163,13 @@
     },
     /// The node ran out of something.
     Short(Short),
+    /// The fleet's view says how many nodes share the servers.
+    Sharing {
+        /// So many.
+        nodes: u32,
+        /// This one's number among them.
+        number: u32,
+    },
 }
 
 const OUTCOMES: [Outcome; 8] = [
@@ -286,6 +293,10 @@
             Self::Short(what) => {
                 start(9, Short::ALL.iter().position(|known| known == what).unwrap_or_default() as u32);
             }
+            Self::Sharing { nodes, number } => {
+                start(10, *nodes);
+                put(out, u64::from(*number));
+            }
             Self::Note(note) => encode_note(note, out),
         }
     }
@@ -329,6 +340,7 @@
             7 => Self::Advice { avoid: first, rights: from.small()? },
             8 => Self::Turned { class: u16::try_from(first).ok()?, why: at(&Turned::ALL, from.byte()?)? },
             9 => Self::Short(at(&Short::ALL, u8::try_from(first).ok()?)?),
+            10 => Self::Sharing { nodes: first, number: from.small()? },
             tag => Self::Note(decode_note(tag, first, from)?),
         })
     }
--- a/crates/trace/tests/files.rs
+++ b/crates/trace/tests/files.rs
@@ -36,6 +36,7 @@
         Event::Sent { id, attempt, server, timeout: Some(5) },
         Event::Began { id, attempt },
         Event::Advice { avoid: 3, rights: 4 },
+        Event::Sharing { nodes: 277, number: 12 },
         Event::Turned { class: 2, why: Turned::Connections },
         Event::Short(Short::Dial),
         Event::Note(Note::Taken { id, tier: 3, worth: 1.5, aim_at: START }),
