--- a/crates/storm/src/run.rs
+++ b/crates/storm/src/run.rs
@@ -467,6 +467,7 @@
 
     /// Ends all in order; what does not end is killed as it is dropped.
     async fn end(&mut self) {
+        self.views.end();
         for (node, process) in self.nodes.iter_mut().enumerate() {
             if let Some(state) = sign_to(process, Sign::End) {
                 self.notes.note(What::Node { node, state });
--- a/crates/storm/src/run/views.rs
+++ b/crates/storm/src/run/views.rs
@@ -28,7 +28,11 @@
 }
 
 /// The views of all nodes.
-pub(super) struct Views(Vec<Rc<Seen>>);
+pub(super) struct Views {
+    nodes: Vec<Rc<Seen>>,
+    /// Nodes are being ended: what they tell of each other from now on is of that.
+    over: Rc<Cell<bool>>,
+}
 
 #[derive(Deserialize)]
 struct View {
@@ -44,28 +48,33 @@
 
 impl Views {
     pub fn new(nodes: usize) -> Self {
-        Self((0..nodes).map(|_| Rc::default()).collect())
+        Self { nodes: (0..nodes).map(|_| Rc::default()).collect(), over: Rc::default() }
     }
 
     /// A node has started, and takes calls there.
     pub fn started(&mut self, node: usize, calls: SocketAddr) {
         let seen = Seen { calls: Cell::new(Some(calls)), ..Seen::default() };
-        self.0[node] = Rc::new(seen);
+        self.nodes[node] = Rc::new(seen);
+    }
+
+    /// The order at the end begins.
+    pub fn end(&self) {
+        self.over.set(true);
     }
 
     /// Asks all that are not being asked; what has changed goes into the history.
     pub fn look(&self, notes: &Notes) {
-        for (node, seen) in self.0.iter().enumerate() {
+        for (node, seen) in self.nodes.iter().enumerate() {
             let (Some(calls), false) = (seen.calls.get(), seen.asked.get()) else { continue };
             seen.asked.set(true);
-            let (seen, notes) = (seen.clone(), notes.clone());
+            let (seen, notes, over) = (seen.clone(), notes.clone(), self.over.clone());
             spawn_local(async move {
                 if let Ok(Ok(view)) = timeout(PATIENCE, ask(calls)).await {
                     let named =
                         |entry: Entry| Some((entry.name.strip_prefix('n')?.parse().ok()?, entry.state));
                     let holds: BTreeMap<_, _> = view.members.into_iter().filter_map(named).collect();
                     let now = Some((view.fingerprint, holds));
-                    if *seen.last.borrow() != now {
+                    if *seen.last.borrow() != now && !over.get() {
                         if let Some((fingerprint, holds)) = &now {
                             let (fingerprint, holds) = (fingerprint.clone(), holds.clone());
                             notes.note(What::View { node, fingerprint, holds });
