Members: a refusal ends a question early; who joins believes only answers to its own questions

The other timing showed a fault that was there before: a member that stood still for longer than the fleet remembers found news in its queue that were as old, took them for fresh and brought a forgotten member back (the_forgotten_stay_forgotten). Until its own question for a whole view is answered it takes nothing from datagrams or others' frames now. The model's counterexample beside it (an observer that restarts, and hears of an old process first) was the model's fault: what a process held is gone with it.

--- a/crates/members/src/member/ask.rs
+++ b/crates/members/src/member/ask.rs
@@ -77,8 +77,11 @@
     /// What asking over a stream came to.
     pub fn on_checked(&mut self, now: Nanos, seq: u32, checked: Checked) {
         self.wake(now);
-        if let Some(probe) = self.probe.as_mut().filter(|probe| probe.seq == seq) {
-            probe.checked = Some(checked);
+        let Some(probe) = self.probe.as_mut().filter(|probe| probe.seq == seq) else { return };
+        probe.checked = Some(checked);
+        if checked == Checked::Refused && !probe.direct {
+            // Those that were asked to ask have their say, and no more is waited for.
+            self.probe_at = self.probe_at.min(now + self.settings.patience / 2);
         }
     }
 
--- a/crates/members/src/member/hear.rs
+++ b/crates/members/src/member/hear.rs
@@ -44,8 +44,12 @@
         if current {
             self.hear_from(now, sender);
         }
-        for entry in &datagram.news {
-            self.hear(now, entry);
+        // Who joins asks for a whole view; until that has come, what waited for a process that stood still for long may be as old
+        // as what it has just forgotten.
+        if self.joined {
+            for entry in &datagram.news {
+                self.hear(now, entry);
+            }
         }
         let kind = Kind::try_from(datagram.kind).unwrap_or(Kind::News);
         let about = Key(datagram.about);
--- a/crates/members/src/member/sync.rs
+++ b/crates/members/src/member/sync.rs
@@ -146,8 +146,11 @@
             return Ok(Exchange::Over);
         }
         self.heard_at = now;
-        for entry in &frame.entries {
-            self.hear(now, entry);
+        // As with datagrams: only answers to its own questions are new for sure.
+        if self.joined {
+            for entry in &frame.entries {
+                self.hear(now, entry);
+            }
         }
         let mut answer = match Step::try_from(frame.step).unwrap_or(Step::Other) {
             Step::Check => self.frame(Step::Here),
--- a/crates/members/tests/model.rs
+++ b/crates/members/tests/model.rs
@@ -179,6 +179,8 @@
             seed: of as u64,
         };
         node.member = Some(Member::new(setup, node.now).unwrap());
+        // What the process before had held is gone with it.
+        self.epochs.retain(|(by, _), _| *by != of);
         self.carry_out(of);
     }
 
