--- /dev/null
+++ b/crates/members/tests/share.rs
@@ -0,0 +1,96 @@
+//! How many nodes share a server: more at once, fewer by degrees, and a side that has lost sight of others leaves them their part.
+
+use prost::Message;
+use pumicehead_members::share::{Sharing, counted, free_number};
+use pumicehead_members::sim::{Plan, Sim, name};
+use pumicehead_members::table::{Hearsay, Said, Table};
+use pumicehead_members::{Card, Key, MS, Nanos, SECOND, Settings, State};
+
+const NOW: Nanos = 10_000 * SECOND;
+
+fn heard(of: usize, number: u32, state: State, refused: bool, since: Nanos) -> Hearsay {
+    let card = Card {
+        name: name(of),
+        epoch: 1,
+        // Later states of one saying count more; here each is of its own.
+        incarnation: u64::from(state.number()),
+        address: "10.0.0.1:1".into(),
+        number,
+        ..Card::default()
+    };
+    let raw = card.encode_to_vec();
+    Hearsay { said: Said::new(card, raw), state, refused, since: since as i64, witness: Key(0) }
+}
+
+/// Guards leases: who left does not count, who is known to be dead counts for a while, who is out of sight for long.
+#[test]
+fn who_counts_and_for_how_long() {
+    let settings = Settings::default();
+    let mut table = Table::default();
+    for (of, state) in [State::Alive, State::Stalled, State::Suspect, State::Left].into_iter().enumerate() {
+        table.merge(&heard(of, 0, state, false, NOW));
+    }
+    assert_eq!(counted(&table, &settings, NOW), 3);
+    table.merge(&heard(7, 0, State::Dead, true, NOW));
+    table.merge(&heard(8, 0, State::Dead, false, NOW));
+    assert_eq!(counted(&table, &settings, NOW + settings.lease - MS), 5);
+    assert_eq!(counted(&table, &settings, NOW + settings.lease), 4);
+    assert_eq!(counted(&table, &settings, NOW + settings.lost_lease - MS), 4);
+    assert_eq!(counted(&table, &settings, NOW + settings.lost_lease), 3);
+}
+
+/// Guards degrees: a number that rises is believed at once, one that falls by a tenth a second at the most, and never under one.
+#[test]
+fn it_falls_by_degrees() {
+    let settings = Settings::default();
+    let mut sharing = Sharing::new(100, NOW);
+    let mut table = Table::default();
+    for of in 0..10 {
+        table.merge(&heard(of, 0, State::Alive, false, NOW));
+    }
+    let mut last = 100;
+    for second in 1..60 {
+        let now = sharing.count(&table, &settings, NOW + second * SECOND);
+        assert!(now <= last && f64::from(now) >= 0.9 * f64::from(last) - 1.0, "{last} -> {now}");
+        last = now;
+    }
+    assert_eq!(last, 10);
+    for of in 10..500 {
+        table.merge(&heard(of, 0, State::Alive, false, NOW));
+    }
+    assert_eq!(sharing.count(&table, &settings, NOW + 61 * SECOND), 500);
+    assert_eq!(Sharing::new(0, NOW).count(&Table::default(), &settings, NOW), 1);
+}
+
+/// Guards both sides of a cut: while rights last, each side counts all there are, so that their sum takes no more of a server than
+/// before; a restart keeps its number.
+#[test]
+fn two_sides_take_no_more_than_one() {
+    let mut sim = Sim::new(Plan::calm(20, 4));
+    sim.start_all_known();
+    sim.run(5 * SECOND);
+    sim.cut(|from, to| from % 2 != to % 2);
+    for _ in 0..60 {
+        sim.run(2 * SECOND);
+        for node in 0..20 {
+            let mut counts = 0;
+            sim.with(node, |member, now| counts = member.nodes(now));
+            assert_eq!(counts, 20);
+        }
+    }
+}
+
+/// Guards numbers: the lowest that is free, whoever was there before.
+#[test]
+fn numbers_fill_gaps() {
+    let mut table = Table::default();
+    let me = Key::of("me");
+    assert_eq!(free_number(&table, me), 1);
+    for (of, number) in [(0, 1), (1, 2), (2, 5), (3, 2)] {
+        table.merge(&heard(of, number, State::Alive, false, NOW));
+    }
+    assert_eq!(free_number(&table, me), 3);
+    table.merge(&heard(4, 3, State::Alive, false, NOW));
+    table.merge(&heard(5, 4, State::Dead, true, NOW));
+    assert_eq!(free_number(&table, me), 4, "the dead need none");
+}
