--- a/crates/members/src/settings.rs
+++ b/crates/members/src/settings.rs
@@ -2,7 +2,7 @@
 
 use crate::{MS, Nanos, SECOND};
 
-/// Most members: what a view's memory (some 300 bytes an entry) and a whole table over a stream (1 MiB) are sized for.
+/// Most members: what a view's memory (some 650 bytes an entry) and a whole table over a stream (1 MiB) are sized for.
 pub const MOST_MEMBERS: usize = 16_384;
 /// Most dead and departed members that are remembered; the oldest go first.
 pub const MOST_GONE: usize = 4_096;
