--- a/crates/rig/src/measure/view.rs
+++ b/crates/rig/src/measure/view.rs
@@ -13,7 +13,7 @@
 use serde::Deserialize;
 
 use super::Plan;
-use crate::program::{build, build_node, built};
+use crate::program::{build, build_node, built, temporary};
 use crate::report::Report;
 
 const STEP: Nanos = 100 * MS;
@@ -143,6 +143,7 @@
 
 #[derive(Deserialize)]
 struct Outcome {
+    served: [f64; 3],
     finds: Vec<serde_json::Value>,
     views: Option<Views>,
 }
@@ -154,6 +155,20 @@
     wronged: u64,
 }
 
+/// The scenario whose nodes know nothing of each other in the control run.
+const CONTROL: &str = include_str!("../../../storm/scenarios/members-crash.toml");
+/// Worth that a play may serve less than another one by chance alone: few requests on a busy machine.
+const CHANCE: f64 = 0.03;
+
+/// The control run: the same without members.
+fn control(seed: u64) -> io::Result<Outcome> {
+    let file = temporary(".toml");
+    std::fs::write(&file, CONTROL.replace("members = true", "members = false"))?;
+    let outcome = play(&file.display().to_string(), seed);
+    std::fs::remove_file(&file)?;
+    outcome
+}
+
 /// Plays of a scenario that is void before it is given up.
 const PLAYS: usize = 3;
 
@@ -240,6 +255,7 @@
         &["members-crash", "members-fifty"]
     };
     // Processes wait most of the time: two at once, so that a short run is short.
+    let alone = std::thread::spawn(move || control(plan.seed));
     let mut played = Vec::new();
     for two in names.chunks(2) {
         let done: Vec<_> = std::thread::scope(|scope| {
@@ -249,6 +265,15 @@
         });
         played.extend(done.into_iter().collect::<io::Result<Vec<_>>>()?);
     }
+    let alone = alone.join().unwrap_or_else(|_| Err(io::Error::other("a thread failed")))?;
+    let with = played.first().map_or(0.0, |outcome| outcome.served[1]);
+    report.claim(alone.views.is_none() && alone.finds.is_empty(), "control: all rules kept, and no views");
+    report.claim(
+        with >= alone.served[1] - CHANCE,
+        "members serve as much as nodes that know nothing of each other",
+    );
+    report.figure("served_during", format!("{with:.3}"));
+    report.figure("served_during_alone", format!("{:.3}", alone.served[1]));
     for (name, outcome) in names.iter().zip(&played) {
         let views = outcome.views.as_ref().ok_or_else(|| io::Error::other(format!("{name} has no views")))?;
         let found = views.found_s.map(|(first, last)| [format!("{first:.1}"), format!("{last:.1}")]);
