--- a/crates/node/src/fleet/mod.rs
+++ b/crates/node/src/fleet/mod.rs
@@ -15,6 +15,8 @@
 use pumicehead_members::{Card, SECOND, Settings};
 use pumicehead_ops::call::{Call, no};
 use pumicehead_policy::interface::{Nanos, Sharing};
+use pumicehead_trace::event::Event as Told;
+use pumicehead_trace::text::Name;
 use thiserror::Error;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::{Notify, watch};
@@ -22,7 +24,9 @@
 use tokio::time::{sleep, sleep_until};
 use tracing::{debug, info, warn};
 
+use crate::eyes::Eyes;
 use crate::net::clock::Clock;
+use crate::net::tap::Tap;
 
 /// How often the number of nodes is looked at, and the node's load told: both change slowly.
 const LOOK: Nanos = SECOND;
@@ -54,6 +58,7 @@
     name: String,
     member: RefCell<Member>,
     clock: Clock,
+    tap: Tap,
     datagrams: UdpSocket,
     /// Something was put into the machine from outside of its own loop.
     touched: Notify,
@@ -68,7 +73,8 @@
     ///
     /// # Errors
     /// An address that can't be listened on, or a name that can't be one.
-    pub async fn start(block: &Block, node: &Node, clock: Clock, seed: u64) -> Result<Rc<Self>, FleetError> {
+    pub async fn start(block: &Block, node: &Node, eyes: &Eyes, seed: u64) -> Result<Rc<Self>, FleetError> {
+        let clock = eyes.clock();
         let failed = |source| FleetError::Listen { address: block.address, source };
         let (streams, datagrams) = bind(block.address).await.map_err(failed)?;
         let address = streams.local_addr().map_err(failed)?;
@@ -96,7 +102,8 @@
         let fleet = Rc::new(Self {
             name: block.name.clone(),
             member: RefCell::new(member),
-            clock,
+            clock: eyes.clock(),
+            tap: eyes.front_tap(),
             datagrams,
             touched: Notify::new(),
             sharing: watch::Sender::new(None),
@@ -229,6 +236,9 @@
         match event {
             Event::Joined { members } => info!(target: "fleet", "joined {}: {members} members", self.name),
             Event::Moved { name, from, to, witness } => {
+                let number = |state: pumicehead_members::State| state.number() as u8;
+                let (from_number, to_number) = (from.map(number), number(to));
+                self.tap.record(&Told::Member { name: Name::new(&name), from: from_number, to: to_number });
                 let from = from.map_or("new", pumicehead_members::State::word);
                 info!(target: "fleet", "{name}: {from} -> {}, says {witness}", to.word());
             }
--- a/crates/node/src/standalone/mod.rs
+++ b/crates/node/src/standalone/mod.rs
@@ -66,7 +66,7 @@
         calls.map(|address| front::listen(address).map_err(|error| format!("listen on {address}: {error}")));
     let listener = listener.transpose()?;
     let fleet = match &config.fleet {
-        Some(block) => Some(Fleet::start(block, &config.node, eyes.clock(), seed).await?),
+        Some(block) => Some(Fleet::start(block, &config.node, &eyes, seed).await?),
         None => None,
     };
     let site = Site::start(config, recorder.transpose()?, eyes)?;
--- a/crates/trace/src/event.rs
+++ b/crates/trace/src/event.rs
@@ -170,6 +170,15 @@
         /// This one's number among them.
         number: u32,
     },
+    /// A member of the fleet is held for something else: states by their numbers, alive 0, stalled 1, suspect 2, dead 3, left 4.
+    Member {
+        /// Which.
+        name: Name,
+        /// Before; `None`: it was not known.
+        from: Option<u8>,
+        /// Now.
+        to: u8,
+    },
 }
 
 const OUTCOMES: [Outcome; 8] = [
@@ -297,6 +306,12 @@
                 start(10, *nodes);
                 put(out, u64::from(*number));
             }
+            Self::Member { name, from, to } => {
+                start(11, u32::from(*to));
+                put_some(out, from.map(u64::from));
+                put_bytes(out, name.start.as_bytes());
+                out.extend_from_slice(&name.hash.to_le_bytes());
+            }
             Self::Note(note) => encode_note(note, out),
         }
     }
@@ -341,6 +356,14 @@
             8 => Self::Turned { class: u16::try_from(first).ok()?, why: at(&Turned::ALL, from.byte()?)? },
             9 => Self::Short(at(&Short::ALL, u8::try_from(first).ok()?)?),
             10 => Self::Sharing { nodes: first, number: from.small()? },
+            11 => Self::Member {
+                to: u8::try_from(first).ok()?,
+                from: from.some()?.map(u8::try_from).transpose().ok()?,
+                name: Name {
+                    start: from.text()?.into(),
+                    hash: u64::from_le_bytes(from.take(8)?.try_into().ok()?),
+                },
+            },
             tag => Self::Note(decode_note(tag, first, from)?),
         })
     }
--- a/crates/trace/tests/files.rs
+++ b/crates/trace/tests/files.rs
@@ -39,6 +39,12 @@
         Event::Sharing { nodes: 277, number: 12 },
         Event::Turned { class: 2, why: Turned::Connections },
         Event::Short(Short::Dial),
+        Event::Member { name: Name::new("n7"), from: Some(0), to: 3 },
+        Event::Member {
+            name: Name::new("a name that is longer than what is kept of names here, by some"),
+            from: None,
+            to: 0,
+        },
         Event::Note(Note::Taken { id, tier: 3, worth: 1.5, aim_at: START }),
         Event::Note(Note::Held { id, held: 7 }),
         Event::Note(Note::Picked {
