--- a/crates/members/src/member/hear.rs
+++ b/crates/members/src/member/hear.rs
@@ -152,9 +152,6 @@
             if stamp == own && in_doubt && heard.state > held.state && held.heard > heard.since {
                 return self.contest(now, heard);
             }
-        } else if gone && heard.state == State::Dead && !self.joined {
-            // Nothing is lost by not knowing it, and views are compared soon.
-            before = None;
         }
         match self.table.merge(heard) {
             Merged::Older => {}
--- a/crates/members/tests/model.rs
+++ b/crates/members/tests/model.rs
@@ -14,7 +14,7 @@
 
 const NODES: usize = 3;
 const START: u64 = 1_000 * SECOND;
-/// Members are cut off from here on in the model: a fault that is over when the fleet is played on.
+/// Seconds in which the fleet, played on without faults, has to settle: over the minute in which one alone in its finding waits.
 const STEPS: u64 = 200;
 
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
