--- a/crates/node/tests/crossings.rs
+++ b/crates/node/tests/crossings.rs
@@ -203,6 +203,47 @@
     }
 }
 
+/// Guards a drain and a restart of a server, and a deadline, that come while a connection to it is coming up: nothing is
+/// written to it from then on.
+#[test]
+fn what_waits_for_a_connection_is_not_written_to_a_server_that_has_left() {
+    const DIAL: (&str, &str) = ("\"dial_timeout_ns\":250000000", "\"dial_timeout_ns\":12000000000");
+    for case in ["drain", "restart", "deadline"] {
+        let (late, other) = (Late::start(), Backend::start(|_| ok("other")));
+        let address = late.listener.local_addr().unwrap();
+        let discovery = Discovery::start();
+        let known = list(1, true, &[host("s-0", address, "active")]);
+        let setup = Setup { known, changes: &[RANKED, DIAL], discovery: discovery.address, ..Setup::of(&[]) };
+        let mut node = setup.start();
+        let (_, lines) = discovery.next();
+        let mut client = node.connect();
+        let left = if case == "deadline" { "X-Time-Left: 500m\r\n" } else { "X-Time-Left: 15000m\r\n" };
+        client.write(&request_with("submit", "x", left));
+        // It dials by now.
+        thread::sleep(Duration::from_millis(200));
+        // A restarted server has another address here, or what comes after the restart would go there as well.
+        let gone = match case {
+            "drain" => host("s-0", address, "leaving"),
+            "restart" => host("s-0", other.address, "active").replace("\"born_ms\":0", "\"born_ms\":5"),
+            _ => host("s-0", address, "active"),
+        };
+        let hosts = [gone, host("s-1", other.address, "active")];
+        if case != "deadline" {
+            lines.send(list(2, false, &hosts)).unwrap();
+            wait_for("the change", || node.ask(&request("submit", "y")).body == b"other");
+        }
+        let answered = (case == "deadline").then(|| client.read().expect("an answer").status());
+        assert!(answered.is_none_or(|status| status != 200));
+        let seen = late.let_go();
+        if case != "deadline" {
+            assert_eq!(client.read().expect("an answer").body, b"other", "{case}");
+        }
+        node.terminate();
+        assert_eq!(node.wait().code(), Some(0));
+        assert_eq!(seen.lock().unwrap().len(), 0, "{case}");
+    }
+}
+
 /// Guards the id of a request whose client has left while its attempt is still out: the same id again would be a second
 /// effect. It was free as soon as the client had gone.
 #[test]
