Crossings: a client that leaves between two attempts, over sockets

The row had no test of its own. It is guarded more than once: with the module's look at requests that are done, the loop's look at the answer and the last look before the first byte all taken out it still passes, since the end of an attempt tells the module that the request is complete. So this test has not been seen to fail.

--- a/crates/node/tests/crossings.rs
+++ b/crates/node/tests/crossings.rs
@@ -244,6 +244,39 @@
     }
 }
 
+/// Guards a request whose client leaves under an attempt that is then turned away: nothing ran, and nobody waits for
+/// another attempt.
+#[test]
+fn no_further_attempt_follows_once_the_client_has_left() {
+    for changes in [&[RANKED][..], &[RANKED, NO_CANCEL][..]] {
+        let (release, held) = mpsc::channel::<()>();
+        let held = Arc::new(Mutex::new(held));
+        let backends = [(); 2].map(|()| {
+            let held = held.clone();
+            Backend::start(move |message| {
+                if message.body == b"marker" {
+                    return ok("done");
+                }
+                let _ = held.lock().unwrap().recv_timeout(Duration::from_secs(30));
+                Act::Write(answer("503 Service Unavailable", "X-Unprocessed: 1\r\n", ""))
+            })
+        });
+        let node = Setup { changes, ..Setup::of(&backends.each_ref()) }.start();
+        let text = request("submit", "x");
+        let mut client = node.connect();
+        client.write(&text);
+        let count = || backends.iter().flat_map(ids).filter(|sent| *sent == id(&text)).count();
+        wait_for("the attempt", || count() == 1);
+        drop(client);
+        thread::sleep(Duration::from_millis(300));
+        release.send(()).unwrap();
+        for _ in 0..4 {
+            assert_eq!(node.ask(&request("submit", "marker")).body, b"done");
+        }
+        assert_eq!(count(), 1, "{changes:?}");
+    }
+}
+
 /// Guards the id of a request whose client has left while its attempt is still out: the same id again would be a second
 /// effect. It was free as soon as the client had gone.
 #[test]
@@ -397,31 +430,6 @@
     told.iter().filter(|(_, answered)| *answered).count()
 }
 
-/// Guards the orderly end from a second SIGTERM and a SIGHUP beside it: what was taken is still answered.
-#[test]
-fn a_second_sigterm_changes_nothing() {
-    let (release, held) = mpsc::channel::<()>();
-    let held = Mutex::new(held);
-    let backend = Backend::start(move |_| {
-        let _ = held.lock().unwrap().recv_timeout(Duration::from_secs(30));
-        ok("done")
-    });
-    let mut node = Setup::of(&[&backend]).start();
-    let mut client = node.connect();
-    client.write(&request("submit", "x"));
-    wait_for("the attempt", || backend.count() == 1);
-    node.terminate();
-    node.signal("-HUP");
-    node.terminate();
-    wait_for("the first one to be seen", || {
-        node.ask("GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n").status() == 503
-    });
-    node.terminate();
-    release.send(()).unwrap();
-    assert_eq!(client.read().expect("an answer").status(), 200);
-    assert_eq!(node.wait().code(), Some(0));
-}
-
 /// Guards deployments that allow no advice: the front's own refusals gave half a second whatever the settings said, and
 /// whatever clients follow.
 #[test]
--- a/crates/node/tests/platform.rs
+++ b/crates/node/tests/platform.rs
@@ -273,3 +273,28 @@
     wait_for("service", || node.ask(&request("submit", "x")).status() == 200);
     assert!(TcpStream::connect(address).is_ok());
 }
+
+/// Guards the orderly end from a second SIGTERM and a SIGHUP beside it: what was taken is still answered.
+#[test]
+fn a_second_sigterm_changes_nothing() {
+    let (release, held) = mpsc::channel::<()>();
+    let held = std::sync::Mutex::new(held);
+    let backend = Backend::start(move |_| {
+        let _ = held.lock().unwrap().recv_timeout(Duration::from_secs(30));
+        ok("done")
+    });
+    let mut node = Setup::of(&[&backend]).start();
+    let mut client = node.connect();
+    client.write(&request("submit", "x"));
+    wait_for("the attempt", || backend.count() == 1);
+    node.terminate();
+    node.signal("-HUP");
+    node.terminate();
+    wait_for("the first one to be seen", || {
+        node.ask("GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n").status() == 503
+    });
+    node.terminate();
+    release.send(()).unwrap();
+    assert_eq!(client.read().expect("an answer").status(), 200);
+    assert_eq!(node.wait().code(), Some(0));
+}
