Crossings: an agent's watch that falls silent for good, FastCGI requests read at a close

- Where lists are pushed, what the agent gets at discovery's return counts at once (STANDING), and drains are kept 2 s later.
A watch that had fallen silent with discovery was left 4.5 s after its last word: one that stays silent for good, after an outage of 2.6 s, was left 2.1 s after the return with the pause.
Asking an agent costs nothing, so it is left a second after a missed heartbeat (net/discovery.rs); two missed ones stay for a service that all nodes ask, where calls are priced.
All that comes before the first list has one bound now, also behind the answer's head.
Unit tests on a clock that stands; with the old 4.5 s the first fails.

--- a/crates/node/src/net/core/mod.rs
+++ b/crates/node/src/net/core/mod.rs
@@ -9,6 +9,7 @@
 use std::collections::{BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
+use std::time::Duration;
 
 use pumicehead_policy::interface::{
     Discovery, Event, ListChange, Nanos, RequestId, SECOND, ServerId, Settings, TimerToken,
@@ -43,7 +44,7 @@
 /// How often idle connections are looked over.
 const SWEEP: Nanos = SECOND;
 /// Pause before an agent that pushes the list is asked again.
-const AGENT_PAUSE: Nanos = SECOND / 4;
+pub const AGENT_PAUSE: Duration = Duration::from_millis(250);
 /// A pool that is gone from the configuration serves the requests it has for so long; from then on nothing new is
 /// sent, well within the 2 s in which a drain must be kept.
 const GRACE: Nanos = SECOND;
@@ -384,7 +385,8 @@
         self.watch.stop();
         warn!(target: "discovery", "watch lost: {error}");
         if self.pushed {
-            self.timers.insert((self.now() + AGENT_PAUSE, Due::Subscribe));
+            let pause = AGENT_PAUSE.as_nanos() as Nanos;
+            self.timers.insert((self.now() + pause, Due::Subscribe));
         } else {
             self.events.push_back(Event::Members(ListChange::Failed));
         }
--- a/crates/node/src/net/discovery.rs
+++ b/crates/node/src/net/discovery.rs
@@ -26,7 +26,9 @@
 /// nodes at once.
 const SILENCE: Duration = Duration::from_millis(4_500);
 /// An agent on the node's own machine answers at once. One that has taken a call and says nothing may have lost it: asked
-/// again after this and a pause, it has told within 2 s of its return what counts as told by then.
+/// again after this and a pause, it has told within 2 s of its return what counts as told by then. A watch there that is
+/// late with a heartbeat by so much may be lost as well, and to ask the agent anew costs nothing: left after two missed
+/// ones, what came with a return in between was told too late.
 const AGENT_SILENCE: Duration = Duration::from_secs(1);
 
 /// Backends, all or those that changed.
@@ -139,7 +141,9 @@
     take: &mut impl FnMut(List),
 ) -> Result<WatchError, WatchError> {
     // One bound for all that comes before the first list, however the time is spent.
-    let by = Instant::now() + if agent { AGENT_SILENCE } else { SILENCE };
+    let (first, silence) =
+        if agent { (AGENT_SILENCE, HEARTBEAT + AGENT_SILENCE) } else { (SILENCE, SILENCE) };
+    let by = Instant::now() + first;
     let link = Link::new(timeout_at(by, TcpStream::connect(address)).await??);
     let (mut sender, connection) = http1::handshake(TokioIo::new(link)).await?;
     let mut driver = task::JoinSet::new();
@@ -154,8 +158,8 @@
     let mut body = response.into_body();
     let mut documents = Documents::default();
     let mut begun: Option<Instant> = None;
+    let mut silent = by;
     loop {
-        let silent = Instant::now() + SILENCE;
         // Heartbeats go on inside a list that was cut and never ends; nothing after it would be understood.
         let end = begun.map_or(silent, |begun| silent.min(begun + HEARTBEAT));
         let frame = match timeout_at(end, body.frame()).await {
@@ -169,5 +173,10 @@
             take(serde_json::from_slice(&document?).map_err(|error| WatchError::List(error.to_string()))?);
         }
         begun = documents.is_inside().then(|| begun.unwrap_or_else(Instant::now));
+        silent = Instant::now() + silence;
     }
 }
+
+#[cfg(test)]
+#[path = "../../tests/unit/discovery.rs"]
+mod tests;
--- a/crates/node/src/net/front/fastcgi.rs
+++ b/crates/node/src/net/front/fastcgi.rs
@@ -93,13 +93,8 @@
             let slow = exchange.coming.values().min().copied();
             let stalled = progress + options.keep;
             tokio::select! {
-                read = reader.read(&mut input) => match read {
-                    Ok(count) if count > 0 => if !self.take_records(&mut exchange, conn, peer, &input[..count]) {
-                        return;
-                    },
-                    // Who asked is gone, and with the tasks goes what they wait for.
-                    _ => return,
-                },
+                // What has come is looked at before a close of this side's own, and answers go out before more is read.
+                biased;
                 Some((id, serial, parts)) = answered.recv() => exchange.answered(id, serial, parts),
                 written = writer.write(&out), if !out.is_empty() => match written {
                     Ok(count) if count > 0 => {
@@ -108,10 +103,20 @@
                     }
                     _ => return,
                 },
+                read = reader.read(&mut input) => match read {
+                    Ok(count) if count > 0 => if !self.take_records(&mut exchange, conn, peer, &input[..count]) {
+                        return;
+                    },
+                    // Who asked is gone, and with the tasks goes what they wait for.
+                    _ => return,
+                },
                 () = sleep_until(slow.unwrap_or(stalled)), if slow.is_some() => exchange.end_slow().await,
                 // A front end that reads nothing holds its answers and its place.
                 () = sleep_until(stalled), if !out.is_empty() => return,
-                () = conn.cut.notified() => return,
+                // Unless it has asked since it was idle: what has been read has its answer.
+                () = conn.cut.notified() => if exchange.server.is_idle() {
+                    return;
+                },
             }
         }
     }
--- /dev/null
+++ b/crates/node/tests/unit/discovery.rs
@@ -0,0 +1,85 @@
+use std::cell::Cell;
+use std::io::{ErrorKind, Read, Write};
+use std::net::TcpListener;
+use std::rc::Rc;
+
+use tokio::runtime::{Builder, LocalOptions};
+
+use super::*;
+use crate::net::core::AGENT_PAUSE;
+
+/// What a service says before it falls silent.
+#[derive(Clone, Copy, PartialEq)]
+enum Said {
+    Nothing,
+    Head,
+    List,
+}
+
+/// How long a watch goes on after the last thing that its service says. The clock stands from then on, but for what the
+/// watch waits for.
+fn silent_for(agent: bool, said: Said) -> Duration {
+    let runtime = Builder::new_current_thread().enable_all().build_local(LocalOptions::default()).unwrap();
+    runtime.block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        listener.set_nonblocking(true).unwrap();
+        let last = Rc::new(Cell::new(None));
+        let fell_silent = |last: &Cell<Option<Instant>>| {
+            tokio::time::pause();
+            last.set(Some(Instant::now()));
+        };
+        let (address, heard) = (listener.local_addr().unwrap(), last.clone());
+        let watch = task::spawn_local(async move { watch(address, 0, agent, |_| fell_silent(&heard)).await });
+        let mut stream = loop {
+            match listener.accept() {
+                Ok((stream, _)) => break stream,
+                Err(error) if error.kind() == ErrorKind::WouldBlock => task::yield_now().await,
+                Err(error) => panic!("{error}"),
+            }
+        };
+        stream.set_nonblocking(true).unwrap();
+        let mut call = Vec::new();
+        while !call.ends_with(b"\r\n\r\n") {
+            let mut some = [0; 256];
+            match stream.read(&mut some) {
+                Ok(count) => call.extend_from_slice(&some[..count]),
+                Err(error) if error.kind() == ErrorKind::WouldBlock => task::yield_now().await,
+                Err(error) => panic!("{error}"),
+            }
+        }
+        let list = "{\"seq\":1,\"whole\":true,\"hosts\":[]}\n";
+        if said != Said::Nothing {
+            stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").unwrap();
+        }
+        if said == Said::List {
+            stream.write_all(format!("{:x}\r\n{list}\r\n", list.len()).as_bytes()).unwrap();
+        } else {
+            fell_silent(&last);
+        }
+        assert!(matches!(watch.await.unwrap(), WatchError::Silent(_)));
+        last.get().expect("it fell silent").elapsed()
+    })
+}
+
+/// Guards drains from an agent that has lost a call or a watch: within 2 s of its return it has been asked again. Asking it
+/// costs nothing, so one heartbeat that is late is enough.
+#[test]
+fn an_agent_that_is_silent_is_left_in_time() {
+    let grace = Duration::from_secs(2);
+    for said in [Said::Nothing, Said::Head] {
+        assert!(silent_for(true, said) + AGENT_PAUSE < grace);
+    }
+    let watched = silent_for(true, Said::List);
+    assert!(watched > HEARTBEAT && watched + AGENT_PAUSE < HEARTBEAT + grace, "{watched:?}");
+}
+
+/// Guards drains and prices at a service of all nodes: two heartbeats may be late, and it may have a call wait for as long.
+#[test]
+fn a_service_that_is_silent_is_left_in_time() {
+    for said in [Said::Nothing, Said::Head, Said::List] {
+        let watched = silent_for(false, said);
+        // The page: told 6 s after, to be kept 2 s later. A pause of a second at most, and a call of 2 s.
+        let kept = watched + Duration::from_secs(3);
+        assert!(watched > HEARTBEAT * 2 && kept < Duration::from_secs(8), "{watched:?}");
+    }
+}
