--- a/crates/policy/tests/cold.rs
+++ b/crates/policy/tests/cold.rs
@@ -76,7 +76,7 @@
                         node.end(id, n, Outcome::Ok);
                     }
                 }
-                if (self.turn + me * 7) % (SECOND / step / RATE) == 0 {
+                if (self.turn + me * 7).is_multiple_of(SECOND / step / RATE) {
                     node.request(0, 900 * MS);
                 }
             }
