Crossings: a repeat of a keyed request is not written once its window is over

The last look before the first byte knew the deadline, the server and the client, not the window (net/http/upstream.rs, exchange).

FastCGI servers have the same look.

Tests: addresses that refuse are held for as long as the test runs (one that is free again may be given to any other listener); the late listener moved to the rig.

--- a/crates/node/src/net/core/actions.rs
+++ b/crates/node/src/net/core/actions.rs
@@ -8,11 +8,12 @@
 use super::Core;
 use crate::net::ask::Answer;
 use crate::net::message::Message;
+use crate::net::transport::Times;
 
 impl Core {
     pub(super) fn act(&mut self, action: Action) {
         match action {
-            Action::Send { id, server, timeout } => self.send(id, server, timeout),
+            Action::Send { id, server, timeout, by } => self.send(id, server, timeout, by),
             Action::Refuse { id, retry_after } => {
                 // A server's own words tell more than that it may be tried again.
                 let error = self.open.get_mut(&id).and_then(|open| open.error.take());
@@ -46,7 +47,7 @@
         }
     }
 
-    fn send(&mut self, id: RequestId, server: ServerId, timeout: Option<Nanos>) {
+    fn send(&mut self, id: RequestId, server: ServerId, timeout: Option<Nanos>, by: Option<Nanos>) {
         let now = self.now();
         let Some(open) = self.open.get_mut(&id) else { return };
         let attempt = AttemptNo(open.attempts.len() as u8);
@@ -82,11 +83,13 @@
         let (cancel, cancelled) = oneshot::channel();
         open.attempts.push(Some(cancel));
         let call = open.call.clone();
-        let (messages, end) = (self.to_self.clone(), self.clock.instant(end));
+        let instant = |at| self.clock.instant(at);
+        let times = Times { deadline: instant(end), by: instant(by.unwrap_or(Nanos::MAX)) };
+        let messages = self.to_self.clone();
         task::spawn_local(async move {
             let to_core = messages.clone();
             let begin = move |served| drop(to_core.send(Message::Began(id, attempt, served)));
-            let end = known.attempt(call, end, cancelled, Box::new(begin)).await;
+            let end = known.attempt(call, times, cancelled, Box::new(begin)).await;
             let _ = messages.send(Message::Ended { id, attempt, server, sent: now, end });
         });
     }
--- a/crates/node/src/net/fastcgi/upstream.rs
+++ b/crates/node/src/net/fastcgi/upstream.rs
@@ -22,7 +22,7 @@
 use crate::net::connections::{Connections, IDLE_SHARE, Idle, Place};
 use crate::net::link::Link;
 use crate::net::room::Room;
-use crate::net::transport::{Attempt, Begin, End, Server, Transport};
+use crate::net::transport::{Attempt, Begin, End, Server, Times, Transport};
 
 /// Longest wait for what a server says of itself; one that says nothing takes one request a connection.
 const VALUES_WAIT: Duration = Duration::from_millis(250);
@@ -176,7 +176,7 @@
     fn attempt(
         self: Rc<Self>,
         call: Rc<Call>,
-        deadline: Instant,
+        times: Times,
         cancel: oneshot::Receiver<()>,
         _: Begin,
     ) -> Attempt {
@@ -184,11 +184,11 @@
             let begun = Rc::new(Cell::new(false));
             tokio::select! {
                 biased;
-                done = self.exchange(&call, deadline, begun.clone()) => done,
+                done = self.exchange(&call, times, begun.clone()) => done,
                 // The sender is kept as long as the attempt is out; were it lost, nobody would wait.
                 _ = cancel => End::of(Outcome::Cancelled),
                 // A time-out before anything was written proves that nothing ran.
-                () = sleep_until(deadline) => {
+                () = sleep_until(times.deadline) => {
                     End::of(if begun.get() { Outcome::TimedOut } else { Outcome::Moot })
                 }
             }
@@ -197,13 +197,13 @@
 }
 
 impl FastCgiServer {
-    async fn exchange(&self, call: &Call, deadline: Instant, begun: Rc<Cell<bool>>) -> End {
+    async fn exchange(&self, call: &Call, times: Times, begun: Rc<Cell<bool>>) -> End {
         let conn = match self.connection().await {
             Ok(conn) => conn,
             Err(end) => return end,
         };
         // Dialling takes time: what was true when the attempt was decided need not be so now.
-        let left = deadline.saturating_duration_since(Instant::now());
+        let left = times.left(Instant::now());
         if left.is_zero() || !self.life.usable.get() || call.over.get() {
             return End::of(Outcome::Moot);
         }
--- a/crates/node/src/net/http/upstream.rs
+++ b/crates/node/src/net/http/upstream.rs
@@ -25,7 +25,7 @@
 use crate::net::body::Ended;
 use crate::net::connections::{Connections, IDLE_SHARE, Idle, Place};
 use crate::net::link::{Counter, Link, Unread};
-use crate::net::transport::{Attempt, Begin, End, Server, Transport};
+use crate::net::transport::{Attempt, Begin, End, Server, Times, Transport};
 use crate::net::upload::Outgoing;
 
 /// Longest head of a message.
@@ -191,15 +191,16 @@
     fn attempt(
         self: Rc<Self>,
         call: Rc<Call>,
-        deadline: Instant,
+        times: Times,
         cancel: oneshot::Receiver<()>,
         begin: Begin,
     ) -> Attempt {
         Box::pin(async move {
+            let deadline = times.deadline;
             let (stage, way) = (Cell::new(Stage::Waiting), Cell::new(Way::default()));
             let (end, conn) = tokio::select! {
                 biased;
-                done = self.shared.exchange(&self.backend, &call, deadline, (&stage, &way), begin) => done,
+                done = self.shared.exchange(&self.backend, &call, times, (&stage, &way), begin) => done,
                 // The sender is kept as long as the attempt is out; were it lost, nobody would wait.
                 _ = cancel => (End::of(Outcome::Cancelled), None),
                 outcome = expiry(&call, deadline, &stage) => (End::of(outcome), None),
@@ -322,7 +323,7 @@
         self: &Rc<Self>,
         backend: &Rc<Backend>,
         call: &Call,
-        deadline: Instant,
+        times: Times,
         (stage, way): (&Cell<Stage>, &Cell<Way>),
         begin: Begin,
     ) -> (End, Option<Conn>) {
@@ -347,9 +348,9 @@
         if conn.sender.ready().await.is_err() {
             return alone(End::of(Outcome::ConnectFailed));
         }
-        // Getting here takes time: what was true when the attempt was decided need not be so now. The last look at the time,
+        // Getting here takes time: what was true when the attempt was decided need not be so now. The last look at the times,
         // the server and the client is this one, right before the first byte: nothing is waited for in between.
-        let left = deadline.saturating_duration_since(Instant::now());
+        let left = times.left(Instant::now());
         if left.is_zero() || !backend.usable.get() || call.over.get() {
             return alone(End::of(Outcome::Moot));
         }
--- a/crates/node/src/net/transport.rs
+++ b/crates/node/src/net/transport.rs
@@ -62,6 +62,23 @@
     fn sweep(&self);
 }
 
+/// The times of an attempt.
+#[derive(Clone, Copy, Debug)]
+pub struct Times {
+    /// It ends then, if it has not before.
+    pub deadline: Instant,
+    /// What is not written by then must not be: the attempt repeats one that may have run.
+    pub by: Instant,
+}
+
+impl Times {
+    /// How long an attempt has that sets out now; nothing where it must not.
+    #[must_use]
+    pub fn left(&self, now: Instant) -> Duration {
+        if now < self.by { self.deadline.saturating_duration_since(now) } else { Duration::ZERO }
+    }
+}
+
 /// The life of one server process.
 pub trait Server {
     /// Its address.
@@ -77,12 +94,12 @@
     /// Closes its idle connections.
     fn hang_up(&self);
 
-    /// One attempt, until `deadline` or a word on `cancel`. It is never sent a second time from here. Once `begin` has
+    /// One attempt, until its deadline or a word on `cancel`. It is never sent a second time from here. Once `begin` has
     /// been called, neither counts any more, and the attempt ends when the server's part is done.
     fn attempt(
         self: Rc<Self>,
         call: Rc<Call>,
-        deadline: Instant,
+        times: Times,
         cancel: oneshot::Receiver<()>,
         begin: Begin,
     ) -> Attempt;
--- a/crates/node/tests/crossings.rs
+++ b/crates/node/tests/crossings.rs
@@ -8,8 +8,9 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use pumicehead_rig::late::Late;
 use pumicehead_rig::scripted::*;
-use socket2::{Domain, SockRef, Socket, Type};
+use socket2::SockRef;
 
 const NO_CANCEL: (&str, &str) = ("\"cancel\":true", "\"cancel\":false");
 
@@ -117,53 +118,6 @@
     }
 }
 
-/// A listener whose connections don't come up until it is let go: its queue is full.
-struct Late {
-    listener: TcpListener,
-    fillers: Vec<Socket>,
-}
-
-impl Late {
-    fn start() -> Self {
-        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
-        socket.bind(&"127.0.0.1:0".parse::<SocketAddr>().unwrap().into()).unwrap();
-        socket.listen(0).unwrap();
-        let listener = TcpListener::from(socket);
-        let address = listener.local_addr().unwrap().into();
-        let filler = |_| {
-            let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
-            socket.set_nonblocking(true).unwrap();
-            let _ = socket.connect(&address);
-            socket
-        };
-        Self { listener, fillers: (0..4).map(filler).collect() }
-    }
-
-    /// Lets connections come up: what each one brings, by its request, as it comes.
-    fn let_go(self) -> Arc<Mutex<Vec<Message>>> {
-        let seen = Arc::new(Mutex::new(Vec::new()));
-        let to = seen.clone();
-        drop(self.fillers);
-        let listener = self.listener;
-        listener.set_nonblocking(false).unwrap();
-        thread::spawn(move || {
-            for stream in listener.incoming() {
-                let (mut stream, to) = (stream.unwrap(), to.clone());
-                thread::spawn(move || {
-                    let mut input = BufReader::new(stream.try_clone().unwrap());
-                    while let Some(message) = Message::read(&mut input) {
-                        to.lock().unwrap().push(message);
-                        if stream.write_all(answer("200 OK", "", "done").as_bytes()).is_err() {
-                            return;
-                        }
-                    }
-                });
-            }
-        });
-        seen
-    }
-}
-
 /// Guards a request whose attempt waits for its connection to come up from being written once its client has left, also
 /// where attempts can't be called back, and one that its client still waits for from being lost to that.
 #[test]
@@ -244,6 +198,45 @@
     }
 }
 
+/// Guards a keyed request from a repeat that servers no longer know for one: the attempt is decided within their window, and
+/// its connection comes up after that. Where the window is long the same attempt is written.
+#[test]
+fn a_repeat_is_not_written_once_its_window_is_over() {
+    const DIAL: (&str, &str) = ("\"dial_timeout_ns\":250000000", "\"dial_timeout_ns\":12000000000");
+    const SHORT: (&str, &str) = ("\"window_ns\":5000000000", "\"window_ns\":1000000000");
+    const LONG: (&str, &str) = ("\"window_ns\":5000000000", "\"window_ns\":60000000000");
+    for (changes, in_time) in [(&[SHORT, DIAL], false), (&[LONG, DIAL], true)] {
+        let (release, held) = mpsc::channel::<()>();
+        let held = Mutex::new(held);
+        let first = Backend::start(move |_| {
+            let _ = held.lock().unwrap().recv_timeout(Duration::from_secs(30));
+            // It may have run.
+            Act::WriteAndClose(String::new())
+        });
+        let (late, discovery) = (Late::start(), Discovery::start());
+        let node = Setup { changes, discovery: discovery.address, ..Setup::of(&[&first]) }.start();
+        let (_, lines) = discovery.next();
+        let mut client = node.connect();
+        let put = request("put", "x");
+        let since = Instant::now();
+        client.write(&put);
+        wait_for("the first attempt", || first.count() == 1);
+        lines.send(list(2, false, &[host("s-1", late.listener.local_addr().unwrap(), "active")])).unwrap();
+        release.send(()).unwrap();
+        // The repeat dials within the window, and until that is over.
+        thread::sleep(Duration::from_millis(1_200).saturating_sub(since.elapsed()));
+        let seen = late.let_go();
+        let status = client.read().expect("an answer").status();
+        let sent = seen
+            .lock()
+            .unwrap()
+            .iter()
+            .filter(|one| one.header("x-correlation-id") == Some(&id(&put)))
+            .count();
+        assert_eq!((status == 200, sent), (in_time, usize::from(in_time)), "{status}");
+    }
+}
+
 /// Guards a request whose client leaves under an attempt that is then turned away: nothing ran, and nobody waits for
 /// another attempt.
 #[test]
--- a/crates/node/tests/unit/core.rs
+++ b/crates/node/tests/unit/core.rs
@@ -11,7 +11,7 @@
 
 use super::*;
 use crate::net::ask::{Ask, Call, Served};
-use crate::net::transport::{Attempt, Begin, End, Server};
+use crate::net::transport::{Attempt, Begin, End, Server, Times};
 
 /// Servers that get no attempt: the test tells of their ends itself.
 struct Nowhere;
@@ -39,13 +39,7 @@
 
     fn hang_up(&self) {}
 
-    fn attempt(
-        self: Rc<Self>,
-        _: Rc<Call>,
-        _: tokio::time::Instant,
-        _cancel: oneshot::Receiver<()>,
-        _: Begin,
-    ) -> Attempt {
+    fn attempt(self: Rc<Self>, _: Rc<Call>, _: Times, _cancel: oneshot::Receiver<()>, _: Begin) -> Attempt {
         Box::pin(std::future::pending())
     }
 }
--- a/crates/node/tests/unit/front.rs
+++ b/crates/node/tests/unit/front.rs
@@ -16,7 +16,7 @@
 use crate::net::clock::Clock;
 use crate::net::core::{Core, Setup, Source};
 use crate::net::handle::Handle;
-use crate::net::transport::{Attempt, Begin, End, Server, Transport};
+use crate::net::transport::{Attempt, Begin, End, Server, Times, Transport};
 
 /// Servers that answer on the spot, and count.
 #[derive(Clone, Default)]
@@ -44,7 +44,7 @@
 
     fn hang_up(&self) {}
 
-    fn attempt(self: Rc<Self>, _: Rc<Call>, _: Instant, _cancel: oneshot::Receiver<()>, _: Begin) -> Attempt {
+    fn attempt(self: Rc<Self>, _: Rc<Call>, _: Times, _cancel: oneshot::Receiver<()>, _: Begin) -> Attempt {
         Box::pin(async move {
             self.0.set(self.0.get() + 1);
             let headers = hyper::header::HeaderMap::new();
--- a/crates/node/tests/unit/upstream.rs
+++ b/crates/node/tests/unit/upstream.rs
@@ -92,7 +92,8 @@
         let call = Call { method: Method::POST, body: Bytes::from(vec![0; 64 << 20]), ..Call::default() };
         let (cancel, cancelled) = oneshot::channel();
         let by = Instant::now() + 60 * second;
-        let attempt = server.attempt(Rc::new(call), by, cancelled, Box::new(|_| ()));
+        let times = Times { deadline: by, by };
+        let attempt = server.attempt(Rc::new(call), times, cancelled, Box::new(|_| ()));
         let peer = async {
             let (mut stream, _) = listener.accept().await.unwrap();
             assert!(stream.read(&mut [0; 64]).await.unwrap() > 0);
--- a/crates/policy/src/interface.rs
+++ b/crates/policy/src/interface.rs
@@ -389,6 +389,8 @@
         server: ServerId,
         /// Its time-out; `None` is until the client gives up.
         timeout: Option<Nanos>,
+        /// What is not on its way by then must not go any more: servers may have forgotten the attempt that it repeats.
+        by: Option<Nanos>,
     },
     /// Final answer: come back later, nothing happened.
     Refuse {
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -1002,18 +1002,20 @@
 
     /// Whether what `first` may have done allows another attempt, there or (`None`) anywhere.
     fn may_repeat(&self, class: ClassId, first: &Attempt, to: Option<&Server>) -> bool {
+        let inside = to.is_none_or(|server| match self.told(class).effect {
+            Effect::Keyed { group: Group::Zone, .. } => first.zone == server.zone,
+            Effect::Keyed { group: Group::Cell, .. } => first.cell == server.cell,
+            _ => true,
+        });
+        inside && self.now < self.repeats_until(class, first)
+    }
+
+    /// Until when a repeat may set out; a tenth of the window is left for the way to the server.
+    fn repeats_until(&self, class: ClassId, first: &Attempt) -> Nanos {
         match self.told(class).effect {
-            Effect::Safe => true,
-            Effect::Unsafe => false,
-            Effect::Keyed { group, window } => {
-                let inside = to.is_none_or(|server| match group {
-                    Group::All => true,
-                    Group::Zone => first.zone == server.zone,
-                    Group::Cell => first.cell == server.cell,
-                });
-                // A tenth of the window is left for the way to the server.
-                inside && self.now < first.sent + window / 10 * 9
-            }
+            Effect::Safe => Nanos::MAX,
+            Effect::Unsafe => 0,
+            Effect::Keyed { window, .. } => first.sent + window / 10 * 9,
         }
     }
 
@@ -1031,14 +1033,14 @@
         let now = self.now;
         let Some(request) = self.requests.get_mut(&id) else { return };
         let server = &mut self.servers[slot];
-        let number = request.attempts.len();
-        let (zone, cell) = (server.zone, server.cell);
+        let (number, zone, cell) = (request.attempts.len(), server.zone, server.cell);
+        let first = request.attempts.iter().find(|a| a.ran != Ran::Never).cloned();
         request.attempts.push(Attempt { server: server.id, zone, cell, sent: now, ran: Ran::Outstanding });
         request.out += 1;
         let (class, work, tries_left) =
             (request.class, request.work, number + 1 < self.settings.max_attempts as usize);
-        let safe = self.told(class).effect == Effect::Safe;
-        let expected = self.expected(class, work);
+        let (safe, expected) = (self.told(class).effect == Effect::Safe, self.expected(class, work));
+        let by = first.map(|first| self.repeats_until(class, &first));
         let server = &mut self.servers[slot];
         server.out.push_back((id, number, now, expected));
         server.rate.add(now, work);
@@ -1051,7 +1053,7 @@
         let patience = nanos(HEDGE * expected * self.servers[slot].latency(now).clamp(1.0, 2.0));
         // Where two may not be out at once, giving up on the first is the only way to try another.
         let timeout = (safe && tries_left && !self.settings.parallel_tries).then_some(2 * patience);
-        actions.push(Action::Send { id, server: self.servers[slot].id, timeout });
+        actions.push(Action::Send { id, server: self.servers[slot].id, timeout, by });
         if safe && tries_left && self.settings.parallel_tries {
             self.arm(now + patience, T_HEDGE, id.0, actions);
         }
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -19,6 +19,7 @@
     Maybe,
 }
 
+#[derive(Clone)]
 pub(crate) struct Attempt {
     pub server: ServerId,
     pub zone: ZoneId,
--- a/crates/rig/src/scripted.rs
+++ b/crates/rig/src/scripted.rs
@@ -9,6 +9,8 @@
 use std::thread;
 use std::time::Duration;
 
+use socket2::{Domain, Socket, Type};
+
 pub use crate::program::wait_for;
 use crate::program::{LIMIT, built, temporary};
 
@@ -378,9 +380,16 @@
     }
 }
 
-/// An address that refuses connections.
+/// An address that refuses connections, until somebody listens there. It is kept for as long as this process runs: one that
+/// is free again may be given to any other listener of a test beside this one.
 pub fn refusing() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    // Who is to listen there later says so as well.
+    socket.set_reuse_address(true).unwrap();
+    socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
+    let address = socket.local_addr().unwrap().as_socket().unwrap();
+    std::mem::forget(socket);
+    address
 }
 
 fn config_file(text: &str) -> PathBuf {
--- a/crates/rig/src/world/mod.rs
+++ b/crates/rig/src/world/mod.rs
@@ -432,7 +432,7 @@
 
     fn act(&mut self, node: usize, action: Action) {
         match action {
-            Action::Send { id, server, timeout } => self.send(node, id.0, server.0 as usize, timeout),
+            Action::Send { id, server, timeout, .. } => self.send(node, id.0, server.0 as usize, timeout),
             Action::Refuse { id, .. } => {
                 if self.answer(node, id.0) {
                     self.tally.refused += 1;
--- a/crates/sim/src/lib.rs
+++ b/crates/sim/src/lib.rs
@@ -431,7 +431,7 @@
     pub fn push(&mut self, instance: Instance, action: &Action) {
         self.count += 1;
         match action {
-            Action::Send { id, server, timeout } => {
+            Action::Send { id, server, timeout, .. } => {
                 self.start(1, 20, instance);
                 self.word(id.0);
                 self.word(server.0);
--- a/crates/sim/tests/wire.rs
+++ b/crates/sim/tests/wire.rs
@@ -104,7 +104,7 @@
 fn examples_are_written() {
     let mut reply = Reply::default();
     let (id, server) = (RequestId(0x5d3a_91c4), ServerId(0x0312_4a07));
-    reply.push(3, &Action::Send { id, server, timeout: Some(80_000_000) });
+    reply.push(3, &Action::Send { id, server, timeout: Some(80_000_000), by: None });
     reply.push(3, &Action::Timer { at: 0x0000_0002_1336_2490, token: TimerToken(0x4d) });
     reply.log(5, "two servers known");
     let mut out = Vec::new();
