Tests: a node's log is read to its end before a test counts what it said

Cause: the rig's thread that reads the node's log may not have come to the last lines when the process has ended (rig, program.rs, wait). Forced with 100 ms of sleep before each line is taken: fails without the mend, passes with it. Ruled out: the node, which writes the line before it ends. The wait joins that thread now; what tests assert is unchanged. No source of the node changed.

--- a/crates/rig/src/program.rs
+++ b/crates/rig/src/program.rs
@@ -153,6 +153,8 @@
     /// What it has said so far, by lines.
     pub log: Arc<Mutex<Vec<String>>>,
     own_file: bool,
+    /// Reads its log to the end, which comes with that of the process.
+    reader: Option<thread::JoinHandle<()>>,
 }
 
 impl Standalone {
@@ -198,12 +200,12 @@
         let mut child = command.spawn().expect("the node starts");
         let log = Arc::new(Mutex::new(Vec::new()));
         let (lines, input) = (log.clone(), BufReader::new(child.stderr.take().expect("its log")));
-        thread::spawn(move || {
+        let reader = thread::spawn(move || {
             for line in input.lines().map_while(Result::ok) {
                 lines.lock().expect("the log").push(line);
             }
         });
-        let node = Self { child, file: file.into(), log, own_file: false };
+        let node = Self { child, file: file.into(), log, own_file: false, reader: Some(reader) };
         wait_for("listeners", || node.addresses().len() >= listeners);
         node
     }
@@ -280,6 +282,10 @@
     /// Where it does not come.
     pub fn wait(&mut self) -> ExitStatus {
         wait_for("the node's end", || !self.is_running());
+        // Its last lines may not have been read yet.
+        if let Some(reader) = self.reader.take() {
+            reader.join().expect("its log");
+        }
         self.child.wait().expect("a status")
     }
 
