Log: on the platform the event loop writes it, and the process has one thread

The open crash ("did not wait for anything in 20 s", both threads in futex calls) can only come where there are two threads, and the platform's node had a second one for its log alone. Another came with SIGUSR1: the runtime's, that wrote a recording.

On the platform lines now go through `LoopSink`: `poll` with no wait, one write of at most PIPE_BUF, and a queue of 1,000 lines for what the descriptor does not take, written by a task that wakes only while lines wait. The end of the process and a panic flush it for 200 ms at the most. After a write of more than 1 ms the log rests for twenty times as long. Recordings are written in slices of 64 KiB. The standalone node keeps the thread (`ThreadSink`), and both stand behind the trait `Sink`.

log.rs is split by job; its tests and those of eyes.rs moved to files, with the same assertions.

Each rule was seen to fail in a trial without its code, save one: tests/log.rs `the_lines_before_sigterm_are_written` also passes without the flush, since the loop's task writes what waits first; the unit test `what_waits_is_written_at_the_end` is the one that fails then.

--- a/crates/node/src/cli.rs
+++ b/crates/node/src/cli.rs
@@ -124,7 +124,7 @@
             if checked.config.is_none() {
                 return Ok(ExitCode::from(MISTAKES));
             }
-            let (log, _written) = log::begin();
+            let (log, _flush) = log::begin_with_thread();
             crate::block_on(crate::standalone::serve(file, checked, record, log))?;
             Ok(ExitCode::SUCCESS)
         }
--- a/crates/node/src/eyes.rs
+++ b/crates/node/src/eyes.rs
@@ -2,7 +2,7 @@
 
 use std::cell::Cell;
 use std::fs;
-use std::io;
+use std::io::{self, Write};
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::Duration;
@@ -23,6 +23,8 @@
 
 /// Recordings of a node that stay in the folder; older ones make way. Where the folder counts as memory it should be few.
 const KEPT: usize = 2;
+/// Bytes of a recording that the event loop writes in one turn.
+const SLICE: usize = 64 << 10;
 /// How often what the log has held back is looked for.
 const LOOK: Duration = Duration::from_secs(1);
 /// Part of a node's memory that its recorder may take: 1 MiB of 32 MiB.
@@ -35,13 +37,23 @@
     static AT_PANIC: std::cell::RefCell<Option<Rc<Eyes>>> = const { std::cell::RefCell::new(None) };
 }
 
+/// Where recordings are put on a signal or in a crash, and who writes them.
+pub enum Saving {
+    /// There is no folder for them.
+    Nowhere,
+    /// The event loop, in slices: the process has no other thread. Where the folder is in memory, as on the platform, a
+    /// slice takes some microseconds.
+    OnLoop(PathBuf),
+    /// A thread of the runtime: a disk may take its time.
+    OffLoop(PathBuf),
+}
+
 /// The eyes of a node.
 pub struct Eyes {
     recorder: Shared,
     clock: Clock,
     log: Log,
-    /// Where recordings are put on a signal or in a crash; nowhere where there is none.
-    folder: Option<PathBuf>,
+    saving: Saving,
     /// Of the node's name, for the names of files.
     node: u64,
     dumps: Cell<u32>,
@@ -50,17 +62,10 @@
 
 impl Eyes {
     /// Of a node, with so much memory for its recorder.
-    pub fn new(
-        node: &str,
-        clock: Clock,
-        memory: usize,
-        seed: u64,
-        log: Log,
-        folder: Option<PathBuf>,
-    ) -> Rc<Self> {
+    pub fn new(node: &str, clock: Clock, memory: usize, seed: u64, log: Log, saving: Saving) -> Rc<Self> {
         let recorder = Shared::new(Recorder::new(node, clock.began(), memory, seed));
         let node = hash(node.as_bytes());
-        let eyes = Self { recorder, clock, log, folder, node, dumps: Cell::new(0), dropped: Cell::new(0) };
+        let eyes = Self { recorder, clock, log, saving, node, dumps: Cell::new(0), dropped: Cell::new(0) };
         Rc::new(eyes)
     }
 
@@ -187,100 +192,113 @@
     }
 
     async fn write(self: Rc<Self>, reason: &str) {
-        let (Some(folder), Some(bytes)) = (self.folder.clone(), self.dump(reason)) else {
+        let Some((folder, bytes)) = self.folder().zip(self.dump(reason)) else {
             warn!(target: "recording", "there is no folder for recordings");
             return;
         };
-        let (node, number) = (self.node, self.next());
-        // Off the loop: a disk may take its time.
-        let written = task::spawn_blocking(move || put(&folder, node, number, &bytes)).await;
+        let file = RecordingFile::new(folder, self.node, self.next());
+        let written = match self.saving {
+            Saving::OffLoop(_) => {
+                task::spawn_blocking(move || file.write(&bytes)).await.map_err(io::Error::other).flatten()
+            }
+            Saving::OnLoop(_) | Saving::Nowhere => file.write_in_slices(&bytes).await,
+        };
         match written {
-            Ok(Ok(path)) => info!(target: "recording", "written to {}", path.display()),
-            Ok(Err(error)) => warn!(target: "recording", "not written: {error}"),
+            Ok(path) => info!(target: "recording", "written to {}", path.display()),
             Err(error) => warn!(target: "recording", "not written: {error}"),
         }
     }
 
+    fn folder(&self) -> Option<&Path> {
+        match &self.saving {
+            Saving::Nowhere => None,
+            Saving::OnLoop(folder) | Saving::OffLoop(folder) => Some(folder),
+        }
+    }
+
     fn next(&self) -> u32 {
         self.dumps.set(self.dumps.get() + 1);
         self.dumps.get()
     }
 
     fn at_panic(&self, what: &str) {
-        let Some(folder) = &self.folder else { return };
+        let Some(folder) = self.folder() else { return };
         if let Some(bytes) = self.dump(&format!("panic: {}", pumicehead_trace::text::plain(what))) {
             // There is nothing left to do where this fails.
-            let _ = put(folder, self.node, self.next(), &bytes);
+            let _ = RecordingFile::new(folder, self.node, self.next()).write(&bytes);
         }
     }
 }
 
-/// Writes a recording under a name of its own, whole or not at all, and lets the oldest ones of the node go.
-fn put(folder: &Path, node: u64, number: u32, bytes: &[u8]) -> io::Result<PathBuf> {
-    let prefix = format!("pumicehead-{node:016x}-");
-    // Two processes of a node may write into one folder: the process is part of the name.
-    let path = folder.join(format!("{prefix}{}-{number}.rec", std::process::id()));
-    let fresh = path.with_extension("part");
-    let written = fs::write(&fresh, bytes).and_then(|()| fs::rename(&fresh, &path));
-    if written.is_err() {
-        let _ = fs::remove_file(&fresh);
+/// A recording's file, under a name of its own, that comes to be whole or not at all.
+struct RecordingFile {
+    folder: PathBuf,
+    /// How the names of all recordings of the node begin.
+    prefix: String,
+    path: PathBuf,
+    /// Its name until it is whole.
+    fresh: PathBuf,
+}
+
+impl RecordingFile {
+    fn new(folder: &Path, node: u64, number: u32) -> Self {
+        let prefix = format!("pumicehead-{node:016x}-");
+        // Two processes of a node may write into one folder: the process is part of the name.
+        let path = folder.join(format!("{prefix}{}-{number}.rec", std::process::id()));
+        let fresh = path.with_extension("part");
+        Self { folder: folder.to_owned(), prefix, path, fresh }
     }
-    written?;
-    let mut own: Vec<_> = fs::read_dir(folder)?
-        .filter_map(Result::ok)
-        .filter(|entry| {
-            let name = entry.file_name();
-            name.to_str().is_some_and(|name| {
-                name.starts_with(&prefix) && (name.ends_with(".rec") || name.ends_with(".part"))
-            })
-        })
-        .filter_map(|entry| Some((entry.metadata().ok()?.modified().ok()?, entry.path())))
-        .filter(|(_, other)| *other != path)
-        .collect();
-    own.sort();
-    let spare = (own.len() + 1).saturating_sub(KEPT);
-    for (_, old) in own.into_iter().take(spare) {
-        let _ = fs::remove_file(old);
+
+    /// Writes it in one go, and lets the oldest ones of the node go.
+    fn write(self, bytes: &[u8]) -> io::Result<PathBuf> {
+        let written = fs::write(&self.fresh, bytes);
+        self.finish(written)
     }
-    Ok(path)
-}
 
-#[cfg(test)]
-mod tests {
-    use super::*;
+    /// The same on the event loop, which has a turn after each slice.
+    async fn write_in_slices(self, bytes: &[u8]) -> io::Result<PathBuf> {
+        let written = self.write_slices(bytes).await;
+        self.finish(written)
+    }
 
-    /// Guards the last word of a process that breaks: its recording, with why.
-    #[test]
-    fn a_panic_leaves_a_recording() {
-        let folder = std::env::temp_dir().join(format!("pumicehead-panic-{}", std::process::id()));
-        fs::create_dir_all(&folder).unwrap();
-        let (log, _written) = crate::log::begin();
-        let mut builder = tokio::runtime::Builder::new_current_thread();
-        let runtime = builder.enable_all().build_local(tokio::runtime::LocalOptions::default()).unwrap();
-        runtime.block_on(async {
-            let eyes = Eyes::new("n0", Clock::start(), 1 << 20, 1, log, Some(folder.clone()));
-            eyes.open().unwrap();
-            let broke = task::spawn_local(async { panic!("on purpose, in a test") }).await;
-            assert!(broke.is_err());
-        });
-        let file = fs::read_dir(&folder).unwrap().next().unwrap().unwrap().path();
-        let dump = pumicehead_trace::dump::Dump::read(&fs::read(file).unwrap()).unwrap();
-        assert!(dump.head.reason.contains("on purpose"), "{}", dump.head.reason);
-        fs::remove_dir_all(&folder).unwrap();
+    async fn write_slices(&self, bytes: &[u8]) -> io::Result<()> {
+        let mut file = fs::File::create(&self.fresh)?;
+        for slice in bytes.chunks(SLICE) {
+            file.write_all(slice)?;
+            task::yield_now().await;
+        }
+        Ok(())
+    }
+
+    fn finish(self, written: io::Result<()>) -> io::Result<PathBuf> {
+        let finished = written.and_then(|()| fs::rename(&self.fresh, &self.path));
+        if finished.is_err() {
+            let _ = fs::remove_file(&self.fresh);
+        }
+        finished?;
+        self.remove_old_ones()?;
+        Ok(self.path)
     }
 
-    #[test]
-    fn a_folder_holds_few_recordings_of_a_node() {
-        let folder = std::env::temp_dir().join(format!("pumicehead-eyes-{}", std::process::id()));
-        fs::create_dir_all(&folder).unwrap();
-        fs::write(folder.join("other.rec"), "x").unwrap();
-        for number in 0..9 {
-            let path = put(&folder, 7, number, b"abc").unwrap();
-            assert_eq!(fs::read(path).unwrap(), b"abc");
+    fn remove_old_ones(&self) -> io::Result<()> {
+        let is_own = |name: &str| {
+            name.starts_with(&self.prefix) && (name.ends_with(".rec") || name.ends_with(".part"))
+        };
+        let mut own: Vec<_> = fs::read_dir(&self.folder)?
+            .filter_map(Result::ok)
+            .filter(|entry| entry.file_name().to_str().is_some_and(is_own))
+            .filter_map(|entry| Some((entry.metadata().ok()?.modified().ok()?, entry.path())))
+            .filter(|(_, other)| *other != self.path)
+            .collect();
+        own.sort();
+        let spare = (own.len() + 1).saturating_sub(KEPT);
+        for (_, old) in own.into_iter().take(spare) {
+            let _ = fs::remove_file(old);
         }
-        put(&folder, 8, 0, b"abc").unwrap();
-        assert_eq!(fs::read_dir(&folder).unwrap().count(), KEPT + 2);
-        fs::remove_dir_all(&folder).unwrap();
-        assert!(put(&folder, 7, 1, b"abc").is_err());
+        Ok(())
     }
 }
+
+#[cfg(test)]
+#[path = "../tests/unit/eyes.rs"]
+mod tests;
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -26,10 +26,7 @@
     // The platform starts it with no arguments; what is wrong there is told by the missing variable, not by usage.
     let on_platform = env::args_os().len() <= 1 && env::var_os("EDGE_CONFIG").is_some();
     let done = if on_platform {
-        platform::inherited::announce().and_then(|()| {
-            let (log, _written) = log::begin();
-            block_on(platform::serve(log)).map(|()| ExitCode::SUCCESS)
-        })
+        platform::inherited::announce().map(|()| serve_platform())
     } else {
         cli::carry_out(cli::Arguments::parse().command)
     };
@@ -39,6 +36,18 @@
     })
 }
 
+fn serve_platform() -> ExitCode {
+    let (log, _flush, writer) = log::begin_on_loop();
+    match block_on(platform::serve(log.clone(), writer)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            // By way of the log: its reader may have stopped, and the process is to end all the same.
+            log.write_plain(&format!("pumicehead: {error}"));
+            ExitCode::FAILURE
+        }
+    }
+}
+
 /// Runs on the one loop of this process, which ends with it.
 fn block_on(serve: impl Future<Output = Result<(), Box<dyn Error>>> + 'static) -> Result<(), Box<dyn Error>> {
     let runtime = Builder::new_current_thread().enable_all().build_local(LocalOptions::default())?;
--- a/crates/node/src/platform/mod.rs
+++ b/crates/node/src/platform/mod.rs
@@ -21,8 +21,8 @@
 use tracing::{info, warn};
 
 use crate::calls::{self, MOST_CALLERS};
-use crate::eyes::{self, Eyes};
-use crate::log::Log;
+use crate::eyes::{self, Eyes, Saving};
+use crate::log::{Log, LoopWriter};
 use crate::net::clock::{Clock, unix_ns};
 use crate::net::connections::Connections;
 use crate::net::core::{Core, Setup, Source, WORTH};
@@ -54,11 +54,12 @@
 /// SIGKILL comes no sooner than the longest deadline, this at most, and 0.7 s more.
 const LAST_DEADLINE: Duration = Duration::from_secs(3);
 
-/// Serves until SIGTERM.
+/// Serves until SIGTERM, all on the thread that calls it.
 ///
 /// # Errors
 /// What keeps it from starting, or an event loop that ended.
-pub async fn serve(log: Log) -> Result<(), Box<dyn Error>> {
+pub async fn serve(log: Log, writer: LoopWriter) -> Result<(), Box<dyn Error>> {
+    task::spawn_local(writer.run());
     let config = Config::load()?;
     let mut term = signal(SignalKind::terminate())?;
     let mut hangup = signal(SignalKind::hangup())?;
@@ -97,7 +98,8 @@
         }
     }
     let memory = (config.memory / eyes::SHARE).min(eyes::USUAL_MOST);
-    let eyes = Eyes::new(&config.name, Clock::start(), memory, config.seed, log, folder_of_recordings);
+    let saving = folder_of_recordings.map_or(Saving::Nowhere, Saving::OnLoop);
+    let eyes = Eyes::new(&config.name, Clock::start(), memory, config.seed, log, saving);
     eyes.open()?;
     let names: Vec<_> = config.boot.classes.iter().map(|class| class.name.clone()).collect();
     let tenants: Vec<_> = config.boot.tenants.iter().map(|tenant| tenant.name.clone()).collect();
--- a/crates/node/src/standalone/mod.rs
+++ b/crates/node/src/standalone/mod.rs
@@ -23,7 +23,7 @@
 use tracing::{info, warn};
 
 use crate::calls::{self, Answers};
-use crate::eyes::Eyes;
+use crate::eyes::{Eyes, Saving};
 use crate::fleet::Fleet;
 use crate::log::{Form, Log};
 use crate::net::clock::Clock;
@@ -57,7 +57,8 @@
     // Hash tables are seeded from the system's source of randomness.
     let seed = RandomState::new().build_hasher().finish();
     let (memory, calls) = (observe.recorder, observe.calls);
-    let eyes = Eyes::new(&config.node.name, Clock::start(), memory as usize, seed, log, folder);
+    let saving = folder.map_or(Saving::Nowhere, Saving::OffLoop);
+    let eyes = Eyes::new(&config.node.name, Clock::start(), memory as usize, seed, log, saving);
     if memory == 0 {
         eyes.set_level(Level::Off);
     }
--- /dev/null
+++ b/crates/node/tests/unit/log.rs
@@ -0,0 +1,97 @@
+use super::*;
+use crate::log::format::{LONGEST, LONGEST_LINE, utc};
+use crate::log::sink::WAITING;
+
+#[test]
+fn filters_are_levels_of_rooms() {
+    for good in ["info", "off", "warn,discovery=debug", "front=trace,ERROR"] {
+        assert!(filter(good).is_ok(), "{good}");
+    }
+    for bad in ["", "loud", "info,", "front=", "front=loud", "a b=info", "\u{1b}[2J", &"info,".repeat(200)] {
+        let fault = filter(bad).unwrap_err().to_string();
+        assert!(fault.chars().all(|sign| !sign.is_control()) && fault.len() < 300, "{bad}");
+    }
+}
+
+/// Guards the loop: where whoever reads has stopped, lines are dropped and counted, and nobody waits.
+#[test]
+fn a_reader_that_stops_costs_lines_alone() {
+    struct Stuck(std::sync::mpsc::Receiver<()>);
+    impl io::Write for Stuck {
+        fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+            let _ = self.0.recv();
+            Ok(bytes.len())
+        }
+
+        fn flush(&mut self) -> io::Result<()> {
+            Ok(())
+        }
+    }
+    let (go_on, stuck) = std::sync::mpsc::channel();
+    let (log, flush) = begin_to(Arc::new(ThreadSink::new(Stuck(stuck))));
+    for n in 0..10 * WAITING {
+        log.shared.write(Level::INFO, "test", &Fields::of(format!("line {n}")));
+    }
+    // One is being written, and as many wait as may.
+    assert!(log.dropped() >= 9 * WAITING - 1, "{}", log.dropped());
+    drop(go_on);
+    drop(flush);
+}
+
+#[test]
+fn times_are_those_of_the_calendar() {
+    assert_eq!(utc(0), "1970-01-01T00:00:00.000Z");
+    assert_eq!(utc(951_782_399_999), "2000-02-28T23:59:59.999Z");
+    assert_eq!(utc(951_782_400_000), "2000-02-29T00:00:00.000Z");
+    assert_eq!(utc(1_798_761_599_001), "2026-12-31T23:59:59.001Z");
+    assert_eq!(utc(4_107_542_400_000), "2100-03-01T00:00:00.000Z");
+}
+
+/// Guards that lines of several processes in one pipe stay apart: none is longer than a write that is atomic, in either
+/// form, and one as JSON stays an object.
+#[test]
+fn no_line_is_longer_than_an_atomic_write() {
+    for text in ["x".repeat(LONGEST), "\"\\".repeat(LONGEST / 2), "é".repeat(LONGEST / 2)] {
+        for others in 0..20 {
+            let names = ["one", "two", "three", "four"].into_iter().cycle();
+            let others: Vec<_> = names.take(others).map(|name| (name, text.clone())).collect();
+            let fields = Fields { message: text.clone(), others };
+            for form in [Form::Text, Form::Json] {
+                let line = line(form, 0, Level::INFO, "test", &fields);
+                assert!(line.len() <= LONGEST_LINE, "{} bytes", line.len());
+                assert_eq!(line.matches('\n').count(), 1);
+                let inner = line.strip_suffix('\n').expect("a line feed at its end");
+                if form == Form::Json {
+                    let object: serde_json::Value = serde_json::from_str(inner).unwrap();
+                    assert_eq!(object["level"], "INFO");
+                }
+            }
+        }
+    }
+    let line = plain_line(&"a line\n".repeat(2_000));
+    assert!(line.len() <= LONGEST_LINE && line.matches('\n').count() == 1, "{line}");
+}
+
+/// Guards the end of the process: what waits is written when the guard is dropped, and waits for the reader a moment.
+#[test]
+fn what_waits_is_written_at_the_end() {
+    /// Takes lines only from a writer that is ready to wait.
+    struct Late(Arc<Mutex<String>>);
+    impl output::Output for Late {
+        fn is_ready(&mut self, limit: Duration) -> bool {
+            !limit.is_zero()
+        }
+
+        fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+            self.0.lock().unwrap().push_str(str::from_utf8(bytes).unwrap());
+            Ok(bytes.len())
+        }
+    }
+    let got = Arc::new(Mutex::new(String::new()));
+    let (log, flush) = begin_to(LoopSink::new(Late(got.clone())));
+    log.write_plain("one");
+    log.write_plain("two");
+    assert_eq!(*got.lock().unwrap(), "");
+    drop(flush);
+    assert_eq!(*got.lock().unwrap(), "one\ntwo\n");
+}
--- a/crates/rig/src/scripted.rs
+++ b/crates/rig/src/scripted.rs
@@ -358,7 +358,8 @@
         Node::start(&self, None)
     }
 
-    fn text(&self) -> String {
+    /// The text of its configuration.
+    pub fn text(&self) -> String {
         self.changes.iter().fold(self.plain_text(), |text, (from, to)| {
             assert!(text.contains(from), "no {from} in {text}");
             text.replace(from, to)
