Tenants: bounded state by id in each pool, shared shares and names, changed in place

Each of 140 pools held a state, a share and a name for each of 16,000 tenants, names were searched one by one for each request, and a file with one tenant more had every pool begin anew.

Policy: `tenants` is a bounded table of what tenants have earned (3,584 records, in the order of their last request); whether one is over its share stays in `policy.rs`. The rule follows from the earning span of 10 s: a record asked for within it is never dropped, since a new one would give back what was spent; of older ones the longest idle goes first, which its tenant never gains by. A pool keeps 256 whatever their age, so that with few tenants each answer is that of a record for each. Where all records are recent, a new tenant is judged by shared counters (a count-min sketch of debts), which are there only meanwhile. Ruled out for that case: to count it as over (starved by a crowd), as within (a tenant over its share wins by having no record), or to drop a recent record (the same). Not ruled out: a tenant that earns under one request in 10 s at a node is over with its first request in a pool, as before, and loses what it had saved when its record is dropped.

Ids: `tenant_ids` gives each name an id that means the same tenant before and after a change. A name that is back within 10 s has its own id and state, later a new one, since by then a fresh state is no gain. `Settings::tenants` maps ids to shares in one table for all pools; `retunes_to` no longer asks for the same number. On the platform ids are positions as before.

Node: both admissions find names by hash. Recordings name tenants once, by ids, and not for each pool; older recordings are read as before. In `site.rs` only: the registry beside the running configuration, its shares handed to each pool's settings, and its names to requests and the recorder.

Tests changed: settings of tests build `TenantShares` in place of a `Vec`; the expectation of one share is read by id (the same values). The rig's backend counts the connections that have come.

--- a/crates/lang/src/model.rs
+++ b/crates/lang/src/model.rs
@@ -8,6 +8,7 @@
 use pumicehead_policy::interface::{
     Class as PolicyClass, Discovery, Effect, Group, Nanos, Settings, Tenant as PolicyTenant, ZoneId,
 };
+use pumicehead_policy::tenant_shares::TenantShares;
 use pumicehead_route::{Matcher, Route as Pattern};
 
 use crate::span::Span;
@@ -345,9 +346,22 @@
         (0..self.classes.len()).filter(used).collect()
     }
 
-    /// What the decision module of a pool is told; its classes are those of [`classes_of`](Self::classes_of).
+    /// The tenants by name, as the decision module is told of them.
+    pub fn policy_tenants(&self) -> impl Iterator<Item = (&str, PolicyTenant)> {
+        let told = |tenant: &Tenant| PolicyTenant { share: tenant.share, allowance_per_s: tenant.rate };
+        self.tenants.iter().map(move |tenant| (tenant.name.as_str(), told(tenant)))
+    }
+
+    /// What the decision module of a pool is told; its classes are those of [`classes_of`](Self::classes_of), and
+    /// the ids of tenants are their positions.
     #[must_use]
     pub fn settings(&self, pool: usize) -> Settings {
+        self.settings_with(pool, self.policy_tenants().map(|(_, tenant)| tenant).collect())
+    }
+
+    /// The same with the tenants by ids that the host has given them, which all pools may share.
+    #[must_use]
+    pub fn settings_with(&self, pool: usize, tenants: TenantShares) -> Settings {
         let classes = self.classes_of(pool).into_iter().map(|class| self.classes[class].policy()).collect();
         let pool = &self.pools[pool];
         Settings {
@@ -356,11 +370,7 @@
             zone: ZoneId(self.node.zone as u16),
             zones: self.node.zones.len() as u16,
             classes,
-            tenants: self
-                .tenants
-                .iter()
-                .map(|tenant| PolicyTenant { share: tenant.share, allowance_per_s: tenant.rate })
-                .collect(),
+            tenants,
             over_share_worth: OVER_SHARE_WORTH,
             worth_by_work: false,
             discovery: match pool.members {
--- a/crates/lang/tests/meaning.rs
+++ b/crates/lang/tests/meaning.rs
@@ -6,7 +6,7 @@
 use pumicehead_lang::diff::{Shown, diff};
 use pumicehead_lang::explain::{Request, explain};
 use pumicehead_lang::units;
-use pumicehead_policy::interface::{Effect, Group, SECOND};
+use pumicehead_policy::interface::{Effect, Group, SECOND, TenantId};
 
 /// What the diff says of a change to the sound text.
 fn changes(from: &str, to: &str) -> Vec<String> {
@@ -125,7 +125,8 @@
     assert_eq!((boards.classes[1].worth, boards.classes[1].effect), (10.0, Effect::Unsafe));
     assert_eq!(boards.classes[2].effect, Effect::Keyed { group: Group::Zone, window: 300 * SECOND });
     assert!(boards.classes[2].keep_order && !boards.classes[0].keep_order);
-    assert_eq!((boards.tenants[0].share, boards.tenants[0].allowance_per_s), (0.2, 100.0));
+    let tenant = boards.tenants.get(TenantId(0)).expect("the tenant at the first position");
+    assert_eq!((tenant.share, tenant.allowance_per_s), (0.2, 100.0));
     assert_eq!((boards.zones, config.settings(1).classes.len()), (2, 1));
 }
 
--- a/crates/node/src/eyes.rs
+++ b/crates/node/src/eyes.rs
@@ -5,10 +5,11 @@
 use std::io;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use pumicehead_ops::call::{Amount, Call, no, yes};
-use pumicehead_policy::interface::Settings;
+use pumicehead_policy::interface::{Settings, TenantId};
 use pumicehead_trace::event::PoolId;
 use pumicehead_trace::recorder::{Class, Level, Recorder};
 use tokio::signal::unix::{SignalKind, signal};
@@ -75,7 +76,7 @@
     }
 
     /// A pool's way to the recorder, with the names of its classes in the order of its settings.
-    pub fn tap(&self, pool: &str, settings: &Settings, classes: &[String], tenants: &[String]) -> Tap {
+    pub fn tap(&self, pool: &str, settings: &Settings, classes: &[String]) -> Tap {
         let class = |(name, class): (&String, &pumicehead_policy::interface::Class)| Class {
             name: name.clone(),
             aim: class.aim,
@@ -84,10 +85,16 @@
             late_worth: class.late_worth,
         };
         let classes: Vec<_> = classes.iter().zip(&settings.classes).map(class).collect();
-        let pool = self.recorder.with(|recorder| recorder.pool(pool, &classes, tenants));
+        let pool = self.recorder.with(|recorder| recorder.pool(pool, &classes));
         Tap::new(&self.recorder, self.clock, pool.unwrap_or(PoolId(u16::MAX)))
     }
 
+    /// What the tenants of all pools are called from now on.
+    pub fn name_tenants(&self, names: impl Iterator<Item = (TenantId, Arc<str>)>) {
+        let names = names.map(|(id, name)| (id.0, name)).collect();
+        self.recorder.with(|recorder| recorder.name_tenants(names));
+    }
+
     /// The way to the recorder for what no pool sees.
     pub fn front_tap(&self) -> Tap {
         Tap::new(&self.recorder, self.clock, PoolId(0))
--- a/crates/node/src/net/ask.rs
+++ b/crates/node/src/net/ask.rs
@@ -9,7 +9,7 @@
 use hyper::header::HeaderMap;
 use hyper::{Method, StatusCode, Uri};
 use pumicehead_ops::figures::Outcome;
-use pumicehead_policy::interface::Nanos;
+use pumicehead_policy::interface::{Nanos, TenantId};
 
 use super::body::Body;
 use super::upload::Upload;
@@ -41,7 +41,7 @@
     /// Class.
     pub class: usize,
     /// Tenant, where there are tenants.
-    pub tenant: Option<usize>,
+    pub tenant: Option<TenantId>,
     /// Expected work.
     pub hint: Option<Nanos>,
     /// What it is about.
--- a/crates/node/src/net/core/requests.rs
+++ b/crates/node/src/net/core/requests.rs
@@ -3,8 +3,7 @@
 use std::rc::Rc;
 
 use pumicehead_policy::interface::{
-    AttemptNo, ClassId, Ended, Event, Nanos, NewRequest, Outcome, RequestId, SECOND, ServerId, TenantId,
-    TimerToken,
+    AttemptNo, ClassId, Ended, Event, Nanos, NewRequest, Outcome, RequestId, SECOND, ServerId, TimerToken,
 };
 use pumicehead_trace::event::{Event as Told, How, Short};
 use pumicehead_trace::text;
@@ -32,7 +31,7 @@
             tap.record(&Told::Asked {
                 id,
                 class: ask.class as u16,
-                tenant: ask.tenant.map(|tenant| tenant as u32),
+                tenant: ask.tenant.map(|tenant| tenant.0),
                 left: ask.left.as_nanos() as Nanos,
                 sending: ask.sending.as_nanos() as Nanos,
                 name: text::Name::new(&ask.correlation),
@@ -53,7 +52,7 @@
         self.events.push_back(Event::Request(NewRequest {
             id,
             class: ClassId(ask.class as u16),
-            tenant: ask.tenant.map(|tenant| TenantId(tenant as u32)),
+            tenant: ask.tenant,
             hint: ask.hint.filter(|&hint| hint > 0),
             key: ask.key.map(|key| hash(&key)),
             not_after: deadline,
--- a/crates/node/src/platform/admission.rs
+++ b/crates/node/src/platform/admission.rs
@@ -5,7 +5,8 @@
 use hyper::Method;
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
 use pumicehead_policy::boot::BootClass;
-use pumicehead_policy::interface::{Effect, Nanos};
+use pumicehead_policy::interface::{Effect, Nanos, TenantId};
+use rustc_hash::FxHashMap;
 
 use super::config::Config;
 use crate::net::admission::{Admission, Admitted, Bad, Head, Manner};
@@ -39,7 +40,7 @@
 pub struct Platform {
     core: Handle,
     classes: Vec<ClassRule>,
-    tenants: Vec<String>,
+    tenants: FxHashMap<String, TenantId>,
 }
 
 impl Platform {
@@ -55,11 +56,12 @@
             keyed: matches!(settings.classes[index].effect, Effect::Keyed { .. }),
             deadline: Duration::from_nanos(settings.classes[index].deadline),
         };
-        Self {
-            core,
-            classes: boot.classes.iter().enumerate().map(rule).collect(),
-            tenants: boot.tenants.iter().map(|tenant| tenant.name.clone()).collect(),
+        let mut tenants = FxHashMap::default();
+        for (tenant, id) in boot.tenants.iter().zip(0..) {
+            // Of two of one name the first counts.
+            tenants.entry(tenant.name.clone()).or_insert(TenantId(id));
         }
+        Self { core, tenants, classes: boot.classes.iter().enumerate().map(rule).collect() }
     }
 }
 
@@ -96,8 +98,8 @@
             None
         } else {
             let account = required(headers, "x-account")?;
-            let place = self.tenants.iter().position(|tenant| *tenant == account);
-            Some(place.ok_or(Bad::Header("x-account".into()))?)
+            let known = self.tenants.get(account).copied();
+            Some(known.ok_or(Bad::Header("x-account".into()))?)
         };
         let left = required(headers, "x-time-left")?;
         let left = span(left).ok_or(Bad::Header("x-time-left".into()))?;
--- a/crates/node/src/platform/mod.rs
+++ b/crates/node/src/platform/mod.rs
@@ -15,6 +15,7 @@
 use std::time::Duration;
 
 use pumicehead_ops::figures::{Figures, count};
+use pumicehead_policy::interface::TenantId;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::Mutex;
 use tokio::task;
@@ -100,8 +101,9 @@
     let eyes = Eyes::new(&config.name, Clock::start(), memory, config.seed, log, folder_of_recordings);
     eyes.open()?;
     let names: Vec<_> = config.boot.classes.iter().map(|class| class.name.clone()).collect();
-    let tenants: Vec<_> = config.boot.tenants.iter().map(|tenant| tenant.name.clone()).collect();
-    let tap = eyes.tap("platform", &config.settings, &names, &tenants);
+    let tenants = (0..).map(TenantId).zip(&config.boot.tenants);
+    eyes.name_tenants(tenants.map(|(id, tenant)| (id, tenant.name.as_str().into())));
+    let tap = eyes.tap("platform", &config.settings, &names);
     let ceilings = &config.boot.ceilings;
     let span = Duration::from_nanos;
     let room = Room::new(config.memory / LONG_SHARE);
--- a/crates/node/src/standalone/admission.rs
+++ b/crates/node/src/standalone/admission.rs
@@ -2,12 +2,15 @@
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
 use hyper::{Method, StatusCode, Uri, Version};
 use pumicehead_lang::explain::key_of;
 use pumicehead_lang::model::{Config, KeyOf, Protocol, Repeats, TenantOf};
+use pumicehead_policy::interface::TenantId;
+use pumicehead_policy::tenant_ids::{IdsByName, TenantIds};
 use pumicehead_route::{Found, Matcher, Query, RequestPath, request_host};
 
 use crate::net::admission::{Admission, Admitted, Bad, Head, Manner};
@@ -23,7 +26,8 @@
 pub struct Live {
     matcher: Matcher,
     routes: Vec<LiveRoute>,
-    tenants: Vec<String>,
+    /// Ids of the tenants that headers may name.
+    tenants: Arc<IdsByName>,
     /// This node's entries of `Via`, of messages of HTTP/1.0 and of 1.1.
     via: [Option<HeaderValue>; 2],
 }
@@ -36,15 +40,16 @@
     deadline: Duration,
     /// The header that holds an idempotency key, where the class needs one.
     keyed: Option<HeaderName>,
-    tenant: TenantOf,
+    tenant: RouteTenant,
     key: KeyOf,
     /// Its servers are told a decoded path, in which an encoded slash would divide.
     decoded: bool,
 }
 
 impl Live {
-    /// `cores` has the loop of each pool, with the names of its classes in their places.
-    pub fn new(config: &Config, cores: &[(Handle, Vec<String>)]) -> Self {
+    /// `cores` has the loop of each pool, with the names of its classes in their places; `tenants` the configuration's
+    /// tenants.
+    pub fn new(config: &Config, cores: &[(Handle, Vec<String>)], tenants: &TenantIds) -> Self {
         let routes = config.routes.iter().map(|route| {
             let class = &config.classes[route.class];
             let keyed = match &class.repeats {
@@ -58,7 +63,7 @@
                 class: classes.iter().position(|name| *name == class.name).unwrap_or_default(),
                 deadline: Duration::from_nanos(class.deadline),
                 keyed,
-                tenant: route.tenant.clone(),
+                tenant: RouteTenant::of(&route.tenant, config, tenants),
                 key: route.key.clone(),
                 decoded: config.pools[route.pool].protocol == Protocol::FastCgi,
             }
@@ -66,12 +71,33 @@
         Self {
             matcher: config.matcher(),
             routes: routes.collect(),
-            tenants: config.tenants.iter().map(|tenant| tenant.name.clone()).collect(),
+            tenants: tenants.by_name().clone(),
             via: [Version::HTTP_10, Version::HTTP_11].map(|version| fields::via(version, &config.node.name)),
         }
     }
 }
 
+/// Whose requests a route's are.
+enum RouteTenant {
+    None,
+    Fixed(TenantId),
+    Header(HeaderName),
+}
+
+impl RouteTenant {
+    fn of(tenant: &TenantOf, config: &Config, tenants: &TenantIds) -> Self {
+        let fixed = |place: usize| tenants.get(&config.tenants[place].name);
+        match tenant {
+            TenantOf::None => Self::None,
+            // A checked configuration names tenants that it has, and headers that are such.
+            TenantOf::Fixed(place) => fixed(*place).map_or(Self::None, Self::Fixed),
+            TenantOf::Header(name) => {
+                HeaderName::from_bytes(name.as_bytes()).map_or(Self::None, Self::Header)
+            }
+        }
+    }
+}
+
 /// Knows requests by the routes that are in force.
 pub struct Gateway {
     live: RefCell<Rc<Live>>,
@@ -134,14 +160,12 @@
             one(&head.headers, name)?;
         }
         let tenant = match &route.tenant {
-            TenantOf::None => None,
-            TenantOf::Fixed(place) => Some(*place),
-            TenantOf::Header(name) => {
-                let missing = || Bad::Header(name.clone().into());
-                let field = HeaderName::from_bytes(name.as_bytes()).map_err(|_| missing())?;
-                let value = one(&head.headers, &field)?;
-                let known = live.tenants.iter().position(|tenant| tenant.as_bytes() == value);
-                Some(known.ok_or_else(missing)?)
+            RouteTenant::None => None,
+            RouteTenant::Fixed(id) => Some(*id),
+            RouteTenant::Header(field) => {
+                let name = std::str::from_utf8(one(&head.headers, field)?).ok();
+                let known = name.and_then(|name| live.tenants.get(name)).copied();
+                Some(known.ok_or_else(|| Bad::Header(field.as_str().to_owned().into()))?)
             }
         };
         let correlation = self.correlation();
--- a/crates/node/src/standalone/site.rs
+++ b/crates/node/src/standalone/site.rs
@@ -12,6 +12,7 @@
 use pumicehead_lang::diff::{Change, What, diff};
 use pumicehead_lang::model::{Config, Limits, Members, Pool, Protocol};
 use pumicehead_policy::interface::{Nanos, SECOND, Settings, Sharing};
+use pumicehead_policy::tenant_ids::TenantIds;
 use thiserror::Error;
 use tokio::net::TcpListener;
 use tokio::sync::oneshot;
@@ -130,6 +131,7 @@
     config: Config,
     pools: HashMap<String, RunningPool>,
     fronts: Vec<RunningFront>,
+    tenants: TenantIds,
 }
 
 /// A running node.
@@ -164,15 +166,18 @@
         let seed = RandomState::new().build_hasher().finish();
         let held = Held::default();
         let room = Room::new((limits.memory / LONG_SHARE) as usize);
+        let mut tenants = TenantIds::default();
+        tenants.update(config.policy_tenants(), eyes.clock().now());
+        name_tenants(&tenants, &eyes);
         let mut pools = HashMap::new();
         let mut cores = Vec::new();
         for place in 0..config.pools.len() {
-            let footing = footing(&config, place)?;
+            let footing = footing(&config, place, &tenants)?;
             let handle = start_pool(&config, place, &footing, (&connections, &room), seed, &held, &eyes);
             cores.push((handle.clone(), footing.classes.clone()));
             pools.insert(config.pools[place].name.clone(), RunningPool { footing, handle });
         }
-        let gateway = Gateway::new(Live::new(&config, &cores), seed, recorder);
+        let gateway = Gateway::new(Live::new(&config, &cores, &tenants), seed, recorder);
         let budget = Budget::new(places.clients, limits.descriptors);
         let site = Rc::new(Self {
             gateway,
@@ -182,7 +187,7 @@
             room,
             seed,
             eyes,
-            running: RefCell::new(Running { config: config.clone(), pools, fronts: Vec::new() }),
+            running: RefCell::new(Running { config: config.clone(), pools, fronts: Vec::new(), tenants }),
             sharing: Cell::new(None),
             lame: Cell::new(false),
         });
@@ -211,8 +216,11 @@
         let gone = changes.iter_mut().filter(|change| change.what == What::Removed);
         gone.for_each(|change| change.place = Span::default());
         // All that can fail comes first.
-        let footings =
-            (0..config.pools.len()).map(|place| footing(&config, place)).collect::<Result<Vec<_>, _>>()?;
+        let mut tenants = running.tenants.clone();
+        tenants.update(config.policy_tenants(), self.eyes.clock().now());
+        let footings = (0..config.pools.len())
+            .map(|place| footing(&config, place, &tenants))
+            .collect::<Result<Vec<_>, _>>()?;
         let bound: Vec<_> = running.fronts.iter().map(|front| front.address).collect();
         let listeners = bind(&config, &bound)?;
         let (old, new) = (&running.config.limits, &config.limits);
@@ -268,7 +276,9 @@
         for (_, gone) in running.pools.drain() {
             gone.handle.retire(true);
         }
-        self.gateway.set_live(Live::new(&config, &cores));
+        self.gateway.set_live(Live::new(&config, &cores, &tenants));
+        name_tenants(&tenants, &self.eyes);
+        running.tenants = tenants;
         running.pools = pools;
         let stays = |front: &RunningFront| config.listeners.iter().any(|l| l.address == front.address);
         let (kept, gone): (Vec<_>, Vec<_>) = running.fronts.drain(..).partition(stays);
@@ -403,9 +413,13 @@
     }
 }
 
-fn footing(config: &Config, place: usize) -> Result<Footing, SiteError> {
+fn name_tenants(tenants: &TenantIds, eyes: &Eyes) {
+    eyes.name_tenants(tenants.by_name().iter().map(|(name, id)| (*id, name.clone())));
+}
+
+fn footing(config: &Config, place: usize, tenants: &TenantIds) -> Result<Footing, SiteError> {
     let pool = &config.pools[place];
-    let settings = config.settings(place);
+    let settings = config.settings_with(place, tenants.shares().clone());
     // A pool that no route leads to has no classes, and needs no decisions.
     if !settings.classes.is_empty() {
         settings.check().map_err(|source| SiteError::Settings { pool: pool.name.clone(), source })?;
@@ -462,8 +476,7 @@
             fastcgi::upstream::Upstream::new(connections.clone(), settings)
         }
     };
-    let tenants: Vec<_> = config.tenants.iter().map(|tenant| tenant.name.clone()).collect();
-    let tap = eyes.tap(&pool.name, &footing.settings, &footing.classes, &tenants);
+    let tap = eyes.tap(&pool.name, &footing.settings, &footing.classes);
     let setup = Setup {
         settings: footing.settings.clone(),
         seed: seed.wrapping_add(place as u64),
--- /dev/null
+++ b/crates/node/tests/tenants.rs
@@ -0,0 +1,186 @@
+//! Tenants that come, go and change by SIGHUP, on loopback sockets: no pool begins anew, no request is refused or lost.
+
+use std::fmt::Write as _;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::time::Instant;
+
+use pumicehead_policy::note::Note;
+use pumicehead_rig::program::{LIMIT, Standalone, wait_for};
+use pumicehead_rig::scripted::{Backend, Client, Crowd, ok};
+use pumicehead_trace::dump::Dump;
+use pumicehead_trace::event::Event;
+use pumicehead_trace::story;
+
+/// A pool of several servers, so that there is room beside what hangs, and routes with and without tenants.
+/// Each request has one attempt: one that is called back would close its connection.
+fn text(backends: &[Backend], tenants: &[(&str, u32)]) -> String {
+    let numbered = backends.iter().enumerate();
+    let servers: String =
+        numbered.map(|(n, backend)| format!("server s{n} {{ address {} }}\n", backend.address)).collect();
+    let mut text = format!(
+        "listener public {{ address 127.0.0.1:0 }}\n\
+         pool boards {{ hedge off\n attempts 1\n {servers} }}\n\
+         class read {{ aim 5s; deadline 20s; repeats safe }}\n\
+         class submit {{ aim 5s; deadline 20s; repeats unsafe }}\n\
+         route plain {{ path /plain/**; class read; pool boards }}\n\
+         route read {{ path /boards/**; class read; pool boards; tenant header X-Account }}\n\
+         route submit {{ path /runs/**; method POST; class submit; pool boards; tenant header X-Account }}\n",
+    );
+    for (name, rate) in tenants {
+        let _ = writeln!(text, "tenant {name} {{ share 10%; rate {rate}/s }}");
+    }
+    text
+}
+
+fn get(path: &str, tenant: &str) -> String {
+    format!("GET {path} HTTP/1.1\r\nHost: a\r\nX-Account: {tenant}\r\n\r\n")
+}
+
+fn post(path: &str, tenant: &str) -> String {
+    format!("POST {path} HTTP/1.1\r\nHost: a\r\nX-Account: {tenant}\r\nContent-Length: 1\r\n\r\nx")
+}
+
+fn status(node: &Standalone, request: &str) -> u16 {
+    let mut client = Client::connect(node.address());
+    client.write(request);
+    client.read().expect("an answer").status()
+}
+
+/// Guards that no change of tenants has a pool begin anew: its loop, which has what it has learned, keeps its one connection.
+#[test]
+fn a_pool_keeps_its_loop_whatever_becomes_of_tenants() {
+    let servers = [Backend::start(|_| ok("done"))];
+    let node = Standalone::start(&text(&servers, &[("acme", 100)]), 1);
+    let changes: [&[(&str, u32)]; 6] = [
+        &[("acme", 100), ("zeta", 100)],
+        &[("new", 100), ("zeta", 100), ("acme", 100)],
+        &[("new", 5), ("acme", 50)],
+        &[("zeta", 100)],
+        &[("acme", 100)],
+        &[("acme", 100), ("a", 1), ("b", 2), ("c", 3)],
+    ];
+    assert_eq!(status(&node, &get("/plain/x", "")), 200);
+    assert_eq!(servers[0].opened(), 1);
+    for tenants in changes {
+        node.reload(&text(&servers, tenants));
+        for (name, _) in tenants {
+            assert_eq!(status(&node, &get("/boards/x", name)), 200);
+        }
+        assert_eq!(status(&node, &get("/boards/x", "unheard-of")), 400);
+        assert_eq!((servers[0].opened(), servers[0].closed()), (1, 0), "{tenants:?}");
+    }
+}
+
+/// Guards that tenants are added, changed, removed, and removed and added again with their requests out, while a pool is
+/// under load: no request is refused or lost, and each unsafe one runs once.
+#[test]
+fn tenants_change_under_load_and_nothing_is_lost() {
+    let (gate, runs) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicUsize::new(0)));
+    let (open, count) = (gate.clone(), runs.clone());
+    let start = |_| {
+        let (open, count) = (open.clone(), count.clone());
+        Backend::start(move |request| {
+            if request.first.contains("/slow") {
+                count.fetch_add(1, Ordering::SeqCst);
+                wait_for("the gate", || open.load(Ordering::SeqCst));
+            }
+            ok("done")
+        })
+    };
+    let servers: Vec<_> = (0..4).map(start).collect();
+    let served = || servers.iter().map(Backend::count).sum::<usize>();
+    let both = [("acme", 100), ("zeta", 100)];
+    let node = Standalone::start(&text(&servers, &both), 1);
+    let crowds = [
+        Crowd::asking(node.address(), 2, || get("/boards/x", "acme")),
+        Crowd::asking(node.address(), 2, || get("/plain/x", "")),
+    ];
+    wait_for("load", || served() > 100);
+
+    let progress = |what: &str| {
+        let before = served();
+        wait_for(what, || served() > before + 50);
+    };
+
+    assert_eq!(status(&node, &get("/boards/x", "new")), 400);
+    // Ahead of the others, so that places in the file change.
+    node.reload(&text(&servers, &[("new", 100), ("acme", 100), ("zeta", 100)]));
+    assert_eq!(status(&node, &get("/boards/x", "new")), 200);
+    progress("load beside a tenant that was added");
+
+    node.reload(&text(&servers, &[("new", 7), ("acme", 90), ("zeta", 100)]));
+    progress("load beside tenants that were changed");
+
+    let mut waiting: Vec<_> = (0..2).map(|_| Client::connect(node.address())).collect();
+    waiting.iter_mut().for_each(|client| client.write(&post("/runs/slow", "zeta")));
+    wait_for("requests of the tenant", || runs.load(Ordering::SeqCst) >= waiting.len());
+    node.reload(&text(&servers, &[("acme", 90)]));
+    assert_eq!(status(&node, &get("/boards/x", "zeta")), 400);
+    node.reload(&text(&servers, &both));
+    assert_eq!(status(&node, &get("/boards/x", "zeta")), 200);
+    progress("load beside a tenant that came back");
+
+    gate.store(true, Ordering::SeqCst);
+    for client in &mut waiting {
+        assert_eq!(client.read().expect("an answer").status(), 200);
+    }
+    for crowd in crowds {
+        let statuses = crowd.end();
+        let others: Vec<_> = statuses.iter().enumerate().filter(|(_, status)| **status != 200).collect();
+        assert!(others.is_empty(), "{others:?} of {}", statuses.len());
+    }
+    assert_eq!(runs.load(Ordering::SeqCst), waiting.len(), "each unsafe request ran once");
+}
+
+/// The recording of whoever takes calls there.
+fn recording(node: &Standalone) -> Dump {
+    wait_for("calls", || node.said("takes calls on") == 1);
+    let calls = {
+        let log = node.log.lock().unwrap();
+        log.iter().find_map(|line| line.split_once("takes calls on ")?.1.parse::<SocketAddr>().ok()).unwrap()
+    };
+    let mut caller = TcpStream::connect(calls).unwrap();
+    caller.set_read_timeout(Some(LIMIT)).unwrap();
+    caller.write_all(b"TRACE\n").unwrap();
+    let mut answer = BufReader::new(caller);
+    answer.read_line(&mut String::new()).unwrap();
+    let mut file = Vec::new();
+    answer.read_to_end(&mut file).unwrap();
+    Dump::read(&file).unwrap()
+}
+
+/// Guards that a tenant which has used up its allowance gains nothing by being removed and added again: it goes on with what
+/// it had left, and its requests are told under its name.
+#[test]
+fn a_tenant_that_is_removed_and_back_has_what_it_had_left() {
+    /// What the tenant below earns: 12 a minute over all nodes.
+    const RATE: f64 = 0.2;
+    /// What it has at first: ten seconds of that.
+    const FIRST: f64 = 2.0;
+    let servers = [Backend::start(|_| ok("done"))];
+    let with = |tenants: &str| text(&servers, &[("other", 1)]) + "observe { calls 127.0.0.1:0 }\n" + tenants;
+    let greedy = "tenant greedy { share 0%; rate 12/min }\n";
+    let node = Standalone::start(&with(greedy), 1);
+    let started = Instant::now();
+    let ask = || (0..10).for_each(|_| assert_eq!(status(&node, &get("/boards/x", "greedy")), 200));
+    for _ in 0..3 {
+        ask();
+        node.reload(&with(""));
+        node.reload(&with(greedy));
+    }
+    ask();
+    let most = FIRST + RATE * started.elapsed().as_secs_f64();
+    let dump = recording(&node);
+    let worths = dump.records.iter().filter_map(|record| match record.event {
+        Event::Note(Note::Taken { worth, .. }) => Some(worth),
+        _ => None,
+    });
+    let (within, over): (Vec<_>, Vec<_>) = worths.partition(|worth| *worth >= 1.0);
+    assert_eq!(within.len() + over.len(), 40);
+    assert!(!within.is_empty() && within.len() as f64 <= most, "{} of {most}", within.len());
+    let told = dump.stories.iter().map(|told| story::tell(&dump.head, told));
+    assert!(told.into_iter().any(|told| told.contains("Tenant: greedy.")));
+}
--- a/crates/policy/src/interface.rs
+++ b/crates/policy/src/interface.rs
@@ -8,6 +8,8 @@
 
 use thiserror::Error;
 
+use crate::tenant_shares::TenantShares;
+
 /// A point in time or a span, in nanoseconds.
 pub type Nanos = u64;
 /// One second in [`Nanos`].
@@ -24,7 +26,7 @@
 id!(/** A request of a client; every try of the client has its own. */ RequestId(u32));
 id!(/** A server, stable across restarts of its process. */ ServerId(u32));
 id!(/** Position of a class in [`Settings::classes`]. */ ClassId(u16));
-id!(/** Position of a tenant in [`Settings::tenants`]. */ TenantId(u32));
+id!(/** A tenant in [`Settings::tenants`]: the same one before and after a change of settings. */ TenantId(u32));
 id!(/** Position of a zone among [`Settings::zones`]. */ ZoneId(u16));
 id!(/** A small group of servers that know each other's keys. */ CellId(u16));
 id!(/** Number of an attempt of a request, from 0 in the order of its sends. */ AttemptNo(u8));
@@ -107,8 +109,8 @@
     pub zones: u16,
     /// The classes of requests, at least one.
     pub classes: Vec<Class>,
-    /// The tenants, possibly none.
-    pub tenants: Vec<Tenant>,
+    /// The tenants, possibly none; shared between all pools of a node.
+    pub tenants: TenantShares,
     /// What is left of the worth beyond a tenant's share.
     pub over_share_worth: f64,
     /// Worth counts for each unit of work, not for each request.
@@ -199,10 +201,7 @@
             no(!some(class.aim_stretch), "aim stretch")?;
             no(class.aim == 0 || class.deadline == 0, "aim or deadline")?;
         }
-        for tenant in &self.tenants {
-            no(!some(tenant.share) || !some(tenant.allowance_per_s), "tenant share")?;
-        }
-        Ok(())
+        no(!self.tenants.is_sound(), "tenant share")
     }
 }
 
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -35,7 +35,8 @@
 use crate::meter::{mix, nanos, ring, seconds};
 use crate::note::{Hurdle, Look, Moved, Note, Rule, Stop};
 use crate::peers::{self, Peers};
-use crate::state::{Attempt, ClassState, Flow, Pools, Queues, RATE_S, Ran, Request, Server, TenantState};
+use crate::state::{Attempt, ClassState, Flow, Pools, Queues, RATE_S, Ran, Request, Server};
+use crate::tenants::{Asked, EARNING_S, TenantTable};
 use crate::timer::{T_AGAIN, T_ASK, T_GIVE_UP, T_HANG_UP, T_HEDGE, T_PUMP, T_TURN};
 use crate::turns::Turns;
 pub use knowledge::Knowledge;
@@ -150,7 +151,7 @@
     classes: Vec<ClassState>,
     /// What is calm, by class and zone: to a far zone the way alone can take longer than the work.
     calms: Vec<ClassState>,
-    tenants: Vec<TenantState>,
+    tenants: TenantTable,
     requests: FxHashMap<RequestId, Request>,
     turns: Turns,
     peers: Peers,
@@ -176,7 +177,7 @@
             rng: Pcg64Mcg::seed_from_u64(seed),
             classes: settings.classes.iter().map(|c| class(c.aim)).collect(),
             calms: vec![class(0); settings.classes.len() * usize::from(settings.zones.max(1))],
-            tenants: vec![TenantState::default(); settings.tenants.len()],
+            tenants: TenantTable::default(),
             settings,
             now: 0,
             servers: Vec::new(),
@@ -724,18 +725,16 @@
 
     /// Whether a tenant is past its share of this node's traffic; counts the request.
     fn over_share(&mut self, tenant: TenantId) -> bool {
-        let Some(told) = self.settings.tenants.get(tenant.0 as usize) else { return false };
+        let Some(told) = self.settings.tenants.get(tenant) else { return false };
         let part = told.allowance_per_s / f64::from(self.settings.nodes);
         let rate = part.max(told.share * self.flow.arrivals.get(self.now));
-        let state = &mut self.tenants[tenant.0 as usize];
-        let earned = rate * seconds(self.now.saturating_sub(state.at)).min(10.0);
-        state.at = self.now;
-        state.allowance = (state.allowance + earned).min(2.0 + 3.0 * rate);
-        if state.allowance < 1.0 {
-            return true;
-        }
-        state.allowance -= 1.0;
-        false
+        let most = 2.0 + 3.0 * rate;
+        let earned = |since: Nanos| rate * seconds(self.now.saturating_sub(since)).min(EARNING_S);
+        let asked = Asked { tenant, at: self.now, rate, most };
+        self.tenants.judge(asked, |state| {
+            state.allowance = (state.allowance + earned(state.at)).min(most);
+            state.allowance < 1.0
+        })
     }
 
     fn enqueue(&mut self, id: RequestId) {
--- a/crates/policy/src/policy/retune.rs
+++ b/crates/policy/src/policy/retune.rs
@@ -6,8 +6,8 @@
 
 impl Settings {
     /// Whether a module with these settings may go over to others: requests that are open must end under the rules
-    /// that they began with, and what was learned is kept by the places of classes, tenants and zones. Classes may be
-    /// added behind the others.
+    /// that they began with, and what was learned is kept by the places of classes and zones and by the ids of tenants.
+    /// Classes may be added behind the others; tenants may come, go and change.
     #[must_use]
     pub fn retunes_to(&self, new: &Self) -> bool {
         let same_rules = self.classes.iter().zip(&new.classes).all(|(old, new)| {
@@ -16,7 +16,6 @@
         });
         same_rules
             && self.classes.len() <= new.classes.len()
-            && self.tenants.len() == new.tenants.len()
             && (self.me, self.nodes, self.zone, self.zones) == (new.me, new.nodes, new.zone, new.zones)
             && (self.discovery, self.full_unproven) == (new.discovery, new.full_unproven)
             && (self.parallel_tries, self.cancel, self.peers) == (new.parallel_tries, new.cancel, new.peers)
@@ -50,7 +49,14 @@
         let fresh = Self::new(settings.clone(), 0);
         self.classes.extend(&fresh.classes[known..]);
         self.calms.extend(&fresh.calms[self.calms.len()..]);
+        self.tenants.forget_unknown(self.now, |id| settings.tenants.get(id).is_some());
         self.settings = settings;
         true
     }
+
+    /// Tenants with a state of their own in this module, and the bytes that the states take.
+    #[must_use]
+    pub fn tenant_states(&self) -> (usize, usize) {
+        (self.tenants.len(), self.tenants.bytes())
+    }
 }
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -99,12 +99,6 @@
     pub hints: u32,
 }
 
-#[derive(Clone, Copy, Default)]
-pub(crate) struct TenantState {
-    pub allowance: f64,
-    pub at: Nanos,
-}
-
 /// Held requests, highest tier first, and how fast tiers leave.
 #[derive(Default)]
 pub(crate) struct Queues {
--- /dev/null
+++ b/crates/policy/src/tenants/overflow.rs
@@ -0,0 +1,74 @@
+//! Shared counters for tenants that have no record of their own.
+//!
+//! A tenant without a record has a debt: the time in which it earns what it lacks of a full allowance. The counters of its row hold the moment
+//! at which a debt is paid. Tenants share counters, and the smaller of a tenant's two counts (a count-min sketch with
+//! conservative update). Each counter is raised to at least the debt of whoever uses it, so none ever says less than the
+//! tenant's own debt. A tenant's count is too high only where others use both of its counters.
+
+use super::{Asked, TenantState};
+use crate::interface::Nanos;
+use crate::meter::{mix, nanos, seconds};
+
+/// Counters of a row: enough for 16,000 tenants that ask at once. They are there only while a pool's records do not do.
+const WIDTH: usize = 16_384;
+/// Rows: a tenant has a counter in each.
+const ROWS: usize = 2;
+
+/// When the debts of tenants without a record are paid.
+pub(super) struct Overflow {
+    /// Row by row.
+    paid_at: Box<[Nanos]>,
+    /// When all of them are.
+    all_paid_at: Nanos,
+}
+
+impl Default for Overflow {
+    fn default() -> Self {
+        Self { paid_at: vec![0; WIDTH * ROWS].into(), all_paid_at: 0 }
+    }
+}
+
+impl Overflow {
+    /// Bytes of memory that the counters hold.
+    pub fn bytes(&self) -> usize {
+        size_of::<Self>() + size_of_val(&*self.paid_at)
+    }
+
+    /// Whether the tenant has a debt.
+    pub fn owes(&self, asked: Asked) -> bool {
+        self.paid_at(asked) > asked.at
+    }
+
+    /// Whether nobody has a debt.
+    pub fn is_paid(&self, now: Nanos) -> bool {
+        self.all_paid_at <= now
+    }
+
+    /// The record of a tenant that has none.
+    pub fn state(&self, asked: Asked) -> TenantState {
+        let debt = seconds(self.paid_at(asked).saturating_sub(asked.at));
+        let allowance = (asked.full() - debt * asked.rate).clamp(0.0, asked.fresh());
+        TenantState { allowance, at: asked.at }
+    }
+
+    /// Notes what a request has left of the tenant's allowance. A tenant that has any has a rate.
+    pub fn charge(&mut self, asked: Asked, left: f64) {
+        let debt = nanos((asked.full() - left) / asked.rate);
+        // Rounded up: a debt may not shrink by being noted.
+        let paid_at = asked.at.saturating_add(debt).saturating_add(1);
+        for place in places(asked) {
+            self.paid_at[place] = self.paid_at[place].max(paid_at);
+        }
+        self.all_paid_at = self.all_paid_at.max(paid_at);
+    }
+
+    fn paid_at(&self, asked: Asked) -> Nanos {
+        places(asked).map(|place| self.paid_at[place]).min().unwrap_or_default()
+    }
+}
+
+/// A tenant's counters, one in each row.
+fn places(asked: Asked) -> impl Iterator<Item = usize> {
+    let id = u64::from(asked.tenant.0) << 8;
+    (0..ROWS).map(move |row| row * WIDTH + (mix(id + row as u64 + 1) % WIDTH as u64) as usize)
+}
--- a/crates/policy/tests/common/mod.rs
+++ b/crates/policy/tests/common/mod.rs
@@ -8,6 +8,7 @@
 use pumicehead_policy::interface::*;
 use pumicehead_policy::note::Note;
 use pumicehead_policy::policy::Balancer;
+use pumicehead_policy::tenant_shares::TenantShares;
 
 pub const MS: Nanos = 1_000_000;
 
@@ -30,7 +31,7 @@
         zone: ZoneId(0),
         zones: 1,
         classes,
-        tenants: Vec::new(),
+        tenants: TenantShares::default(),
         over_share_worth: 0.2,
         worth_by_work: false,
         discovery: Discovery::Push,
--- a/crates/policy/tests/mechanism.rs
+++ b/crates/policy/tests/mechanism.rs
@@ -112,7 +112,8 @@
 fn a_tenant_past_its_share_ranks_lower() {
     let mut told = settings(vec![class(Effect::Safe, 1.0), class(Effect::Safe, 1.2)]);
     told.tenants =
-        vec![Tenant { share: 0.1, allowance_per_s: 1.0 }, Tenant { share: 0.9, allowance_per_s: 1000.0 }];
+        vec![Tenant { share: 0.1, allowance_per_s: 1.0 }, Tenant { share: 0.9, allowance_per_s: 1000.0 }]
+            .into();
     let mut node = Node::with_servers(told, 1);
     for _ in 0..40 {
         node.request_of(1, 900 * MS, Some(TenantId(0)));
--- a/crates/policy/tests/unit/gate.rs
+++ b/crates/policy/tests/unit/gate.rs
@@ -3,6 +3,7 @@
 
 use super::*;
 use crate::interface::CellId;
+use crate::tenant_shares::TenantShares;
 
 const WINDOW: Nanos = SECOND;
 
@@ -21,7 +22,7 @@
             effect,
             keep_order: false,
         }],
-        tenants: Vec::new(),
+        tenants: TenantShares::default(),
         over_share_worth: 0.2,
         worth_by_work: false,
         discovery: crate::interface::Discovery::Push,
--- a/crates/rig/src/scripted.rs
+++ b/crates/rig/src/scripted.rs
@@ -172,6 +172,8 @@
     pub seen: Arc<Mutex<Vec<Message>>>,
     /// Connections that the other side or the script has closed.
     pub closed: Arc<AtomicUsize>,
+    /// Connections that have come.
+    pub opened: Arc<AtomicUsize>,
 }
 
 impl Backend {
@@ -186,8 +188,11 @@
         let address = listener.local_addr().unwrap();
         let (seen, closed) = (Arc::new(Mutex::new(Vec::new())), Arc::new(AtomicUsize::new(0)));
         let (script, to) = (Arc::new(script), (seen.clone(), closed.clone()));
+        let opened = Arc::new(AtomicUsize::new(0));
+        let count = opened.clone();
         thread::spawn(move || {
             for stream in listener.incoming() {
+                count.fetch_add(1, Ordering::SeqCst);
                 let (stream, script, (seen, closed)) = (stream.unwrap(), script.clone(), to.clone());
                 thread::spawn(move || {
                     let mut input = BufReader::new(stream.try_clone().unwrap());
@@ -207,7 +212,7 @@
                 });
             }
         });
-        Self { address, seen, closed }
+        Self { address, seen, closed, opened }
     }
 
     /// How many requests have come.
@@ -215,6 +220,12 @@
         self.seen.lock().unwrap().len()
     }
 
+    /// How many connections have come.
+    #[must_use]
+    pub fn opened(&self) -> usize {
+        self.opened.load(Ordering::SeqCst)
+    }
+
     /// How many connections have ended.
     pub fn closed(&self) -> usize {
         self.closed.load(Ordering::SeqCst)
--- a/crates/rig/src/world/mod.rs
+++ b/crates/rig/src/world/mod.rs
@@ -15,6 +15,7 @@
     NewRequest, Outcome, RequestId, SECOND, ServerId, ServerInfo, Settings, TimerToken, ZoneId,
 };
 use pumicehead_policy::policy::Balancer;
+use pumicehead_policy::tenant_shares::TenantShares;
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
@@ -158,7 +159,7 @@
         zone: ZoneId(0),
         zones: 1,
         classes: classes(),
-        tenants: Vec::new(),
+        tenants: TenantShares::default(),
         over_share_worth: 0.2,
         worth_by_work: false,
         discovery: Discovery::Push,
--- a/crates/trace/src/dump.rs
+++ b/crates/trace/src/dump.rs
@@ -15,6 +15,7 @@
 use crate::kept::{Class, Story};
 use crate::loss::Cause;
 use crate::ring::{Record, records};
+use crate::tenant_names::TenantNames;
 use crate::text::Name;
 
 /// The first bytes.
@@ -48,6 +49,8 @@
     pub reason: String,
     /// Its pools, by their numbers.
     pub pools: Vec<PoolHead>,
+    /// Its tenants' names.
+    pub tenants: TenantNames,
     /// Events that had made way in the ring.
     pub wrapped: u64,
     /// Requests whose stories were not followed for lack of memory.
@@ -62,7 +65,8 @@
     pub name: String,
     /// Its classes, by their places.
     pub classes: Vec<ClassHead>,
-    /// Its tenants, by their places.
+    /// Its tenants by their ids, in recordings of versions that named them for each pool; now [`Head::tenants`] has them.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
     pub tenants: Vec<String>,
     /// Its servers' names by their ids, in the order in which they were first heard of.
     pub servers: Vec<(u32, String)>,
@@ -116,6 +120,14 @@
         pool.and_then(|pool| pool.classes.get(usize::from(class))).map_or("other", |class| &class.name)
     }
 
+    /// A tenant's name, or its id.
+    #[must_use]
+    pub fn tenant(&self, pool: PoolId, tenant: u32) -> String {
+        let of_pool = || self.pools.get(usize::from(pool.0))?.tenants.get(tenant as usize);
+        let name = self.tenants.get(tenant).or_else(|| of_pool().map(String::as_str));
+        name.map_or_else(|| tenant.to_string(), crate::text::plain)
+    }
+
     /// A server's name, or its id.
     #[must_use]
     pub fn server(&self, pool: PoolId, server: u32) -> String {
--- a/crates/trace/src/lib.rs
+++ b/crates/trace/src/lib.rs
@@ -26,4 +26,5 @@
 pub mod reservoir;
 pub mod ring;
 pub mod story;
+pub mod tenant_names;
 pub mod text;
--- a/crates/trace/src/recorder.rs
+++ b/crates/trace/src/recorder.rs
@@ -12,6 +12,7 @@
 use crate::metrics::Meters;
 use crate::reservoir::Reservoir;
 use crate::ring::{Ring, append};
+use crate::tenant_names::TenantNames;
 use crate::text::Name;
 
 /// Most that the story of one request takes: some forty events. What comes beyond is in the ring alone.
@@ -116,17 +117,21 @@
     }
 
     /// A pool with its classes; one that is known by its name goes on under its number.
-    pub fn pool(&mut self, name: &str, classes: &[Class], tenants: &[String]) -> PoolId {
+    pub fn pool(&mut self, name: &str, classes: &[Class]) -> PoolId {
         let place = self.head.pools.iter().position(|pool| pool.name == name).unwrap_or_else(|| {
             self.head.pools.push(PoolHead { name: name.into(), ..PoolHead::default() });
             self.head.pools.len() - 1
         });
         let pool = &mut self.head.pools[place];
         pool.classes = classes.iter().map(Into::into).collect();
-        pool.tenants = tenants.to_vec();
         PoolId(place as u16)
     }
 
+    /// What the tenants of all pools are called from now on.
+    pub fn name_tenants(&mut self, names: TenantNames) {
+        self.head.tenants = names;
+    }
+
     /// What a server is called.
     pub fn name(&mut self, pool: PoolId, server: ServerId, name: &str) {
         if let Some(pool) = self.head.pools.get_mut(usize::from(pool.0)) {
--- a/crates/trace/src/story.rs
+++ b/crates/trace/src/story.rs
@@ -77,13 +77,7 @@
                 let _ = write!(text, " It took its client {} to send it.", moment::span(*sending));
             }
             if let Some(tenant) = tenant {
-                let pool = head.pools.get(usize::from(story.pool.0));
-                let name = pool.and_then(|pool| pool.tenants.get(*tenant as usize));
-                let _ = write!(
-                    text,
-                    " Tenant: {}.",
-                    name.map_or_else(|| tenant.to_string(), |n| crate::text::plain(n))
-                );
+                let _ = write!(text, " Tenant: {}.", head.tenant(story.pool, *tenant));
             }
             text
         }
--- a/crates/trace/tests/common/mod.rs
+++ b/crates/trace/tests/common/mod.rs
@@ -30,7 +30,7 @@
 
     pub fn of(memory: usize, classes: &[Class]) -> Self {
         let mut recorder = Recorder::new("n0", START, memory, 7);
-        let pool = recorder.pool("web", classes, &[]);
+        let pool = recorder.pool("web", classes);
         for server in 0..8 {
             recorder.name(pool, ServerId(server), &format!("s-{server}"));
         }
--- a/crates/trace/tests/files.rs
+++ b/crates/trace/tests/files.rs
@@ -8,8 +8,9 @@
 use pumicehead_policy::note::{Hurdles, Moved, Note, Rule, Stop};
 use pumicehead_trace::bytes::Reader;
 use pumicehead_trace::dump::{Dump, DumpError, sum};
-use pumicehead_trace::event::{Event, How, Listed, Short, Turned};
+use pumicehead_trace::event::{Event, How, Listed, PoolId, Short, Turned};
 use pumicehead_trace::export::{chrome, otlp};
+use pumicehead_trace::recorder::Recorder;
 use pumicehead_trace::text::Name;
 
 fn small() -> Vec<u8> {
@@ -160,6 +161,35 @@
     assert_eq!((dump.head.node.as_str(), dump.damage, dump.accounts.is_none()), ("old", None, true));
 }
 
+/// Guards that tenants are named once for all pools, by their ids, and that recordings which name them for each pool, by
+/// their places, are read as before.
+#[test]
+fn tenants_have_names_in_new_and_old_recordings() {
+    let file = |head: &[u8]| {
+        let mut file = b"PHEADREC\x01\x00".to_vec();
+        for (kind, contents) in [(1, head), (5, &b""[..])] {
+            file.push(kind);
+            file.extend_from_slice(&(contents.len() as u32).to_le_bytes());
+            file.extend_from_slice(&sum(kind, contents).to_le_bytes());
+            file.extend_from_slice(contents);
+        }
+        file
+    };
+    let old =
+        br#"{"node":"old","pools":[{"name":"web","tenants":["acme","b"]},{"name":"other","tenants":["c"]}]}"#;
+    let old = Dump::read(&file(old)).unwrap().head;
+    assert_eq!([0, 1, 2].map(|id| old.tenant(PoolId(0), id)), ["acme", "b", "2"]);
+    assert_eq!(old.tenant(PoolId(1), 0), "c");
+
+    let names = [(70_000, "late"), (3, "early")].map(|(id, name)| (id, name.into()));
+    let mut recorder = Recorder::new("n0", 0, 1 << 20, 1);
+    recorder.pool("web", &[]);
+    recorder.name_tenants(names.into_iter().collect());
+    let new = Dump::read(&recorder.dump(1, "test")).unwrap().head;
+    assert_eq!([3, 70_000, 0].map(|id| new.tenant(PoolId(0), id)), ["early", "late", "0"]);
+    assert!(new.pools[0].tenants.is_empty());
+}
+
 proptest! {
     #[test]
     fn noise_is_never_more_than_an_error(noise in proptest::collection::vec(any::<u8>(), 0..2_000)) {
