--- a/crates/lang/src/check/meaning.rs
+++ b/crates/lang/src/check/meaning.rs
@@ -130,7 +130,7 @@
     }
 
     fn look_for_hidden(&mut self, routes: &[&Route]) {
-        let matcher = Matcher::new(routes.iter().map(|route| route.pattern.clone()).collect());
+        let matcher = Matcher::new(routes.iter().map(|route| &route.pattern));
         for (place, route) in routes.iter().enumerate() {
             let hiders = matcher.hiders(place);
             if hiders.is_empty() {
--- a/crates/lang/src/check/reader.rs
+++ b/crates/lang/src/check/reader.rs
@@ -183,7 +183,7 @@
                 self.say(Diagnostic::error("set-twice", word.span, message).note(first, "first set here"));
                 continue;
             }
-            at.values.entry(setting.name).or_insert_with(|| inner.span());
+            at.values.insert_first(setting.name, inner.span());
             list.push(inner);
         }
         let name = name.map(|name| name.text.to_string()).unwrap_or_default();
--- a/crates/lang/src/model.rs
+++ b/crates/lang/src/model.rs
@@ -1,8 +1,8 @@
 //! What a configuration means: checked values, each with its place.
 
-use std::collections::BTreeMap;
 use std::fmt;
 use std::net::SocketAddr;
+use std::ops::Index;
 use std::path::PathBuf;
 
 use pumicehead_policy::interface::{
@@ -41,7 +41,41 @@
     /// Its name.
     pub name: Span,
     /// Values, by the names of their settings.
-    pub values: BTreeMap<&'static str, Span>,
+    pub values: ValuePlaces,
+}
+
+/// Places of values by the names of their settings: a sorted list, since an entry has a few and there may be
+/// thousands of entries.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct ValuePlaces(Vec<(&'static str, Span)>);
+
+impl ValuePlaces {
+    /// The place of a value that is written.
+    #[must_use]
+    pub fn get(&self, setting: &str) -> Option<&Span> {
+        let found = self.search(setting).ok()?;
+        Some(&self.0[found].1)
+    }
+
+    /// Adds the place of a value; that of a setting's first value stays.
+    pub fn insert_first(&mut self, setting: &'static str, span: Span) {
+        if let Err(place) = self.search(setting) {
+            self.0.insert(place, (setting, span));
+        }
+    }
+
+    fn search(&self, setting: &str) -> Result<usize, usize> {
+        self.0.binary_search_by(|(name, _)| (*name).cmp(setting))
+    }
+}
+
+impl Index<&str> for ValuePlaces {
+    type Output = Span;
+
+    /// The place of a value that is known to be written.
+    fn index(&self, setting: &str) -> &Span {
+        self.get(setting).expect("the setting is written")
+    }
 }
 
 /// The node among others.
@@ -231,7 +265,7 @@
 }
 
 /// How a request's tenant is known.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub enum TenantOf {
     /// Not at all.
     None,
@@ -242,7 +276,7 @@
 }
 
 /// What a request is about.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub enum KeyOf {
     /// Not known.
     None,
@@ -334,15 +368,17 @@
     /// The compiled routes.
     #[must_use]
     pub fn matcher(&self) -> Matcher {
-        Matcher::new(self.routes.iter().map(|route| route.pattern.clone()).collect())
+        Matcher::new(self.routes.iter().map(|route| &route.pattern))
     }
 
     /// Classes that lead to a pool, in the order of the file: a pool's decisions know of no other.
     #[must_use]
     pub fn classes_of(&self, pool: usize) -> Vec<usize> {
-        let used =
-            |class: &usize| self.routes.iter().any(|route| route.pool == pool && route.class == *class);
-        (0..self.classes.len()).filter(used).collect()
+        let mut used = vec![false; self.classes.len()];
+        for route in self.routes.iter().filter(|route| route.pool == pool) {
+            used[route.class] = true;
+        }
+        (0..used.len()).filter(|class| used[*class]).collect()
     }
 
     /// What the decision module of a pool is told; its classes are those of [`classes_of`](Self::classes_of).
--- a/crates/rig/src/measure/config.rs
+++ b/crates/rig/src/measure/config.rs
@@ -145,14 +145,17 @@
 fn match_cost(plan: Plan, report: &mut Report) {
     let mut rng = Pcg64Mcg::seed_from_u64(plan.seed);
     let headers = HeaderMap::new();
-    let sets: Vec<_> =
-        SIZES.iter().map(|&size| (Matcher::new(routes(size)), queries(size, &mut rng))).collect();
+    let mut set = |size: usize| {
+        let routes = routes(size);
+        (Matcher::new(&routes), routes, queries(size, &mut rng))
+    };
+    let sets = SIZES.map(&mut set);
     let mut fast = [f64::MAX; SIZES.len()];
     let mut plain = [f64::MAX; SIZES.len()];
     let mut same = true;
     // In turns, so that a noisy moment meets all sizes alike.
     for _ in 0..ROUNDS * if plan.long { 5 } else { 1 } {
-        for (place, (matcher, asked)) in sets.iter().enumerate() {
+        for (place, (matcher, routes, asked)) in sets.iter().enumerate() {
             let all = |find: &dyn Fn(&Query<'_>) -> Option<usize>, times: usize| {
                 let start = Instant::now();
                 let mut sum = 0;
@@ -169,8 +172,7 @@
                 Found::Route(place) => Some(place),
                 Found::Method(_) | Found::Nothing => None,
             };
-            let naive =
-                |query: &Query<'_>| matcher.routes().iter().position(|route| route.misfit(query).is_none());
+            let naive = |query: &Query<'_>| routes.iter().position(|route| route.misfit(query).is_none());
             let (cost, found) = all(&compiled, 200);
             let (plain_cost, plain_found) = all(&naive, if SIZES[place] > 1_000 { 1 } else { 20 });
             fast[place] = fast[place].min(cost);
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -2,8 +2,9 @@
 //!
 //! The first route in the order of the file that fits wins. [`Matcher`] finds it without asking every route:
 //! hosts are looked up by name, paths walk a trie of segments, and only routes that share host and path are
-//! compared among themselves. [`Route::misfit`] is the same question for one route, asked plainly; the tests hold
-//! the matcher to it.
+//! compared among themselves. It is all that needs to be kept of the routes: what one wants is read back by
+//! [`Matcher::route`]. [`Route::misfit`] is the same question for one route, asked plainly; the tests hold the
+//! matcher to it.
 //!
 //! Paths are compared segment by segment as RFC 3986 section 3.3 divides them, each percent-decoded by itself:
 //! `%2F` never divides. What a backend might read as another path than the matcher does, such as `..` in any
@@ -11,13 +12,18 @@
 
 mod host;
 mod matcher;
+mod methods;
+mod names;
 mod path;
+#[cfg(test)]
+#[path = "../tests/unit/differential.rs"]
+mod tests;
 
 pub use host::{HostError, HostPattern, request_host};
 pub use matcher::{Found, Matcher};
 pub use path::{MOST_SEGMENTS, PathError, PathPattern, PatternError, RequestPath};
 
-use http::{HeaderMap, HeaderName, Method};
+use http::{HeaderMap, HeaderName, HeaderValue, Method};
 
 /// Methods that a route takes.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -83,17 +89,17 @@
             Some(wanted) => values.any(|value| value == &**wanted),
         }
     }
-
-    /// Whether it holds wherever the other does.
-    fn covers(&self, other: &Self) -> bool {
-        self.name == other.name && (self.value.is_none() || self.value == other.value)
-    }
 }
 
 fn values<'a>(headers: &'a HeaderMap, name: &str) -> impl Iterator<Item = &'a [u8]> {
     // A name that is none can't be in the map.
     let name = HeaderName::from_bytes(name.as_bytes()).ok();
-    name.into_iter().flat_map(|name| headers.get_all(name)).map(|value| value.as_bytes().trim_ascii())
+    name.into_iter().flat_map(|name| headers.get_all(name)).map(compared)
+}
+
+/// A value as conditions compare it: without the space around it.
+fn compared(value: &HeaderValue) -> &[u8] {
+    value.as_bytes().trim_ascii()
 }
 
 /// What a route wants of a request.
@@ -161,11 +167,4 @@
         };
         methods && self.host.overlaps(&other.host) && self.path.overlaps(&other.path)
     }
-
-    /// Whether every request that fits `other` fits this one, but for the method.
-    fn covers_but_method(&self, other: &Self) -> bool {
-        self.host.covers(&other.host)
-            && self.path.covers(&other.path)
-            && self.headers.iter().all(|rule| other.headers.iter().any(|theirs| rule.covers(theirs)))
-    }
 }
--- a/crates/route/src/matcher.rs
+++ b/crates/route/tests/unit/reference.rs
@@ -1,25 +1,14 @@
-//! The compiled matcher.
+//! The matcher as it was before the compact one: a trie of maps for each host. The differential test holds the
+//! compact one to it; nothing else uses it.
 
-use http::Method;
 use rustc_hash::FxHashMap;
 
 use crate::path::Segment;
-use crate::{HostPattern, Methods, Misfit, Query, Route, values};
+use crate::{Found, HeaderRule, HostPattern, Methods, Misfit, Query, Route, values};
 
 /// Past every route.
 const NONE: u32 = u32::MAX;
 
-/// What the matcher says of a request.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Found {
-    /// The first route that it fits, by its place.
-    Route(usize),
-    /// It fits routes but for its method; these would do. 405 (RFC 9110 section 15.5.6).
-    Method(Vec<Method>),
-    /// No route takes its host, path and headers. 404.
-    Nothing,
-}
-
 /// Routes in order, by the value that a header must have; `None` is any.
 type ByValue = FxHashMap<Option<Box<[u8]>>, Vec<u32>>;
 
@@ -107,12 +96,6 @@
         matcher
     }
 
-    /// The routes, in order.
-    #[must_use]
-    pub fn routes(&self) -> &[Route] {
-        &self.routes
-    }
-
     /// The first route that a request fits.
     #[must_use]
     pub fn find(&self, query: &Query<'_>) -> Found {
@@ -163,7 +146,7 @@
             trie.each(0, &mut step, 0, &mut |leaf| {
                 leaf.each(|other| {
                     let earlier = (other as usize) < place;
-                    if earlier && self.routes[other as usize].covers_but_method(route) {
+                    if earlier && covers_but_method(&self.routes[other as usize], route) {
                         covering.push(other as usize);
                     }
                 });
@@ -344,3 +327,15 @@
         lists.flatten().for_each(|&place| take(place));
     }
 }
+
+/// Whether every request that fits `other` fits `one`, but for the method.
+fn covers_but_method(one: &Route, other: &Route) -> bool {
+    one.host.covers(&other.host)
+        && one.path.covers(&other.path)
+        && one.headers.iter().all(|rule| other.headers.iter().any(|theirs| covers(rule, theirs)))
+}
+
+/// Whether a condition holds wherever the other does.
+fn covers(rule: &HeaderRule, other: &HeaderRule) -> bool {
+    rule.name == other.name && (rule.value.is_none() || rule.value == other.value)
+}
