Node: what runs keeps its routes compact, and no text, places or trees

With 15,000 routes, 1,000 servers in 140 pools and no tenants a node had 104.7 MB at its start, of which the counted state is a small part: it kept the file's text to its end (`Checked` was taken apart, its sources stayed), the whole model with a place for each written value, a copy of each pattern, and a record with names for each route. The rest was the heap of the check, which the allocator could not give back.

- `RouteTable` (lang): names in one text, class, pool, tenant and key as numbers, patterns in the matcher.
It serves requests, and the difference of a reload reads the routes back out of it (`KeptConfig::restore`): values are all there, places of routes, servers and tenants are not.
- `Live`: one record for each class at a pool, and four bytes a route.
- `Reading` (node): a file is read and freed on a thread of its own, whose heap then goes back whole.

--- /dev/null
+++ b/crates/lang/tests/kept.rs
@@ -0,0 +1,180 @@
+//! What a running node keeps of a configuration: all values, in little memory.
+
+mod common;
+
+use std::fmt::Write;
+use std::sync::Arc;
+
+use common::*;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use pumicehead_lang::Config;
+use pumicehead_lang::diff::{What, diff, facts};
+use pumicehead_lang::kept::KeptConfig;
+use pumicehead_lang::model::{Members, Places};
+use pumicehead_lang::route_table::RouteTable;
+
+/// All that the table of routes may take for a route.
+const MOST_BYTES_A_ROUTE: usize = 300;
+
+fn keep(config: &Config) -> KeptConfig {
+    KeptConfig::new(config, Arc::new(RouteTable::new(&config.routes)))
+}
+
+/// A configuration of many routes over some pools, as a large site has them.
+fn large(routes: usize) -> String {
+    let mut text = String::from(
+        "listener public { address 127.0.0.1:8080 }\n\
+         class read { aim 600ms; deadline 2s; repeats safe }\n\
+         class submit { aim 1s; deadline 4s; repeats unsafe }\n\
+         tenant acme { share 20%; rate 100/s }\n",
+    );
+    for pool in 0..POOLS {
+        let _ =
+            writeln!(text, "pool service-{pool} {{ server s-{pool} {{ address 10.0.0.{}:80 }} }}", pool + 1);
+    }
+    for number in 0..routes {
+        let pool = number % POOLS;
+        let (path, settings) = match number % 5 {
+            0 => (format!("/api/v1/resource-{number}/*"), ""),
+            1 => (format!("/api/v1/resource-{number}/*/items/**"), "key segment 4; tenant acme;"),
+            2 => (format!("/api/v2/resource-{number}"), "method POST;"),
+            3 => (format!("/boards/{number}/**"), "header x-api-version 2; tenant header X-Account;"),
+            _ => (format!("/reports/{number}/*"), "key last-segment;"),
+        };
+        let class = if number % 5 == 2 { "submit" } else { "read" };
+        let _ = writeln!(
+            text,
+            "route route-{number}-of-service-{pool} {{ host service-{pool}.region-{}.example.org; path {path}; \
+             {settings} class {class}; pool service-{pool} }}",
+            number % 3
+        );
+    }
+    text
+}
+
+/// Pools of the large configuration.
+const POOLS: usize = 140;
+
+#[test]
+fn nothing_differs_between_a_configuration_and_the_kept_one() {
+    for text in [SOUND.to_owned(), large(500)] {
+        let config = config(&text);
+        let restored = keep(&config).restore();
+        assert_eq!(diff(&restored, &config), []);
+        assert_eq!(diff(&config, &restored), []);
+        assert_eq!(facts(&restored).without_places(), facts(&config).without_places());
+        assert_eq!(restored.fleet, config.fleet);
+    }
+}
+
+#[test]
+fn a_difference_against_the_kept_one_is_that_against_the_configuration() {
+    let old = config(SOUND);
+    let changes = [
+        ("key segment 2; tenant acme", "key segment 3"),
+        ("path /runs/**", "path /runs/*/**"),
+        ("method PUT", "method PUT PURGE"),
+        ("host *.old.example.org", "host old.example.org"),
+        ("route read {", "route all {"),
+        ("share 20%", "share 21%"),
+    ];
+    for (before, after) in changes {
+        let text = SOUND.replace(before, after);
+        assert_ne!(text, SOUND);
+        let new = config(&text);
+        let expected = diff(&old, &new);
+        let mut found = diff(&keep(&old).restore(), &new);
+        // What is gone stood in a text that is gone as well.
+        for (change, expected) in found.iter_mut().zip(&expected) {
+            if change.what == What::Removed {
+                change.place = expected.place;
+            }
+        }
+        assert_eq!(found, expected, "{before} -> {after}");
+        assert!(!found.is_empty());
+    }
+}
+
+#[test]
+fn the_table_has_what_the_routes_say() {
+    let config = config(SOUND);
+    let table = RouteTable::new(&config.routes);
+    assert_eq!(table.len(), config.routes.len());
+    for (place, route) in config.routes.iter().enumerate() {
+        assert_eq!(table.name(place), route.name);
+        assert_eq!((table.class(place), table.pool(place)), (route.class, route.pool));
+        assert_eq!((table.tenant(place), table.key(place)), (&route.tenant, &route.key));
+        let bare = pumicehead_lang::model::Route { at: Places::default(), ..route.clone() };
+        assert_eq!(table.route(place), bare);
+    }
+    assert!(RouteTable::new(&[]).is_empty());
+}
+
+#[test]
+fn places_of_what_there_may_be_thousands_of_are_dropped() {
+    let kept = keep(&config(SOUND));
+    let settings = kept.settings();
+    assert!(settings.routes.is_empty());
+    assert!(settings.tenants.iter().all(|tenant| tenant.at == Places::default()));
+    let Members::Static(servers) = &settings.pools[0].members else { panic!("a pool with servers") };
+    assert!(servers.iter().all(|server| server.at == Places::default()));
+}
+
+#[test]
+fn a_route_takes_at_most_so_many_bytes() {
+    let bytes_a_route =
+        |routes: usize| RouteTable::new(&config(&large(routes)).routes).memory_bytes() / routes;
+    let sizes = [1_000, 4_000, 8_000, 15_000].map(bytes_a_route);
+    println!("bytes a route with 1,000, 4,000, 8,000 and 15,000 routes: {sizes:?}");
+    assert!(sizes.iter().all(|&bytes| bytes <= MOST_BYTES_A_ROUTE), "{sizes:?}");
+    let (least, most) = (sizes.iter().min().unwrap(), sizes.iter().max().unwrap());
+    // The hash table of names doubles in steps: it takes 8 to 16 bytes a name.
+    assert!(most * 2 <= least * 3, "linear in the number of routes: {sizes:?}");
+}
+
+#[test]
+fn names_of_the_largest_length_stay_within_the_bound() {
+    let long = |number: usize| format!("r{number:x>63}");
+    let mut text = String::from(
+        "listener public { address 127.0.0.1:8080 }\nclass read { aim 600ms; deadline 2s; repeats safe }\n\
+         pool boards { server a { address 127.0.0.1:9001 } }\n",
+    );
+    for number in 0..15_000 {
+        let name = long(number);
+        let _ = writeln!(text, "route {name} {{ path /{name}/*; class read; pool boards }}");
+    }
+    let table = RouteTable::new(&config(&text).routes);
+    let bytes = table.memory_bytes() / table.len();
+    println!("bytes a route with names of 64 characters: {bytes}");
+    assert!(bytes <= MOST_BYTES_A_ROUTE, "{bytes}");
+}
+
+/// It is built on another thread than the one that serves.
+#[test]
+fn the_table_may_cross_threads() {
+    fn crosses<T: Send + Sync>() {}
+    crosses::<RouteTable>();
+    crosses::<KeptConfig>();
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 200,
+        rng_seed: RngSeed::Fixed(40),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// The order of routes changes and nothing else: the kept one tells as the whole one does.
+    #[test]
+    fn an_order_that_changes_is_told_as_before(order in Just((0..20).collect::<Vec<usize>>()).prop_shuffle()) {
+        let old = config(&large(20));
+        let mut new = old.clone();
+        new.routes = order.iter().map(|&place| old.routes[place].clone()).collect();
+        prop_assert_eq!(diff(&keep(&old).restore(), &new), diff(&old, &new));
+        let restored = keep(&new).restore();
+        let names = |config: &Config| config.routes.iter().map(|route| route.name.clone()).collect::<Vec<_>>();
+        prop_assert_eq!(names(&restored), names(&new));
+    }
+}
--- a/crates/node/src/cli.rs
+++ b/crates/node/src/cli.rs
@@ -12,9 +12,10 @@
 use pumicehead_lang::disk::Disk;
 use pumicehead_lang::explain::{Request, explain};
 use pumicehead_lang::format::format;
-use pumicehead_lang::{Checked, Files, Severity, Sources, check};
+use pumicehead_lang::{Checked, Config, Files, Severity, Sources, check};
 
 use crate::report::{Format, print, report};
+use crate::standalone::Reading;
 use crate::{fleet_cli, log, why};
 
 /// A configuration with mistakes.
@@ -119,13 +120,14 @@
 pub fn carry_out(command: Command) -> Result<ExitCode, Box<dyn Error>> {
     match command {
         Command::Run { file, record } => {
-            let checked = check(&Disk, &file);
+            let reading = Reading::of(file.clone())?;
+            let checked = reading.checked();
             report(&checked.sources, &checked.diagnostics, Format::Text);
             if checked.config.is_none() {
                 return Ok(ExitCode::from(MISTAKES));
             }
             let (log, _written) = log::begin();
-            crate::block_on(crate::standalone::serve(file, checked, record, log))?;
+            crate::block_on(crate::standalone::serve(file, reading, record, log))?;
             Ok(ExitCode::SUCCESS)
         }
         Command::Trace { address, out } => why::fetch(address, &out).map(|()| ExitCode::SUCCESS),
@@ -211,7 +213,7 @@
 }
 
 /// A configuration that can be used; mistakes are reported.
-fn sound(file: &Path) -> Option<(Checked, pumicehead_lang::Config)> {
+fn sound(file: &Path) -> Option<(Checked, Config)> {
     let mut checked = check(&Disk, file);
     let errors: Vec<_> =
         checked.diagnostics.iter().filter(|one| one.severity == Severity::Error).cloned().collect();
--- a/crates/node/src/standalone/admission.rs
+++ b/crates/node/src/standalone/admission.rs
@@ -1,14 +1,17 @@
 //! Requests of plain HTTP clients: the routes say what they are.
 
 use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
 use hyper::{Method, StatusCode, Uri, Version};
 use pumicehead_lang::explain::key_of;
-use pumicehead_lang::model::{Config, KeyOf, Protocol, Repeats, TenantOf};
-use pumicehead_route::{Found, Matcher, Query, RequestPath, request_host};
+use pumicehead_lang::model::{Config, Protocol, Repeats, TenantOf};
+use pumicehead_lang::route_table::RouteTable;
+use pumicehead_route::{Found, Query, RequestPath, request_host};
 
 use crate::net::admission::{Admission, Admitted, Bad, Head, Manner};
 use crate::net::ask::{Ask, Call};
@@ -21,55 +24,77 @@
 
 /// A configuration as requests meet it. Requests keep the one that they began with.
 pub struct Live {
-    matcher: Matcher,
-    routes: Vec<LiveRoute>,
+    routes: Arc<RouteTable>,
+    /// The service of each route, by its place among the services.
+    service_of: Box<[u32]>,
+    services: Box<[Service]>,
     tenants: Vec<String>,
     /// This node's entries of `Via`, of messages of HTTP/1.0 and of 1.1.
     via: [Option<HeaderValue>; 2],
 }
 
-/// A route with the loop of its pool.
-struct LiveRoute {
+/// A class of requests at a pool: what all routes that lead there have in common.
+struct Service {
     core: Handle,
     /// Among the classes of its pool.
     class: usize,
     deadline: Duration,
     /// The header that holds an idempotency key, where the class needs one.
     keyed: Option<HeaderName>,
-    tenant: TenantOf,
-    key: KeyOf,
     /// Its servers are told a decoded path, in which an encoded slash would divide.
     decoded: bool,
 }
 
+impl Service {
+    /// `classes` are the names of the pool's classes in their places.
+    fn new(config: &Config, class: usize, pool: usize, core: &Handle, classes: &[String]) -> Self {
+        let class = &config.classes[class];
+        let keyed = match &class.repeats {
+            Repeats::Keyed { header, .. } => HeaderName::from_bytes(header.as_bytes()).ok(),
+            Repeats::Safe | Repeats::Unsafe => None,
+        };
+        Self {
+            core: core.clone(),
+            // Every class that leads to a pool is among its own.
+            class: classes.iter().position(|name| *name == class.name).unwrap_or_default(),
+            deadline: Duration::from_nanos(class.deadline),
+            keyed,
+            decoded: config.pools[pool].protocol == Protocol::FastCgi,
+        }
+    }
+}
+
 impl Live {
     /// `cores` has the loop of each pool, with the names of its classes in their places.
     pub fn new(config: &Config, cores: &[(Handle, Vec<String>)]) -> Self {
-        let routes = config.routes.iter().map(|route| {
-            let class = &config.classes[route.class];
-            let keyed = match &class.repeats {
-                Repeats::Keyed { header, .. } => HeaderName::from_bytes(header.as_bytes()).ok(),
-                Repeats::Safe | Repeats::Unsafe => None,
-            };
-            let (core, classes) = &cores[route.pool];
-            LiveRoute {
-                core: core.clone(),
-                // Every class that leads to a pool is among its own.
-                class: classes.iter().position(|name| *name == class.name).unwrap_or_default(),
-                deadline: Duration::from_nanos(class.deadline),
-                keyed,
-                tenant: route.tenant.clone(),
-                key: route.key.clone(),
-                decoded: config.pools[route.pool].protocol == Protocol::FastCgi,
-            }
+        let mut services = Vec::new();
+        let mut places: HashMap<(usize, usize), u32> = HashMap::new();
+        let service_of = config.routes.iter().map(|route| {
+            let (class, pool) = (route.class, route.pool);
+            *places.entry((class, pool)).or_insert_with(|| {
+                let (core, classes) = &cores[pool];
+                services.push(Service::new(config, class, pool, core, classes));
+                services.len() as u32 - 1
+            })
         });
         Self {
-            matcher: config.matcher(),
-            routes: routes.collect(),
+            service_of: service_of.collect(),
+            services: services.into(),
+            routes: Arc::new(RouteTable::new(&config.routes)),
             tenants: config.tenants.iter().map(|tenant| tenant.name.clone()).collect(),
             via: [Version::HTTP_10, Version::HTTP_11].map(|version| fields::via(version, &config.node.name)),
         }
     }
+
+    /// The routes in force.
+    pub fn routes(&self) -> &Arc<RouteTable> {
+        &self.routes
+    }
+
+    /// The service of a route.
+    fn service(&self, place: usize) -> &Service {
+        &self.services[self.service_of[place] as usize]
+    }
 }
 
 /// Knows requests by the routes that are in force.
@@ -93,6 +118,11 @@
         *self.live.borrow_mut() = Rc::new(live);
     }
 
+    /// The routes in force.
+    pub fn routes(&self) -> Arc<RouteTable> {
+        self.live.borrow().routes().clone()
+    }
+
     fn correlation(&self) -> String {
         let number = self.next.get();
         self.next.set(number.wrapping_add(1));
@@ -121,19 +151,19 @@
         let host = request_host(&authority).map_err(|fault| target(format!("the host is {fault}")))?;
         let path = RequestPath::parse(head.uri.path()).map_err(|fault| target(fault.to_string()))?;
         let query = Query { host: &host, path: &path, method: head.method, headers: &head.headers };
-        let place = match live.matcher.find(&query) {
+        let place = match live.routes.matcher().find(&query) {
             Found::Route(place) => place,
             Found::Method(allowed) => return Err(Bad::Method(allowed)),
             Found::Nothing => return Err(Bad::Unknown),
         };
-        let route = &live.routes[place];
-        if route.decoded && path.holds_slash() {
+        let service = live.service(place);
+        if service.decoded && path.holds_slash() {
             return Err(Bad::Unknown);
         }
-        if let Some(name) = &route.keyed {
+        if let Some(name) = &service.keyed {
             one(&head.headers, name)?;
         }
-        let tenant = match &route.tenant {
+        let tenant = match live.routes.tenant(place) {
             TenantOf::None => None,
             TenantOf::Fixed(place) => Some(*place),
             TenantOf::Header(name) => {
@@ -145,7 +175,7 @@
             }
         };
         let correlation = self.correlation();
-        let key = key_of(&route.key, &query);
+        let key = key_of(live.routes.key(place), &query);
         let mut headers = head.headers;
         headers
             .insert(header::HOST, HeaderValue::from_str(&authority).map_err(|_| Bad::Header("host".into()))?);
@@ -159,17 +189,17 @@
             Call { method: head.method.clone(), uri: origin_form(head.uri)?, headers, ..Call::default() };
         let ask = Ask {
             correlation: correlation.into(),
-            class: route.class,
+            class: service.class,
             tenant,
             hint: None,
             key,
-            left: route.deadline,
+            left: service.deadline,
             sending: Duration::ZERO,
             call,
         };
         // The server's answer is one of HTTP/1.1 whatever it speaks: the node has taken it whole.
         let via = live.via[1].clone().unwrap_or(HeaderValue::from_static("1.1 pumicehead"));
-        Ok(Admitted { core: route.core.clone(), ask, manner: Manner::Gateway(via), bodiless: false })
+        Ok(Admitted { core: service.core.clone(), ask, manner: Manner::Gateway(via), bodiless: false })
     }
 }
 
--- a/crates/node/src/standalone/mod.rs
+++ b/crates/node/src/standalone/mod.rs
@@ -1,6 +1,7 @@
 //! A node of its own: one configuration file, any number of listeners and pools, plain HTTP clients.
 
 mod admission;
+mod reading;
 mod record;
 mod site;
 
@@ -10,9 +11,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use pumicehead_lang::disk::Disk;
 use pumicehead_lang::model::Observe;
-use pumicehead_lang::{Checked, check};
 use pumicehead_ops::call::{Call, no, yes};
 use pumicehead_policy::interface::Sharing;
 use pumicehead_trace::recorder::Level;
@@ -29,26 +28,27 @@
 use crate::net::clock::Clock;
 use crate::net::front;
 use crate::report::{Format, report};
+pub use reading::Reading;
 use record::Recorder;
 use site::Site;
 
 /// How often the fleet may be told of this node's load; it passes on far less of it.
 const LOAD: Duration = Duration::from_secs(1);
 
-/// Serves what a file says until SIGTERM; SIGHUP reads it again. What is asked is written to `record`.
+/// Serves what a file says until SIGTERM; SIGHUP reads it again. `reading` is what the file said at the start. What is
+/// asked is written to `record`.
 ///
 /// # Errors
 /// What keeps it from starting.
 pub async fn serve(
     path: PathBuf,
-    checked: Checked,
+    reading: Reading,
     record: Option<PathBuf>,
     log: Log,
 ) -> Result<(), Box<dyn Error>> {
     let mut term = signal(SignalKind::terminate())?;
     let mut hangup = signal(SignalKind::hangup())?;
-    let Checked { config, .. } = checked;
-    let config = config.ok_or("the configuration can't be used")?;
+    let config = reading.checked().config.as_ref().ok_or("the configuration can't be used")?;
     let recorder = record
         .map(|file| Recorder::start(&file).map_err(|error| format!("record to {}: {error}", file.display())));
     let observe = &config.observe;
@@ -70,6 +70,8 @@
         None => None,
     };
     let site = Site::start(config, recorder.transpose()?, eyes)?;
+    // The node keeps copies: no text and no tree.
+    drop(reading);
     if let Some(fleet) = &fleet {
         task::spawn_local(share(site.clone(), fleet.sharing()));
         task::spawn_local(tell_load(site.clone(), fleet.clone()));
@@ -95,9 +97,17 @@
     while next().await.is_some() {
         let file = path.clone();
         // Off the loop: a file with thousands of routes takes longer than a request should wait.
-        let Ok(checked) = task::spawn_blocking(move || check(&Disk, &file)).await else { continue };
+        let Ok(reading) = task::spawn_blocking(move || Reading::of(file)).await else { continue };
+        let reading = match reading {
+            Ok(reading) => reading,
+            Err(error) => {
+                warn!(target: "settings", "reload: the old configuration stays: {error}");
+                continue;
+            }
+        };
+        let checked = reading.checked();
         report(&checked.sources, &checked.diagnostics, Format::Text);
-        match checked.config {
+        match &checked.config {
             None => warn!(target: "settings", "reload: the old configuration stays"),
             Some(config) => match site.reload(config) {
                 Ok(changes) => {
--- /dev/null
+++ b/crates/node/src/standalone/reading.rs
@@ -0,0 +1,58 @@
+//! A configuration that is read, and freed, on a thread of its own.
+//!
+//! Texts, trees and places take some thousand bytes a route while a configuration is checked; what a node keeps of it
+//! takes some hundred. The thread has a heap of its own, which goes back to the system when all of it is freed by the
+//! thread that allocated it. Freed by another one, some of it would stay in that one's caches, and with it the pages.
+
+use std::path::PathBuf;
+use std::sync::{Arc, mpsc};
+use std::thread;
+
+use pumicehead_lang::disk::Disk;
+use pumicehead_lang::{Checked, check};
+use thiserror::Error;
+
+/// A configuration can't be read.
+#[derive(Debug, Error)]
+pub enum ReadingError {
+    /// No thread can be started.
+    #[error("start a thread that reads the configuration: {0}")]
+    Thread(#[from] std::io::Error),
+    /// A fault of the program.
+    #[error("reading the configuration panicked")]
+    Panicked,
+}
+
+/// A file that was checked, held by the thread that did it. What is kept of it must be copied.
+pub struct Reading {
+    // In this order: the thread must be the last one to hold the configuration when it is told of the end.
+    checked: Arc<Checked>,
+    _end: mpsc::SyncSender<()>,
+}
+
+impl Reading {
+    /// Reads and checks a file, and returns when that is done.
+    ///
+    /// # Errors
+    /// A thread that can't be started, or that panicked. Mistakes in the file are diagnostics.
+    pub fn of(path: PathBuf) -> Result<Self, ReadingError> {
+        // Of one slot each: these are allocated here, and nothing that the other thread would allocate is freed here.
+        let (result, received) = mpsc::sync_channel(1);
+        let (end, ended) = mpsc::sync_channel::<()>(1);
+        let read = move || {
+            let checked = Arc::new(check(&Disk, &path));
+            if result.send(checked.clone()).is_ok() {
+                // Nothing is sent: it ends when the other side is dropped.
+                let _ = ended.recv();
+            }
+        };
+        thread::Builder::new().name("configuration".into()).spawn(read)?;
+        let checked = received.recv().map_err(|_| ReadingError::Panicked)?;
+        Ok(Self { checked, _end: end })
+    }
+
+    /// What was read.
+    pub fn checked(&self) -> &Checked {
+        &self.checked
+    }
+}
--- a/crates/node/src/standalone/site.rs
+++ b/crates/node/src/standalone/site.rs
@@ -10,6 +10,7 @@
 
 use pumicehead_lang::Span;
 use pumicehead_lang::diff::{Change, What, diff};
+use pumicehead_lang::kept::KeptConfig;
 use pumicehead_lang::model::{Config, Limits, Members, Pool, Protocol};
 use pumicehead_policy::interface::{Nanos, SECOND, Settings, Sharing};
 use thiserror::Error;
@@ -127,7 +128,7 @@
 }
 
 struct Running {
-    config: Config,
+    config: KeptConfig,
     pools: HashMap<String, RunningPool>,
     fronts: Vec<RunningFront>,
 }
@@ -153,8 +154,8 @@
     ///
     /// # Errors
     /// An address that can't be listened on, or settings that can't be used.
-    pub fn start(config: Config, recorder: Option<Recorder>, eyes: Rc<Eyes>) -> Result<Rc<Self>, SiteError> {
-        let listeners = bind(&config, &[])?;
+    pub fn start(config: &Config, recorder: Option<Recorder>, eyes: Rc<Eyes>) -> Result<Rc<Self>, SiteError> {
+        let listeners = bind(config, &[])?;
         let limits = &config.limits;
         let calls = if config.observe.calls.is_some() { 1 + MOST_CALLERS } else { 0 };
         let others = calls + if config.fleet.is_some() { fleet::DESCRIPTORS } else { 0 };
@@ -167,12 +168,13 @@
         let mut pools = HashMap::new();
         let mut cores = Vec::new();
         for place in 0..config.pools.len() {
-            let footing = footing(&config, place)?;
-            let handle = start_pool(&config, place, &footing, (&connections, &room), seed, &held, &eyes);
+            let footing = footing(config, place)?;
+            let handle = start_pool(config, place, &footing, (&connections, &room), seed, &held, &eyes);
             cores.push((handle.clone(), footing.classes.clone()));
             pools.insert(config.pools[place].name.clone(), RunningPool { footing, handle });
         }
-        let gateway = Gateway::new(Live::new(&config, &cores), seed, recorder);
+        let gateway = Gateway::new(Live::new(config, &cores), seed, recorder);
+        let kept = KeptConfig::new(config, gateway.routes());
         let budget = Budget::new(places.clients, limits.descriptors);
         let site = Rc::new(Self {
             gateway,
@@ -182,12 +184,12 @@
             room,
             seed,
             eyes,
-            running: RefCell::new(Running { config: config.clone(), pools, fronts: Vec::new() }),
+            running: RefCell::new(Running { config: kept, pools, fronts: Vec::new() }),
             sharing: Cell::new(None),
             lame: Cell::new(false),
         });
-        site.start_fronts(&config, listeners);
-        site.set_protocols(&config);
+        site.start_fronts(config, listeners);
+        site.set_protocols(config);
         Ok(site)
     }
 
@@ -204,26 +206,26 @@
     ///
     /// # Errors
     /// An address that can't be listened on, or settings that can't be used.
-    pub fn reload(self: &Rc<Self>, config: Config) -> Result<Vec<Change>, SiteError> {
+    pub fn reload(self: &Rc<Self>, config: &Config) -> Result<Vec<Change>, SiteError> {
         let mut running = self.running.borrow_mut();
-        let mut changes = diff(&running.config, &config);
+        let mut changes = diff(&running.config.restore(), config);
         // What is gone stood in texts that are gone as well.
         let gone = changes.iter_mut().filter(|change| change.what == What::Removed);
         gone.for_each(|change| change.place = Span::default());
         // All that can fail comes first.
         let footings =
-            (0..config.pools.len()).map(|place| footing(&config, place)).collect::<Result<Vec<_>, _>>()?;
+            (0..config.pools.len()).map(|place| footing(config, place)).collect::<Result<Vec<_>, _>>()?;
         let bound: Vec<_> = running.fronts.iter().map(|front| front.address).collect();
-        let listeners = bind(&config, &bound)?;
-        let (old, new) = (&running.config.limits, &config.limits);
+        let listeners = bind(config, &bound)?;
+        let (old, new) = (&running.config.settings().limits, &config.limits);
         if (old.memory, old.descriptors) != (new.memory, new.descriptors) {
             warn!(target: "settings", "reload: `memory` and `descriptors` wait for the next start");
         }
-        let (old, new) = (&running.config.observe, &config.observe);
+        let (old, new) = (&running.config.settings().observe, &config.observe);
         if (old.calls, old.recorder, &old.recordings) != (new.calls, new.recorder, &new.recordings) {
             warn!(target: "settings", "reload: `calls`, `recorder` and `recordings` wait for the next start");
         }
-        if running.config.fleet != config.fleet {
+        if running.config.settings().fleet != config.fleet {
             warn!(target: "settings", "reload: `fleet` waits for the next start");
         }
         super::set_log(self.eyes.log(), new);
@@ -243,7 +245,7 @@
                         kept.handle.retune(footing.settings.clone());
                     }
                     match &pool.members {
-                        Members::Static(_) => kept.handle.set_servers(servers(&config, pool)),
+                        Members::Static(_) => kept.handle.set_servers(servers(config, pool)),
                         Members::Discovery { address, .. } => kept.handle.move_discovery(*address),
                     }
                     kept.handle
@@ -251,7 +253,7 @@
                 None => {
                     let shared = (&self.connections, &self.room);
                     let fresh =
-                        start_pool(&config, place, &footing, shared, self.seed, &self.held, &self.eyes);
+                        start_pool(config, place, &footing, shared, self.seed, &self.held, &self.eyes);
                     if let Some(sharing) = self.sharing.get() {
                         fresh.share(sharing);
                     }
@@ -268,7 +270,7 @@
         for (_, gone) in running.pools.drain() {
             gone.handle.retire(true);
         }
-        self.gateway.set_live(Live::new(&config, &cores));
+        self.gateway.set_live(Live::new(config, &cores));
         running.pools = pools;
         let stays = |front: &RunningFront| config.listeners.iter().any(|l| l.address == front.address);
         let (kept, gone): (Vec<_>, Vec<_>) = running.fronts.drain(..).partition(stays);
@@ -277,12 +279,12 @@
             // It goes on by itself until its last answer.
             let _ = front.stop.send(Ending::Listener);
         }
-        running.config = config.clone();
+        running.config = KeptConfig::new(config, self.gateway.routes());
         drop(running);
-        self.start_fronts(&config, listeners);
-        let options = options(&config);
+        self.start_fronts(config, listeners);
+        let options = options(config);
         self.running.borrow().fronts.iter().for_each(|front| front.front.set_options(options));
-        self.set_protocols(&config);
+        self.set_protocols(config);
         Ok(changes)
     }
 
@@ -336,7 +338,7 @@
 
     /// How much it has to do: requests in hand, in eighths of what it may hold.
     pub fn load(&self) -> u32 {
-        let most = self.running.borrow().config.limits.held.max(1);
+        let most = self.running.borrow().config.settings().limits.held.max(1);
         (self.held.count() * 8 / most).min(8) as u32
     }
 
