--- a/crates/lang/src/check/mod.rs
+++ b/crates/lang/src/check/mod.rs
@@ -68,16 +68,17 @@
     let of = |kind: &str| blocks.get(kind).map_or(&[][..], Vec::as_slice);
     // Names first: what is used may be defined later, and what is defined with a mistake is still defined.
     let named = ["listener", "pool", "class", "tenant", "route"].map(|kind| check.names_of(kind, of(kind)));
-    let [listeners, pools, classes, tenants, routes] = &named;
+    let [listeners, pools, classes, tenants, routes] = named;
     let node = check.single("node", of("node"), Check::node).unwrap_or_else(Node::unwritten);
     let limits = check.single("limits", of("limits"), Check::limits).unwrap_or_else(Limits::unwritten);
     let observe = check.single("observe", of("observe"), Check::observe).unwrap_or_else(Observe::unwritten);
     let fleet = check.single("fleet", of("fleet"), Check::fleet);
-    let listeners: Vec<_> = listeners.iter().map(|block| check.listener(block)).collect();
-    let pools: Vec<_> = pools.iter().map(|block| check.pool(block, &node)).collect();
-    let classes: Vec<_> = classes.iter().map(|block| check.class(block)).collect();
-    let tenants: Vec<_> = tenants.iter().map(|block| check.tenant(block)).collect();
-    let routes: Vec<_> = routes.iter().map(|block| check.route(block, &classes)).collect();
+    // Each block's settings are freed when its entry is made: of many routes they take as much as these.
+    let listeners: Vec<_> = listeners.into_iter().map(|block| check.listener(&block)).collect();
+    let pools: Vec<_> = pools.into_iter().map(|block| check.pool(&block, &node)).collect();
+    let classes: Vec<_> = classes.into_iter().map(|block| check.class(&block)).collect();
+    let tenants: Vec<_> = tenants.into_iter().map(|block| check.tenant(&block)).collect();
+    let routes: Vec<_> = routes.into_iter().map(|block| check.route(&block, &classes)).collect();
     check.unused_constants();
     check.look(&limits, &listeners, &pools, &classes, &tenants, &routes);
     Some(Config {
--- a/crates/lang/src/check/reader.rs
+++ b/crates/lang/src/check/reader.rs
@@ -1,6 +1,5 @@
 //! Reads a block's settings: which are there, each once, and of the right form.
 
-use std::collections::HashMap;
 use std::net::SocketAddr;
 
 use super::{Check, bad_name, is_name};
@@ -42,17 +41,25 @@
     pub kind: &'static str,
     pub name: String,
     pub at: Places,
-    settings: HashMap<&'static str, Vec<&'s Statement>>,
+    /// In the order of the file: a list, since a block has a few and there may be thousands of blocks.
+    settings: Vec<(&'static str, &'s Statement)>,
 }
 
 impl<'s> Reader<'s> {
     /// The blocks of a name.
-    pub fn blocks(&self, name: &str) -> &[&'s Statement] {
-        self.settings.get(name).map_or(&[], Vec::as_slice)
+    pub fn blocks(&self, name: &str) -> Vec<&'s Statement> {
+        let named = self.settings.iter().filter(|(setting, _)| *setting == name);
+        named.map(|(_, statement)| *statement).collect()
     }
 
     pub fn has(&self, name: &str) -> bool {
-        self.settings.contains_key(name)
+        self.first(name).is_some()
+    }
+
+    /// The first statement of a name.
+    fn first(&self, name: &str) -> Option<&'s Statement> {
+        let found = self.settings.iter().find(|(setting, _)| *setting == name);
+        found.map(|(_, statement)| *statement)
     }
 }
 
@@ -156,12 +163,13 @@
             return None;
         };
         let known = settings_of(kind);
-        let mut settings: HashMap<&'static str, Vec<&Statement>> = HashMap::new();
+        let mut settings = Vec::with_capacity(block.statements.len());
+        let mut firsts: Vec<Option<&Statement>> = vec![None; known.len()];
         let mut at = Places { name: name.map_or(head.span, |name| name.span), ..Places::default() };
         for inner in &block.statements {
             let word = inner.name();
-            let Some(setting) = known.iter().find(|setting| *setting.name == *word.text && !word.quoted)
-            else {
+            let place = known.iter().position(|setting| *setting.name == *word.text && !word.quoted);
+            let Some(place) = place else {
                 if *word.text == *"include" {
                     let message = "`include` stands outside of blocks only";
                     self.say(Diagnostic::error("include-form", word.span, message));
@@ -171,20 +179,21 @@
                 }
                 continue;
             };
+            let setting = &known[place];
             if let Some(block) = inner.block.as_ref().filter(|_| !setting.block) {
                 let message = format!("`{}` takes no block", setting.name);
                 self.say(Diagnostic::error("setting-form", block.braces.0, message));
                 continue;
             }
-            let list = settings.entry(setting.name).or_default();
-            if let Some(first) = list.first().filter(|_| !setting.many) {
+            if let Some(first) = firsts[place].filter(|_| !setting.many) {
                 let message = format!("`{}` stands twice in one {kind}", setting.name);
                 let first = first.name().span;
                 self.say(Diagnostic::error("set-twice", word.span, message).note(first, "first set here"));
                 continue;
             }
             at.values.insert_first(setting.name, inner.span());
-            list.push(inner);
+            firsts[place].get_or_insert(inner);
+            settings.push((setting.name, inner));
         }
         let name = name.map(|name| name.text.to_string()).unwrap_or_default();
         Some(Reader { kind, name, at, settings })
@@ -193,7 +202,7 @@
     /// The values of a setting, with constants replaced: `Ok(None)` where it is not written, `Err` where it was
     /// and something is wrong with it.
     pub(super) fn values(&mut self, reader: &Reader<'_>, name: &str) -> Result<Option<Vec<Word>>, ()> {
-        let Some([statement, ..]) = reader.settings.get(name).map(Vec::as_slice) else { return Ok(None) };
+        let Some(statement) = reader.first(name) else { return Ok(None) };
         self.values_of(statement).map(Some)
     }
 
--- a/crates/lang/src/load.rs
+++ b/crates/lang/src/load.rs
@@ -151,9 +151,10 @@
             let message = format!("all files together have more than {LARGEST_TOTAL} bytes");
             return self.fault(from, "too-large", message, None);
         }
-        let Some((file, text)) = self.text(path, bytes) else { return };
+        let Some(file) = self.text(path, bytes) else { return };
         self.done.insert(identity.clone(), file);
-        match syntax::parse(file, &text) {
+        let text = self.loaded.sources.get(file).map_or("", |source| &source.text);
+        match syntax::parse(file, text) {
             Err(faults) => self.loaded.diagnostics.extend(faults),
             Ok(tree) => {
                 self.chain.push((identity, path.into(), from));
@@ -169,16 +170,15 @@
         }
     }
 
-    /// Decodes a file; what is no UTF-8 is reported by its place.
-    fn text(&mut self, path: &Path, bytes: Vec<u8>) -> Option<(FileId, String)> {
+    /// Decodes a file and adds it to the sources; what is no UTF-8 is reported by its place.
+    fn text(&mut self, path: &Path, bytes: Vec<u8>) -> Option<FileId> {
         match String::from_utf8(bytes) {
             Ok(mut text) => {
                 // Some editors leave a mark of the byte order; places count from behind it.
                 if text.starts_with('\u{feff}') {
                     text.drain(..'\u{feff}'.len_utf8());
                 }
-                let file = self.loaded.sources.add(path, text.clone());
-                Some((file, text))
+                Some(self.loaded.sources.add(path, text))
             }
             Err(error) => {
                 let valid = error.utf8_error().valid_up_to();
--- a/crates/lang/src/syntax.rs
+++ b/crates/lang/src/syntax.rs
@@ -34,8 +34,8 @@
     pub before: Vec<Trivia>,
     /// At least one.
     pub words: Vec<Word>,
-    /// Its block.
-    pub block: Option<Block>,
+    /// Its block. Most statements have none: so it takes no place in them.
+    pub block: Option<Box<Block>>,
     /// A comment at the end of its last line.
     pub comment: Option<Span>,
 }
@@ -190,7 +190,8 @@
         if self.peek() == Some(Token::Comment) {
             comment = self.next().map(|lexeme| lexeme.span);
         }
-        let body = self.body(Some(open), depth + 1)?;
+        let mut body = self.body(Some(open), depth + 1)?;
+        body.statements.shrink_to_fit();
         Ok(Block { braces: (open, body.close), comment, statements: body.statements, after: body.after })
     }
 
@@ -220,13 +221,17 @@
                     }
                 }
                 Some(Token::Open) => {
+                    statement.words.shrink_to_fit();
                     if let Some(Lexeme { span, .. }) = self.next() {
-                        statement.block = Some(self.block(span, depth)?);
+                        statement.block = Some(Box::new(self.block(span, depth)?));
                     }
                     return Ok(statement);
                 }
                 // Ends and comments are the body's.
-                _ => return Ok(statement),
+                _ => {
+                    statement.words.shrink_to_fit();
+                    return Ok(statement);
+                }
             }
         }
     }
