--- a/crates/route/src/matcher/find.rs
+++ b/crates/route/src/matcher/find.rs
@@ -53,7 +53,7 @@
         let step = |depth: usize| steps[depth];
         let mut covering = Vec::new();
         // The walk meets only routes whose hosts and paths take all of this one's.
-        let look = |root: u32| {
+        let visit = |root: u32| {
             self.each_leaf(root, 0, &step, &mut |leaf| {
                 let earlier = self.places(leaf).iter().filter(|&&other| (other as usize) < place);
                 let covers = earlier.filter(|&&other| self.conditions_cover(other, rules));
@@ -61,9 +61,9 @@
             });
         };
         match &route.host {
-            HostPattern::Any => self.roots.any.get().into_iter().for_each(look),
-            HostPattern::Exact(name) => self.each_root(name, look),
-            HostPattern::Under(name) => self.each_root_under(name, look),
+            HostPattern::Any => self.roots.any.get().into_iter().for_each(visit),
+            HostPattern::Exact(name) => self.each_root(name, visit),
+            HostPattern::Under(name) => self.each_root_under(name, visit),
         }
         covering.sort_unstable();
         let methods_of: Vec<_> = covering.iter().map(|&other| self.methods(other)).collect();
@@ -76,24 +76,24 @@
     }
 
     /// The roots of the tries that take a host.
-    fn each_root(&self, host: &str, mut look: impl FnMut(u32)) {
-        self.host_roots(host).exact.get().into_iter().for_each(&mut look);
-        self.each_root_above(host, look);
+    fn each_root(&self, host: &str, mut visit: impl FnMut(u32)) {
+        self.host_roots(host).exact.get().into_iter().for_each(&mut visit);
+        self.each_root_above(host, visit);
     }
 
     /// The roots of the tries that take all hosts under a name: those under the name itself do as well.
-    fn each_root_under(&self, name: &str, mut look: impl FnMut(u32)) {
-        self.host_roots(name).under.get().into_iter().for_each(&mut look);
-        self.each_root_above(name, look);
+    fn each_root_under(&self, name: &str, mut visit: impl FnMut(u32)) {
+        self.host_roots(name).under.get().into_iter().for_each(&mut visit);
+        self.each_root_above(name, visit);
     }
 
-    fn each_root_above(&self, host: &str, mut look: impl FnMut(u32)) {
+    fn each_root_above(&self, host: &str, mut visit: impl FnMut(u32)) {
         if self.roots.has_under {
             let dots = host.match_indices('.').filter(|(place, _)| *place > 0);
             let parents = dots.map(|(place, _)| self.host_roots(&host[place + 1..]));
-            parents.filter_map(|roots| roots.under.get()).for_each(&mut look);
+            parents.filter_map(|roots| roots.under.get()).for_each(&mut visit);
         }
-        self.roots.any.get().into_iter().for_each(look);
+        self.roots.any.get().into_iter().for_each(visit);
     }
 
     fn host_roots(&self, host: &str) -> HostRoots {
@@ -184,10 +184,10 @@
 
     /// Hands over the leaves whose paths take all that the steps allow, from the step at a depth on. The last step is
     /// [`Step::End`] or [`Step::Rest`].
-    fn each_leaf(&self, at: u32, depth: usize, step: &impl Fn(usize) -> Step, take: &mut impl FnMut(u32)) {
+    fn each_leaf(&self, at: u32, depth: usize, step: &impl Fn(usize) -> Step, visit: &mut impl FnMut(u32)) {
         let node = &self.nodes[at as usize];
         if node.rest != NONE {
-            take(node.rest);
+            visit(node.rest);
         }
         if node.exact == NONE && self.children(at).is_empty() {
             return;
@@ -196,13 +196,13 @@
             Step::Rest => return,
             Step::End => {
                 if node.exact != NONE {
-                    take(node.exact);
+                    visit(node.exact);
                 }
                 return;
             }
             Step::Literal { name, empty } => {
                 if let Some(child) = name.and_then(|name| self.child(at, name)) {
-                    self.each_leaf(child, depth + 1, step, take);
+                    self.each_leaf(child, depth + 1, step, visit);
                 }
                 if empty {
                     return;
@@ -211,7 +211,7 @@
             Step::Any => {}
         }
         if let Some(child) = self.any_child(at) {
-            self.each_leaf(child, depth + 1, step, take);
+            self.each_leaf(child, depth + 1, step, visit);
         }
     }
 
