--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use clap::{Parser, Subcommand};
-use pumicehead_rig::measure::{ALL, Plan, storm};
+use pumicehead_rig::measure::{ALL, Plan, capacity, storm};
 use pumicehead_rig::report::Report;
 use pumicehead_rig::standin::{StandIn, Work};
 
@@ -30,6 +30,17 @@
         #[arg(long, default_value_t = 5)]
         takes_ms: u64,
     },
+    /// What a node carries: slopes by each factor of its configuration, and all factors at once.
+    Capacity {
+        #[command(flatten)]
+        options: Options,
+        /// At the target's size; takes some minutes.
+        #[arg(long)]
+        full: bool,
+        /// Another build of the node, played in turn with this one.
+        #[arg(long)]
+        beside: Option<PathBuf>,
+    },
     /// The configuration: checks, matches, reloads.
     Config(Options),
     /// The node's cost beside a bare relay, and how it grows.
@@ -68,6 +79,10 @@
 fn main() -> ExitCode {
     let done = match Arguments::parse().command {
         Command::StandIn { addresses, takes_ms } => stand_in(&addresses, takes_ms),
+        Command::Capacity { options, full, beside } => {
+            capacity::measure(options.plan(), full || options.long, beside.as_deref())
+                .map(|report| show(&report, &options))
+        }
         Command::Config(options) => measure("config", &options),
         Command::Cost(options) => measure("cost", &options),
         Command::Eyes(options) => measure("eyes", &options),
--- /dev/null
+++ b/crates/rig/src/measure/capacity/claims.rs
@@ -0,0 +1,169 @@
+//! The budgets of the operators, and whether a node keeps them.
+
+use std::time::Duration;
+
+use super::load::LoadResult;
+use super::sample::Sample;
+use super::size::Size;
+use super::table::{
+    CHANGE_CPU, CHANGE_LOOP_CPU, IN_FORCE, MEGABYTE, PEAK, REQUEST_CPU, RESIDENT, REST_CPU, TURN_CHANGING,
+};
+use crate::report::Report;
+
+/// Control state of a node at the target, in bytes ("for control a node spends at most 64 MB").
+const CONTROL_STATE: f64 = 64.0 * MEGABYTE;
+/// Processor that control may take, as a share of a core ("at most 3.4% of a core").
+const CONTROL_CPU: f64 = 0.034;
+/// Changes of configuration a day ("2,100 changes of configuration a day").
+const CHANGES_A_DAY: f64 = 2_100.0;
+/// Until a change is in force everywhere, in milliseconds ("within 12 s"); at one node it must be less.
+const IN_FORCE_MS: f64 = 12_000.0;
+/// What the node may add for 99 in 100 requests ("at most 2.4 ms added").
+const ADDED_P99: Duration = Duration::from_micros(2_400);
+/// The longest turn of the loop at the target, in milliseconds ("longest turn under 2 ms").
+const TURN_MS: f64 = 2.0;
+/// Peak memory over changes, as a multiple of that at rest ("within 1.2 of steady").
+const PEAK_RATIO: f64 = 1.2;
+/// p99 with changes, as a multiple of that without ("within 1.1").
+const CHANGING_P99_RATIO: f64 = 1.1;
+/// Processor time on the loop for a change of one value, in milliseconds ("under 5 ms").
+const CHANGE_LOOP_MS: f64 = 5.0;
+const SECONDS_A_DAY: f64 = 86_400.0;
+
+/// What is judged of one program.
+pub struct Measured<'a> {
+    /// The size of the corner.
+    pub corner: Size,
+    /// Its samples, one a round.
+    pub samples: &'a [Sample],
+    /// Samples of the smallest node: memory that is no state.
+    pub smallest: &'a [Sample],
+    /// Latencies without changes.
+    pub quiet: &'a LoadResult,
+    /// While one value changes.
+    pub values: &'a LoadResult,
+    /// While a tenant comes and goes.
+    pub tenants: &'a LoadResult,
+}
+
+/// Adds the figures of the corner to the last line.
+pub fn add_figures(report: &mut Report, measured: &Measured<'_>) {
+    let Measured { samples, quiet, values, tenants, .. } = measured;
+    report.figure("share_of_target", format!("{:.3}", measured.corner.share_of_target()));
+    report.figure("rss_mb", format!("{:.1}", RESIDENT.median(samples)));
+    report.figure("state_mb", format!("{:.1}", state_bytes(measured) / MEGABYTE));
+    report.figure("peak_ratio", format!("{:.2}", peak_ratio(samples)));
+    report.figure("change_cpu_ms", format!("{:.1}", CHANGE_CPU.median(samples)));
+    report.figure("change_loop_ms", format!("{:.1}", CHANGE_LOOP_CPU.median(samples)));
+    report.figure("turn_ms", format!("{:.1}", TURN_CHANGING.median(samples)));
+    report.figure("control_cpu", format!("{:.4}", control_cpu(samples)));
+    report.figure("request_us", format!("{:.0}", REQUEST_CPU.median(samples)));
+    report.figure("p99_ms", milliseconds(quiet.through.p99));
+    report.figure("p99_direct_ms", milliseconds(quiet.direct.p99));
+    report.figure("p99_value_ms", milliseconds(values.through.p99));
+    report.figure("longest_value_ms", milliseconds(values.through.longest));
+    report.figure("refused_value", values.through.refused);
+    report.figure("p99_tenant_ms", milliseconds(tenants.through.p99));
+    report.figure("longest_tenant_ms", milliseconds(tenants.through.longest));
+    report.figure("refused_tenant", tenants.through.refused);
+}
+
+/// Judges memory, processor time and the loop.
+pub fn judge_samples(report: &mut Report, measured: &Measured<'_>) {
+    let samples = measured.samples;
+    let share = measured.corner.share_of_target();
+    let (state, budget) = (state_bytes(measured), CONTROL_STATE * share);
+    report.claim(
+        state <= budget,
+        format!(
+            "control state within {:.0} MB at {share} of the target: {:.1} MB",
+            budget / MEGABYTE,
+            state / MEGABYTE
+        ),
+    );
+    let ratio = peak_ratio(samples);
+    report.claim(
+        ratio <= PEAK_RATIO,
+        format!("peak memory over a change within {PEAK_RATIO} of steady: {ratio:.2}"),
+    );
+    let turn = TURN_CHANGING.median(samples);
+    report.claim(
+        turn <= TURN_MS,
+        format!("longest turn of the loop over a change within {TURN_MS} ms: {turn:.1} ms"),
+    );
+    let on_loop = CHANGE_LOOP_CPU.median(samples);
+    report.claim(
+        on_loop <= CHANGE_LOOP_MS,
+        format!("a change of one value takes at most {CHANGE_LOOP_MS} ms on the loop: {on_loop:.1} ms"),
+    );
+    let share = control_cpu(samples);
+    report.claim(
+        share <= CONTROL_CPU,
+        format!("rest and {CHANGES_A_DAY} changes a day take at most {CONTROL_CPU} of a core: {share:.4}"),
+    );
+    let in_force = IN_FORCE.median(samples);
+    report.claim(
+        in_force <= IN_FORCE_MS,
+        format!("a change is in force within {IN_FORCE_MS} ms: {in_force:.0} ms"),
+    );
+}
+
+/// Judges latencies.
+pub fn judge_load(report: &mut Report, measured: &Measured<'_>) {
+    let Measured { quiet, values, tenants, .. } = measured;
+    for (result, name) in [(quiet, "without changes"), (values, "value changes"), (tenants, "tenant changes")]
+    {
+        let kept = result.through.valid && result.direct.valid;
+        report.claim(kept, format!("{name}: the generator kept its times"));
+        let (refused, failed) = (result.through.refused, result.through.failed);
+        report.claim(
+            refused + failed == 0,
+            format!("{name}: no request refused or failed: {refused} refused, {failed} failed"),
+        );
+    }
+    let added = quiet.through.p99.saturating_sub(quiet.direct.p99);
+    report.claim(
+        added <= ADDED_P99,
+        format!("p99 added without changes within {ADDED_P99:?}: {} ms", milliseconds(added)),
+    );
+    for (result, name) in [(values, "value changes"), (tenants, "tenant changes")] {
+        let ratio = result.through.p99.as_secs_f64() / quiet.through.p99.as_secs_f64().max(f64::EPSILON);
+        report.claim(
+            ratio <= CHANGING_P99_RATIO,
+            format!("{name}: p99 within {CHANGING_P99_RATIO} of that without: {ratio:.2}"),
+        );
+    }
+}
+
+/// Memory beyond that of the smallest node, in bytes.
+fn state_bytes(measured: &Measured<'_>) -> f64 {
+    (RESIDENT.median(measured.samples) - RESIDENT.median(measured.smallest)) * MEGABYTE
+}
+
+fn peak_ratio(samples: &[Sample]) -> f64 {
+    PEAK.median(samples) / RESIDENT.median(samples).max(f64::EPSILON)
+}
+
+/// Processor at rest and for a day's changes, as a share of a core.
+fn control_cpu(samples: &[Sample]) -> f64 {
+    let changes = CHANGE_CPU.median(samples) / 1e3 * CHANGES_A_DAY / SECONDS_A_DAY;
+    REST_CPU.median(samples) / 1e3 + changes
+}
+
+fn milliseconds(span: Duration) -> String {
+    format!("{:.1}", span.as_secs_f64() * 1e3)
+}
+
+/// Adds the figures of another build to the last line.
+pub fn add_beside(report: &mut Report, measured: &Measured<'_>) {
+    let Measured { samples, quiet, values, tenants, .. } = measured;
+    report.figure("beside_rss_mb", format!("{:.1}", RESIDENT.median(samples)));
+    report.figure("beside_peak_ratio", format!("{:.2}", peak_ratio(samples)));
+    report.figure("beside_change_loop_ms", format!("{:.1}", CHANGE_LOOP_CPU.median(samples)));
+    report.figure("beside_turn_ms", format!("{:.1}", TURN_CHANGING.median(samples)));
+    report.figure("beside_p99_ms", milliseconds(quiet.through.p99));
+    report.figure("beside_p99_value_ms", milliseconds(values.through.p99));
+    report.figure("beside_refused_value", values.through.refused);
+    report.figure("beside_p99_tenant_ms", milliseconds(tenants.through.p99));
+    report.figure("beside_refused_tenant", tenants.through.refused);
+}
--- /dev/null
+++ b/crates/rig/src/measure/capacity/load.rs
@@ -0,0 +1,214 @@
+//! Latencies at a node's part of the target's traffic, with and without changes, beside the backends asked directly.
+
+use std::io;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use pumicehead_load::SECOND;
+use pumicehead_load::engine::{Progress, Protocol, Setup, run};
+use pumicehead_load::mix::Plan as Requests;
+use pumicehead_load::outcome::{End, Tally};
+use pumicehead_load::report::Summary;
+use pumicehead_load::schedule::{Arrivals, Schedule};
+use pumicehead_load::shape::Shape;
+
+use super::file::{Change, Variant, mix, text};
+use super::process::NodeProcess;
+use super::size::Size;
+
+/// A node's part of 57,000 requests a second before 580 nodes.
+pub const RATE: f64 = 98.0;
+/// Connections of the generator at most.
+const CONNECTIONS: usize = 1_000;
+/// Backends that are asked directly.
+const DIRECT_BACKENDS: usize = 50;
+
+/// How nodes are loaded.
+#[derive(Clone, Copy, Debug)]
+pub struct LoadPlan {
+    /// For the draws of requests.
+    pub seed: u64,
+    /// Requests before those that count.
+    pub warm_up: Duration,
+    /// How long each node is asked in a round.
+    pub span: Duration,
+    /// Rounds, in which all nodes take turns.
+    pub rounds: usize,
+    /// From one change to the next.
+    pub change_every: Duration,
+}
+
+/// A node that takes changes of one kind, or none, while it is asked.
+pub struct LoadedNode {
+    /// What it is in the table.
+    pub name: String,
+    /// What changes.
+    pub change: Option<Change>,
+    node: NodeProcess,
+    /// What its clients saw.
+    through: Vec<Tally>,
+    /// What clients of the backends saw at the same times.
+    direct: Vec<Tally>,
+    /// Changes that were in force by the end.
+    changes: usize,
+}
+
+/// What clients saw over all rounds.
+#[derive(Clone, Debug)]
+pub struct LoadResult {
+    /// Through the node.
+    pub through: Latencies,
+    /// Asking the backends directly at the same times.
+    pub direct: Latencies,
+    /// Changes that were in force by the end.
+    pub changes: usize,
+    /// How often the node's log told of a loop that was late.
+    pub stalls: usize,
+}
+
+/// Requests and their latencies.
+#[derive(Clone, Copy, Debug)]
+pub struct Latencies {
+    /// All.
+    pub requests: u64,
+    /// Answered with 429 or 503.
+    pub refused: u64,
+    /// Neither served nor refused.
+    pub failed: u64,
+    /// Half of those served took at most this.
+    pub p50: Duration,
+    /// 99 in 100 of them.
+    pub p99: Duration,
+    /// All of them.
+    pub longest: Duration,
+    /// Whether the generator kept its times.
+    pub valid: bool,
+}
+
+impl LoadedNode {
+    /// Starts a node of a size.
+    ///
+    /// # Errors
+    /// A node that does not start.
+    pub fn start(
+        name: String,
+        program: &Path,
+        change: Option<Change>,
+        size: Size,
+        backends: &[SocketAddr],
+    ) -> io::Result<Self> {
+        let node = NodeProcess::start(program, &text(size, backends, Variant::default()))?;
+        Ok(Self { name, change, node, through: Vec::new(), direct: Vec::new(), changes: 0 })
+    }
+
+    /// One round: asked at the rate, while changes come.
+    fn play(&mut self, plan: &LoadPlan, round: usize, size: Size, backends: &[SocketAddr]) -> io::Result<()> {
+        let seed = plan.seed.wrapping_add(round as u64);
+        let (address, span) = (vec![self.node.address], plan.span);
+        let direct = backends[..DIRECT_BACKENDS.min(backends.len())].to_vec();
+        let through = thread::spawn(move || ask(address, size, span, seed));
+        let beside = thread::spawn(move || ask(direct, size, span, seed));
+        self.make_changes(plan, size, backends)?;
+        let failed = |_| io::Error::other("a thread failed");
+        self.through.push(through.join().map_err(failed)??);
+        self.direct.push(beside.join().map_err(failed)??);
+        Ok(())
+    }
+
+    /// Makes the changes of a round, the first after half of the time between two.
+    fn make_changes(&mut self, plan: &LoadPlan, size: Size, backends: &[SocketAddr]) -> io::Result<()> {
+        let Some(change) = self.change else { return Ok(()) };
+        let start = Instant::now();
+        let mut due = plan.change_every / 2;
+        while due < plan.span {
+            thread::sleep(due.saturating_sub(start.elapsed()));
+            self.node.change_to(&text(size, backends, change.variant(self.changes)))?;
+            self.changes += 1;
+            due += plan.change_every;
+        }
+        Ok(())
+    }
+
+    fn result(&mut self, plan: &LoadPlan) -> LoadResult {
+        LoadResult {
+            through: latencies(&self.through, plan),
+            direct: latencies(&self.direct, plan),
+            changes: self.changes,
+            stalls: self.node.stalls(),
+        }
+    }
+}
+
+/// All nodes in turn, round after round.
+///
+/// # Errors
+/// A node that can't be asked, or does not take a change.
+pub fn take_turns(
+    nodes: &mut [LoadedNode],
+    plan: &LoadPlan,
+    size: Size,
+    backends: &[SocketAddr],
+) -> io::Result<Vec<LoadResult>> {
+    for loaded in &*nodes {
+        ask(vec![loaded.node.address], size, plan.warm_up, plan.seed)?;
+    }
+    for round in 0..plan.rounds {
+        for loaded in &mut *nodes {
+            loaded.play(plan, round, size, backends)?;
+        }
+    }
+    Ok(nodes.iter_mut().map(|loaded| loaded.result(plan)).collect())
+}
+
+/// Asks at the rate: arrivals as of independent clients, drawn ahead, which never wait for answers.
+fn ask(targets: Vec<SocketAddr>, size: Size, span: Duration, seed: u64) -> io::Result<Tally> {
+    let span = span.as_nanos() as u64;
+    let schedule = Schedule::new(Shape::Constant(RATE), Arrivals::Poisson, span, seed);
+    let requests = Requests::drawn(schedule, mix(size), seed);
+    let setup = Setup {
+        targets,
+        protocol: Protocol::Http,
+        threads: 1,
+        connections: CONNECTIONS,
+        closed: None,
+        relaxed: false,
+        seed,
+    };
+    run(&requests, &setup, &Arc::new(Progress::default()))
+}
+
+fn latencies(rounds: &[Tally], plan: &LoadPlan) -> Latencies {
+    let Some((first, more)) = rounds.split_first() else { return Latencies::NONE };
+    let mut all = first.clone();
+    more.iter().for_each(|tally| all.merge(tally));
+    let span = plan.span.as_nanos() as u64 * rounds.len() as u64;
+    debug_assert!(span >= SECOND / 1_000);
+    let summary = Summary::of("capacity", span, &all);
+    let served_within = |share| Duration::from_micros(summary.served_us(share));
+    let (requests, refused) = (all.requests(), summary.of_end(End::Refused));
+    Latencies {
+        requests,
+        refused,
+        failed: requests - refused - summary.of_end(End::Served),
+        p50: served_within(0.5),
+        p99: served_within(0.99),
+        longest: served_within(1.0),
+        valid: summary.valid,
+    }
+}
+
+impl Latencies {
+    /// Of no requests.
+    const NONE: Self = Self {
+        requests: 0,
+        refused: 0,
+        failed: 0,
+        p50: Duration::ZERO,
+        p99: Duration::ZERO,
+        longest: Duration::ZERO,
+        valid: false,
+    };
+}
--- /dev/null
+++ b/crates/rig/src/measure/capacity/mod.rs
@@ -0,0 +1,238 @@
+//! What a node carries: slopes of memory, processor time and latency by each factor of its configuration, and the corner
+//! where all of them are large at once, beside the operators' budgets.
+
+pub mod claims;
+pub mod file;
+pub mod fit;
+pub mod load;
+pub mod probe;
+pub mod proc;
+pub mod process;
+pub mod sample;
+pub mod size;
+pub mod table;
+
+use std::io;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use super::Plan;
+use crate::program::{Tool, build, build_node, built};
+use crate::report::Report;
+use claims::Measured;
+use file::{Change, Variant, text};
+use load::{LoadPlan, LoadResult, LoadedNode, take_turns};
+use process::NodeProcess;
+use sample::{ChangeCost, Sample, cost_of_changes, sample_all};
+use size::{FACTORS, Factor, SMALLEST, Size};
+use table::{Growth, RESIDENT};
+
+/// How long a backend takes over a request.
+const SERVICE: &str = "1ms";
+/// Backends on one loopback address; further ones have the next.
+const BACKENDS_AN_ADDRESS: usize = 2_000;
+/// Rounds of samples at the target; the short run makes one.
+const FULL_ROUNDS: usize = 3;
+/// Changes in a row whose costs make a line.
+const CHANGES_IN_A_ROW: [usize; 4] = [1, 2, 4, 8];
+/// What is changed while a node is asked.
+const LOADS: [(&str, Option<Change>); 3] = [
+    ("no changes", None),
+    ("values change", Some(Change::Value)),
+    ("a tenant comes and goes", Some(Change::Tenant)),
+];
+
+/// A program that is measured.
+struct Build {
+    name: &'static str,
+    program: PathBuf,
+}
+
+/// What was measured of a build in the corner.
+struct Corner {
+    samples: Vec<Sample>,
+    smallest: Vec<Sample>,
+    loads: Vec<LoadResult>,
+}
+
+/// Runs it: at the target where `full` says so, or else at a part of it. `beside` is another build of the node, played in
+/// turn with this one.
+///
+/// # Errors
+/// Programs that do not build, start or answer.
+pub fn measure(plan: Plan, full: bool, beside: Option<&Path>) -> io::Result<Report> {
+    build_node()?;
+    build("pumicehead-load")?;
+    let corner = Size::corner(full);
+    let rounds = if full { FULL_ROUNDS } else { 1 };
+    let own = Build { name: "this build", program: built("pumicehead")? };
+    let other = beside.map(|path| Build { name: "beside", program: path.into() });
+    let backends = start_backends(corner.backends)?;
+    let mut report = Report::new("capacity", &table::head());
+    let growths = measure_growths(&own, corner, rounds, &backends.addresses)?;
+    let builds: Vec<_> = std::iter::once(own).chain(other).collect();
+    let corners = measure_corners(&builds, corner, rounds, &backends.addresses, &mut report)?;
+    show_growths(&mut report, &growths, corner);
+    let costs = changes_in_a_row(&builds[0], corner, &backends.addresses)?;
+    table::change_rows(&mut report, &costs);
+    let corners =
+        load_corners(&builds, corners, corner, &load_plan(plan, full), &backends.addresses, &mut report)?;
+    show_verdict(&mut report, corner, &corners);
+    Ok(report)
+}
+
+/// Stand-in backends in a process of their own.
+fn start_backends(count: usize) -> io::Result<Tool> {
+    let mut arguments = vec!["stand-in".to_owned(), "--service".into(), SERVICE.into()];
+    arguments.extend((0..count).map(|number| format!("127.0.{}.1:0", 1 + number / BACKENDS_AN_ADDRESS)));
+    Tool::start("pumicehead-load", &arguments, None, count)
+}
+
+fn load_plan(plan: Plan, full: bool) -> LoadPlan {
+    let seconds = Duration::from_secs;
+    if full {
+        let (warm_up, span, change_every) = (seconds(5), seconds(20), seconds(5));
+        LoadPlan { seed: plan.seed, warm_up, span, rounds: FULL_ROUNDS, change_every }
+    } else {
+        let (warm_up, span, change_every) = (seconds(1), seconds(5), seconds(2));
+        LoadPlan { seed: plan.seed, warm_up, span, rounds: 1, change_every }
+    }
+}
+
+fn measure_growths(
+    build: &Build,
+    corner: Size,
+    rounds: usize,
+    backends: &[SocketAddr],
+) -> io::Result<Vec<Growth>> {
+    let empty = |factor: Factor| Growth { factor, sizes: factor.sizes(corner), samples: Default::default() };
+    let mut growths: Vec<_> = FACTORS.into_iter().map(empty).collect();
+    for _ in 0..rounds {
+        for growth in &mut growths {
+            let samples = sample_all(&build.program, &growth.sizes, backends)?;
+            growth.samples.iter_mut().zip(samples).for_each(|(all, sample)| all.push(sample));
+        }
+    }
+    Ok(growths)
+}
+
+/// Each build at the smallest size and in the corner, in turn.
+fn measure_corners(
+    builds: &[Build],
+    corner: Size,
+    rounds: usize,
+    backends: &[SocketAddr],
+    report: &mut Report,
+) -> io::Result<Vec<Corner>> {
+    let empty = |_| Corner { samples: Vec::new(), smallest: Vec::new(), loads: Vec::new() };
+    let mut corners: Vec<_> = builds.iter().map(empty).collect();
+    for _ in 0..rounds {
+        for (build, found) in builds.iter().zip(&mut corners) {
+            found.smallest.extend(sample_all(&build.program, &[SMALLEST], backends)?);
+            found.samples.extend(sample_all(&build.program, &[corner], backends)?);
+        }
+    }
+    for (build, found) in builds.iter().zip(&corners) {
+        table::sample_row(report, format!("{}: {}", build.name, SMALLEST.describe()), &found.smallest);
+        table::sample_row(report, format!("{}: {}", build.name, corner.describe()), &found.samples);
+    }
+    Ok(corners)
+}
+
+fn show_growths(report: &mut Report, growths: &[Growth], corner: Size) {
+    for growth in growths {
+        for (size, samples) in growth.sizes.iter().zip(&growth.samples) {
+            table::sample_row(report, size.describe(), samples);
+        }
+    }
+    table::slope_head(report);
+    for growth in growths {
+        table::slope_row(report, growth);
+        let (memory, change) = growth.factor.figures();
+        for (figure, metric, unit) in
+            [(memory, &RESIDENT, table::MEGABYTE), (change, &table::CHANGE_CPU, 1e3)]
+        {
+            if let Some((line, _)) = growth.line(metric) {
+                report.figure(figure, table::short(line.slope * unit));
+            }
+        }
+    }
+    report.figure("rss_mb_by_slopes", table::short(predicted_memory(growths, corner)));
+}
+
+/// Memory of the corner by the slopes alone, in megabytes: what they miss is what grows with two factors at once.
+fn predicted_memory(growths: &[Growth], corner: Size) -> f64 {
+    let Some(base) = growths.first() else { return 0.0 };
+    // The first factor's line, at what the other ones began with; then what each of those adds.
+    let line = |growth: &Growth| growth.line(&RESIDENT).map(|(line, _)| line);
+    let start = line(base).map_or(0.0, |line| line.intercept + line.slope * corner.backends as f64);
+    let more = growths[1..].iter().map(|growth| {
+        let slope = line(growth).map_or(0.0, |line| line.slope);
+        slope * (growth.factor.count(corner) as f64 - begun_with(growth.factor, corner))
+    });
+    start + more.sum::<f64>()
+}
+
+/// How many of a factor are in the line of another one already.
+fn begun_with(factor: Factor, corner: Size) -> f64 {
+    match factor {
+        Factor::Backends | Factor::Tenants => 0.0,
+        Factor::Pools => 1.0,
+        Factor::Routes => corner.pools as f64,
+        // A tenant's slope has it in one pool.
+        Factor::TenantPools => corner.tenants as f64,
+    }
+}
+
+/// Costs of changes of one value, one after another, in the corner.
+fn changes_in_a_row(build: &Build, corner: Size, backends: &[SocketAddr]) -> io::Result<Vec<ChangeCost>> {
+    let mut node = NodeProcess::start(&build.program, &text(corner, backends, Variant::default()))?;
+    let (mut made, mut costs) = (0, Vec::new());
+    for changes in CHANGES_IN_A_ROW {
+        costs.push(cost_of_changes(&mut node, corner, backends, made..made + changes)?);
+        made += changes;
+    }
+    Ok(costs)
+}
+
+/// Latencies of each build under each kind of change, all in turn.
+fn load_corners(
+    builds: &[Build],
+    mut corners: Vec<Corner>,
+    corner: Size,
+    plan: &LoadPlan,
+    backends: &[SocketAddr],
+    report: &mut Report,
+) -> io::Result<Vec<Corner>> {
+    let mut nodes = Vec::new();
+    for (name, change) in LOADS {
+        for build in builds {
+            let name = format!("{}: {name}", build.name);
+            nodes.push(LoadedNode::start(name, &build.program, change, corner, backends)?);
+        }
+    }
+    let results = take_turns(&mut nodes, plan, corner, backends)?;
+    table::load_head(report, plan.span, plan.rounds);
+    for (place, (node, result)) in nodes.iter().zip(results).enumerate() {
+        table::load_row(report, node, &result);
+        corners[place % builds.len()].loads.push(result);
+    }
+    Ok(corners)
+}
+
+/// Figures and claims of this build, and figures of the other one.
+fn show_verdict(report: &mut Report, corner: Size, corners: &[Corner]) {
+    for (place, found) in corners.iter().enumerate() {
+        let [quiet, values, tenants] = &found.loads[..] else { continue };
+        let (samples, smallest) = (&found.samples[..], &found.smallest[..]);
+        let measured = Measured { corner, samples, smallest, quiet, values, tenants };
+        if place == 0 {
+            claims::add_figures(report, &measured);
+            claims::judge_samples(report, &measured);
+            claims::judge_load(report, &measured);
+        } else {
+            claims::add_beside(report, &measured);
+        }
+    }
+}
--- /dev/null
+++ b/crates/rig/src/measure/capacity/process.rs
@@ -0,0 +1,141 @@
+//! A real node process: started with a text, changed by SIGHUP, ended when dropped.
+
+use std::io::{self, BufRead, BufReader};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::mpsc::{self, Receiver};
+use std::time::{Duration, Instant};
+use std::{fs, thread};
+
+use super::probe::ProbeClient;
+use super::proc::CpuTimes;
+use crate::program::temporary;
+
+/// A node that is not ready, or has not taken a change, within this has failed.
+const LIMIT: Duration = Duration::from_secs(60);
+/// What the log says when a change is in force.
+const IN_FORCE: &str = "reload: done";
+/// What it says when a change is refused.
+const REFUSED: &str = "the old configuration stays";
+/// What it says when the loop was late.
+const STALLED: &str = "stood still for";
+
+struct LogLine {
+    at: Instant,
+    text: String,
+}
+
+/// A running node.
+pub struct NodeProcess {
+    child: Child,
+    file: PathBuf,
+    log: Receiver<LogLine>,
+    stalls: usize,
+    /// Where it serves.
+    pub address: SocketAddr,
+    /// From its start until its first answer.
+    pub ready_after: Duration,
+    /// Processor time of all its threads by then.
+    pub start_cpu: Duration,
+}
+
+impl NodeProcess {
+    /// Starts a program with a text, and waits for its first answer.
+    ///
+    /// # Errors
+    /// A program that can't be started, or does not answer.
+    pub fn start(program: &Path, text: &str) -> io::Result<Self> {
+        let file = temporary(".conf");
+        fs::write(&file, text)?;
+        let start = Instant::now();
+        let mut command = Command::new(program);
+        command.arg("run").arg(&file).stdout(Stdio::null()).stderr(Stdio::piped()).env_remove("EDGE_CONFIG");
+        let mut child = command.spawn()?;
+        let stderr = child.stderr.take().ok_or(io::ErrorKind::BrokenPipe)?;
+        let mut node = Self {
+            child,
+            file,
+            log: read_log(stderr),
+            stalls: 0,
+            address: SocketAddr::from(([127, 0, 0, 1], 0)),
+            ready_after: Duration::ZERO,
+            start_cpu: Duration::ZERO,
+        };
+        let listens = node.wait_for_line(|line| line.contains(" listens on "))?;
+        let address = listens.text.rsplit(' ').next().and_then(|address| address.parse().ok());
+        node.address = address.ok_or_else(|| io::Error::other(listens.text))?;
+        ProbeClient::connect(node.address)?.time_own_answer()?;
+        node.ready_after = start.elapsed();
+        node.start_cpu = CpuTimes::read(node.id())?.all();
+        Ok(node)
+    }
+
+    /// Its process.
+    #[must_use]
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Replaces its file, has it read, and waits until that is in force; from the signal on.
+    ///
+    /// # Errors
+    /// A change that is refused, or takes too long.
+    pub fn change_to(&mut self, text: &str) -> io::Result<Duration> {
+        let fresh = temporary(".conf");
+        fs::write(&fresh, text)?;
+        fs::rename(&fresh, &self.file)?;
+        let start = Instant::now();
+        let status = Command::new("kill").args(["-HUP", &self.id().to_string()]).status()?;
+        if !status.success() {
+            return Err(io::Error::other("kill -HUP failed"));
+        }
+        let done = self.wait_for_line(|line| line.contains(IN_FORCE) || line.contains(REFUSED))?;
+        if done.text.contains(REFUSED) {
+            return Err(io::Error::other(done.text));
+        }
+        Ok(done.at.saturating_duration_since(start))
+    }
+
+    /// How often its log has told of a loop that was late.
+    pub fn stalls(&mut self) -> usize {
+        let lines: Vec<_> = self.log.try_iter().collect();
+        self.stalls += lines.iter().filter(|line| line.text.contains(STALLED)).count();
+        self.stalls
+    }
+
+    fn wait_for_line(&mut self, wanted: impl Fn(&str) -> bool) -> io::Result<LogLine> {
+        let end = Instant::now() + LIMIT;
+        loop {
+            let left = end.saturating_duration_since(Instant::now());
+            let line = self.log.recv_timeout(left).map_err(|_| {
+                io::Error::other("the node ended, or its log did not tell what was waited for")
+            })?;
+            self.stalls += usize::from(line.text.contains(STALLED));
+            if wanted(&line.text) {
+                return Ok(line);
+            }
+        }
+    }
+}
+
+impl Drop for NodeProcess {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = fs::remove_file(&self.file);
+    }
+}
+
+/// Lines of a log, each with the time at which it was read.
+fn read_log(stderr: impl io::Read + Send + 'static) -> Receiver<LogLine> {
+    let (sender, lines) = mpsc::channel();
+    thread::spawn(move || {
+        for text in BufReader::new(stderr).lines().map_while(Result::ok) {
+            if sender.send(LogLine { at: Instant::now(), text }).is_err() {
+                return;
+            }
+        }
+    });
+    lines
+}
--- /dev/null
+++ b/crates/rig/src/measure/capacity/sample.rs
@@ -0,0 +1,190 @@
+//! What one node of a size costs: at its start, at rest, a request, a change.
+
+use std::io;
+use std::net::SocketAddr;
+use std::ops::Range;
+use std::path::Path;
+use std::thread;
+use std::time::Duration;
+
+use super::file::{Change, TENANT_HEADER, Variant, text};
+use super::fit::median;
+use super::probe::{LoopTimes, LoopWatch, ProbeClient};
+use super::proc::{self, CpuTimes};
+use super::process::NodeProcess;
+use super::size::Size;
+
+/// How long nodes are left alone to see what they use at rest.
+const REST: Duration = Duration::from_secs(1);
+/// How long the loop is watched without a change.
+const QUIET: Duration = Duration::from_millis(400);
+/// After a change, for what is done once it is in force: the old state is given back.
+const SETTLE: Duration = Duration::from_millis(50);
+/// Requests before those that count.
+const WARM_REQUESTS: usize = 20;
+/// Requests whose mean processor time counts.
+const REQUESTS: usize = 200;
+/// Changes whose mean processor time counts; nothing else is asked meanwhile.
+const CHANGES: usize = 2;
+/// Changes under which the loop is watched.
+const WATCHED_CHANGES: usize = 2;
+
+/// What was measured of one node.
+#[derive(Clone, Copy, Debug)]
+pub struct Sample {
+    /// Bytes of its file.
+    pub file_bytes: usize,
+    /// From the start of the process until its first answer.
+    pub ready_after: Duration,
+    /// Processor time of all threads until then.
+    pub start_cpu: Duration,
+    /// Memory at rest after the start, in bytes.
+    pub resident: u64,
+    /// Most memory from then on over changes of one value, in bytes.
+    pub change_peak: u64,
+    /// From SIGHUP until a change of one value is in force.
+    pub in_force_after: Duration,
+    /// Processor time of a change of one value: all threads.
+    pub change_cpu: Duration,
+    /// The part of it on the loop's thread.
+    pub change_loop_cpu: Duration,
+    /// Processor time of a second at rest.
+    pub rest_cpu: Duration,
+    /// Processor time of a request.
+    pub request_cpu: Duration,
+    /// The loop while nothing changes.
+    pub quiet: LoopTimes,
+    /// The loop while one value changes.
+    pub changing: LoopTimes,
+}
+
+/// Processor time and memory of some changes in a row.
+#[derive(Clone, Copy, Debug)]
+pub struct ChangeCost {
+    /// How many.
+    pub changes: usize,
+    /// Processor time of all threads.
+    pub cpu: Duration,
+    /// The part of it on the loop's thread.
+    pub loop_cpu: Duration,
+    /// The middle time from a signal until its change was in force.
+    pub in_force_after: Duration,
+    /// Most memory over all of them, in bytes.
+    pub peak: u64,
+}
+
+/// Samples of nodes of some sizes. All run at once, so that they are at rest together; the rest is measured one by one.
+///
+/// # Errors
+/// A node that can't be started or asked.
+pub fn sample_all(program: &Path, sizes: &[Size], backends: &[SocketAddr]) -> io::Result<Vec<Sample>> {
+    let start = |size: &Size| NodeProcess::start(program, &text(*size, backends, Variant::default()));
+    let mut nodes = sizes.iter().map(start).collect::<io::Result<Vec<_>>>()?;
+    let before = nodes.iter().map(|node| CpuTimes::read(node.id())).collect::<io::Result<Vec<_>>>()?;
+    thread::sleep(REST);
+    let mut rests = Vec::new();
+    for (node, before) in nodes.iter().zip(&before) {
+        rests.push(CpuTimes::read(node.id())?.all_since(before).div_f64(REST.as_secs_f64()));
+    }
+    let measured = nodes.iter_mut().zip(sizes).zip(rests);
+    measured.map(|((node, size), rest_cpu)| sample(node, *size, backends, rest_cpu)).collect()
+}
+
+fn sample(
+    node: &mut NodeProcess,
+    size: Size,
+    backends: &[SocketAddr],
+    rest_cpu: Duration,
+) -> io::Result<Sample> {
+    let resident = proc::resident(node.id())?;
+    let quiet = watch_quiet(node)?;
+    let request_cpu = cost_of_a_request(node, size)?;
+    let cost = cost_of_changes(node, size, backends, 0..CHANGES)?;
+    let changing = watch_changes(node, size, backends, CHANGES..CHANGES + WATCHED_CHANGES)?;
+    Ok(Sample {
+        file_bytes: text(size, backends, Variant::default()).len(),
+        ready_after: node.ready_after,
+        start_cpu: node.start_cpu,
+        resident,
+        change_peak: cost.peak,
+        in_force_after: cost.in_force_after,
+        change_cpu: cost.cpu / CHANGES as u32,
+        change_loop_cpu: cost.loop_cpu / CHANGES as u32,
+        rest_cpu,
+        request_cpu,
+        quiet,
+        changing,
+    })
+}
+
+fn watch_quiet(node: &NodeProcess) -> io::Result<LoopTimes> {
+    let watch = LoopWatch::start(node.id(), node.address)?;
+    thread::sleep(QUIET);
+    watch.stop()
+}
+
+fn watch_changes(
+    node: &mut NodeProcess,
+    size: Size,
+    backends: &[SocketAddr],
+    numbers: Range<usize>,
+) -> io::Result<LoopTimes> {
+    let watch = LoopWatch::start(node.id(), node.address)?;
+    for number in numbers {
+        node.change_to(&text(size, backends, Change::Value.variant(number)))?;
+        thread::sleep(SETTLE);
+    }
+    watch.stop()
+}
+
+/// Processor time of all threads over requests of one client, one after another.
+fn cost_of_a_request(node: &NodeProcess, size: Size) -> io::Result<Duration> {
+    let mut client = ProbeClient::connect(node.address)?;
+    ask_routes(&mut client, size, WARM_REQUESTS)?;
+    let before = CpuTimes::read(node.id())?;
+    ask_routes(&mut client, size, REQUESTS)?;
+    Ok(CpuTimes::read(node.id())?.all_since(&before) / REQUESTS as u32)
+}
+
+/// Asks routes in turn, for tenants in turn.
+fn ask_routes(client: &mut ProbeClient, size: Size, count: usize) -> io::Result<()> {
+    for number in 0..count {
+        // Far apart from each other in the file.
+        let route = number * size.routes / count;
+        let tenant = (number * size.tenants).checked_div(count).filter(|_| size.tenants > 0);
+        let field = tenant.map_or(String::new(), |tenant| format!("{TENANT_HEADER}: tenant-{tenant}\r\n"));
+        let status = client.ask(&format!("/k{route}/board"), &field)?;
+        if status != 200 {
+            return Err(io::Error::other(format!("route r{route} was answered with {status}")));
+        }
+    }
+    Ok(())
+}
+
+/// Some changes of one value in a row, with nothing asked meanwhile. Their numbers go on from those of earlier ones, so
+/// that each differs from what is in force.
+///
+/// # Errors
+/// A node that does not take them.
+pub fn cost_of_changes(
+    node: &mut NodeProcess,
+    size: Size,
+    backends: &[SocketAddr],
+    numbers: Range<usize>,
+) -> io::Result<ChangeCost> {
+    proc::reset_peak(node.id())?;
+    let before = CpuTimes::read(node.id())?;
+    let (changes, mut spans) = (numbers.len(), Vec::new());
+    for number in numbers {
+        spans.push(node.change_to(&text(size, backends, Change::Value.variant(number)))?.as_secs_f64());
+        thread::sleep(SETTLE);
+    }
+    let after = CpuTimes::read(node.id())?;
+    Ok(ChangeCost {
+        changes,
+        cpu: after.all_since(&before),
+        loop_cpu: after.loop_since(&before),
+        in_force_after: Duration::from_secs_f64(median(spans)),
+        peak: proc::peak(node.id())?,
+    })
+}
--- a/crates/rig/src/measure/mod.rs
+++ b/crates/rig/src/measure/mod.rs
@@ -1,5 +1,6 @@
 //! Measurements that anyone can run, each in a module of its own.
 
+pub mod capacity;
 pub mod config;
 pub mod cost;
 pub mod eyes;
@@ -24,7 +25,7 @@
 /// A measurement by its name.
 pub type Measurement = fn(Plan) -> io::Result<Report>;
 
-/// All measurements that take no more than a plan; `storm` takes another node as well.
+/// All measurements that take no more than a plan; `capacity` and `storm` take more.
 pub const ALL: [(&str, Measurement); 6] = [
     ("config", config::measure),
     ("cost", cost::measure),
