--- a/crates/rig/src/measure/capacity/mod.rs
+++ b/crates/rig/src/measure/capacity/mod.rs
@@ -15,7 +15,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use super::Plan;
 use crate::program::{Tool, build, build_node, built};
@@ -65,6 +65,7 @@
 pub fn measure(plan: Plan, full: bool, beside: Option<&Path>) -> io::Result<Report> {
     build_node()?;
     build("pumicehead-load")?;
+    let start = Instant::now();
     let corner = Size::corner(full);
     let rounds = if full { FULL_ROUNDS } else { 1 };
     let own = Build { name: "this build", program: built("pumicehead")? };
@@ -80,6 +81,7 @@
     let corners =
         load_corners(&builds, corners, corner, &load_plan(plan, full), &backends.addresses, &mut report)?;
     show_verdict(&mut report, corner, &corners);
+    report.figure("took_s", format!("{:.0}", start.elapsed().as_secs_f64()));
     Ok(report)
 }
 
