Rig: hollow nodes beside real processes, and figures of a fleet by its size

Nobody knew what the membership costs a node at 580 nodes: processes in that number don't fit into a machine, and virtual time has no sockets. A hollow node runs the membership machine over sockets of its own; many share two threads. The node's own driver could not be reached: it is part of a program, bound to its log and recorder. What hollow and real nodes send in one fleet is counted at their peers and compared.

Logs of real nodes were tried for the moment at which each holds a killed one dead: like lines are gathered for 10 s, so staff's calls are asked instead.

--- /dev/null
+++ b/crates/rig/src/hollow/mixed.rs
@@ -0,0 +1,343 @@
+//! A fleet of real processes and hollow nodes on loopback.
+
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use pumicehead_members::State;
+use thiserror::Error;
+
+use super::counts::{PeerCounts, Received, Sent};
+use super::event_loops::EventLoops;
+use super::node::{Clock, HollowNode, HollowSetup};
+use super::process::RealNode;
+
+/// The fleet's name.
+const FLEET: &str = "hollow";
+/// All nodes have one zone: zones play no part in what the machine sends.
+const ZONE: &str = "a";
+/// Threads that all hollow nodes share.
+const THREADS: usize = 2;
+/// Between two looks at the hollow nodes' views.
+const POLL: Duration = Duration::from_millis(20);
+/// Hollow nodes that serve as seeds, beside the first real one.
+const HOLLOW_SEEDS: usize = 2;
+
+/// When the others held a killed node dead.
+#[derive(Clone, Copy, Debug)]
+pub struct Detection {
+    /// The first, after the kill.
+    pub first: Duration,
+    /// The last of them.
+    pub last: Duration,
+    /// The last of the real processes.
+    pub last_real: Duration,
+}
+
+/// A killed node that not all others held dead in time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+#[error("not all hold it dead: {hollow} of the hollow and {real} of the real nodes do")]
+pub struct NotDetected {
+    /// Hollow nodes that did.
+    pub hollow: usize,
+    /// Real nodes that did.
+    pub real: usize,
+}
+
+/// What happened while views settled.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Settled {
+    /// Until all held the same; `None`: not within the limit.
+    pub after: Option<Duration>,
+    /// What the hollow nodes sent meanwhile.
+    pub sent: Sent,
+    /// The most bytes that all hollow nodes sent in a second.
+    pub peak_bytes: u64,
+    /// The most bytes that any one of them sent in a second.
+    pub peak_node_bytes: u64,
+}
+
+/// A fleet; all of it ends when it is dropped.
+pub struct MixedFleet {
+    /// Dropped first: the real nodes' ends need no hollow ones.
+    real: Vec<RealNode>,
+    hollow: Vec<Arc<HollowNode>>,
+    loops: EventLoops,
+    clock: Clock,
+    peers: Arc<PeerCounts>,
+    seeds: Vec<SocketAddr>,
+    seed: u64,
+    starts: u64,
+}
+
+fn real_name(number: usize) -> String {
+    format!("r{number:04}")
+}
+
+fn hollow_name(number: usize) -> String {
+    format!("h{number:04}")
+}
+
+impl MixedFleet {
+    /// Starts a fleet of so many real and hollow nodes, at least one of each.
+    ///
+    /// # Errors
+    /// Processes or sockets that can't be had.
+    pub fn start(real: usize, hollow: usize, seed: u64) -> io::Result<Self> {
+        let loops = EventLoops::start(THREADS)?;
+        let first = RealNode::start(&real_name(0), FLEET, ZONE, &[])?;
+        let seeds = vec![first.address];
+        let mut fleet = Self {
+            real: vec![first],
+            hollow: Vec::new(),
+            loops,
+            clock: Clock::start(),
+            peers: Arc::default(),
+            seeds,
+            seed,
+            starts: 0,
+        };
+        fleet.add_hollow(HOLLOW_SEEDS.min(hollow))?;
+        fleet.seeds.extend(fleet.hollow.iter().map(|node| node.address()));
+        fleet.add_real(real.saturating_sub(1))?;
+        fleet.add_hollow(hollow.saturating_sub(HOLLOW_SEEDS))?;
+        Ok(fleet)
+    }
+
+    /// Starts more real nodes, one after another.
+    ///
+    /// # Errors
+    /// One that does not come up.
+    pub fn add_real(&mut self, more: usize) -> io::Result<()> {
+        for _ in 0..more {
+            let name = real_name(self.real.len());
+            self.real.push(RealNode::start(&name, FLEET, ZONE, &self.seeds)?);
+        }
+        Ok(())
+    }
+
+    /// Starts more hollow nodes at once.
+    ///
+    /// # Errors
+    /// Sockets that can't be had.
+    pub fn add_hollow(&mut self, more: usize) -> io::Result<()> {
+        for _ in 0..more {
+            let node = self.start_hollow(hollow_name(self.hollow.len()))?;
+            self.hollow.push(node);
+        }
+        Ok(())
+    }
+
+    fn start_hollow(&mut self, name: String) -> io::Result<Arc<HollowNode>> {
+        self.starts += 1;
+        let setup = HollowSetup {
+            name,
+            fleet: FLEET.into(),
+            zone: ZONE.into(),
+            seeds: self.seeds.clone(),
+            seed: self.seed.wrapping_mul(1 << 32).wrapping_add(self.starts),
+            clock: self.clock,
+            peers: self.peers.clone(),
+        };
+        self.loops.of(self.starts as usize).block_on(HollowNode::start(setup))
+    }
+
+    /// The real nodes.
+    #[must_use]
+    pub fn real(&self) -> &[RealNode] {
+        &self.real
+    }
+
+    /// The hollow nodes.
+    #[must_use]
+    pub fn hollow(&self) -> &[Arc<HollowNode>] {
+        &self.hollow
+    }
+
+    /// Nodes of both sorts.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.real.len() + self.hollow.len()
+    }
+
+    /// Whether there are none, which never is.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// What all hollow nodes have sent.
+    #[must_use]
+    pub fn sent(&self) -> Sent {
+        let mut all = Sent::default();
+        self.hollow.iter().for_each(|node| all.add(node.sent()));
+        all
+    }
+
+    /// Times that hollow nodes noticed that this process had stood still.
+    #[must_use]
+    pub fn stalls(&self) -> u64 {
+        self.hollow.iter().map(|node| node.stalls()).sum()
+    }
+
+    /// The view that all hollow nodes share, where it is one and holds all nodes to be there.
+    fn hollow_view(&self) -> Option<u64> {
+        let mut views = self.hollow.iter().map(|node| node.view());
+        let first = views.next()?;
+        (first.1 == self.len() && views.all(|view| view == first)).then_some(first.0)
+    }
+
+    /// Whether all nodes, the real ones among them, hold the same view with all nodes in it.
+    #[must_use]
+    pub fn is_settled(&self) -> bool {
+        let Some(fingerprint) = self.hollow_view() else { return false };
+        let shown = format!("{fingerprint:016x}");
+        self.real
+            .iter()
+            .all(|node| node.view().is_ok_and(|view| view.there == self.len() && view.fingerprint == shown))
+    }
+
+    /// Waits until all hold the same, and counts what is sent meanwhile.
+    #[must_use]
+    pub fn settle(&self, limit: Duration) -> Settled {
+        let mut settled = Settled::default();
+        self.settle_since(Instant::now(), limit, &mut settled);
+        settled
+    }
+
+    /// The same; the time runs from an earlier moment, and what was counted since is added to.
+    fn settle_since(&self, start: Instant, limit: Duration, settled: &mut Settled) {
+        let mut second = Second::begin(self);
+        while start.elapsed() < limit {
+            if second.began.elapsed() >= Duration::from_secs(1) {
+                second.end(settled);
+                second = Second::begin(self);
+            }
+            if self.is_settled() {
+                settled.after = Some(start.elapsed());
+                break;
+            }
+            thread::sleep(POLL);
+        }
+        second.end(settled);
+    }
+
+    /// Counts what each node sends over a span, at the hollow nodes that receive it, by name.
+    #[must_use]
+    pub fn count(&self, span: Duration) -> HashMap<String, Received> {
+        let start = Instant::now();
+        self.count_until(span, || start.elapsed() >= span)
+    }
+
+    /// Counts the same until something holds, or the limit is reached.
+    #[must_use]
+    pub fn count_until(&self, limit: Duration, mut holds: impl FnMut() -> bool) -> HashMap<String, Received> {
+        let start = Instant::now();
+        self.peers.start();
+        while start.elapsed() < limit && !holds() {
+            thread::sleep(POLL);
+        }
+        let mut counted = self.peers.stop();
+        let real = self.real.iter().map(RealNode::name);
+        let names = real.chain(self.hollow.iter().map(|node| node.name()));
+        let of = |name: &str| {
+            let received = counted.remove(&super::counts::sender(name)).unwrap_or_default();
+            (name.to_owned(), received)
+        };
+        names.map(of).collect()
+    }
+
+    /// What has been counted of a node until now.
+    #[must_use]
+    pub fn counted(&self, name: &str) -> Received {
+        self.peers.of(name)
+    }
+
+    /// Kills the last real node, and waits until all others hold it dead.
+    ///
+    /// # Errors
+    /// Some did not within the limit.
+    pub fn kill_real(&mut self, limit: Duration) -> Result<Detection, NotDetected> {
+        let Some(mut killed) = self.real.pop() else { return Err(NotDetected { hollow: 0, real: 0 }) };
+        let name = killed.name().to_owned();
+        let start = Instant::now();
+        killed.kill();
+        let (mut first, mut last_real) = (None, Duration::ZERO);
+        let mut unaware: Vec<_> = self.real.iter().collect();
+        loop {
+            let holds_dead = |node: &&Arc<HollowNode>| node.holds(&name) == Some(State::Dead);
+            let hollow = self.hollow.iter().filter(holds_dead).count();
+            let before = unaware.len();
+            unaware.retain(|node| !node.holds_dead(&name).unwrap_or(false));
+            let after = start.elapsed();
+            if unaware.len() < before {
+                last_real = after;
+            }
+            let real = self.real.len() - unaware.len();
+            if hollow + real > 0 {
+                first = first.or(Some(after));
+            }
+            if let (Some(first), true) = (first, hollow == self.hollow.len() && unaware.is_empty()) {
+                return Ok(Detection { first, last: after, last_real });
+            }
+            if after > limit {
+                return Err(NotDetected { hollow, real });
+            }
+            thread::sleep(POLL);
+        }
+    }
+
+    /// Restarts so many hollow nodes at once, the seeds not among them: each tells that it goes, and comes back under its name
+    /// after a pause. Waits until all hold the same again.
+    ///
+    /// # Errors
+    /// Sockets that can't be had.
+    pub fn restart_hollow(&mut self, many: usize, pause: Duration, limit: Duration) -> io::Result<Settled> {
+        let from = HOLLOW_SEEDS.min(self.hollow.len());
+        let chosen = from..(from + many).min(self.hollow.len());
+        let mut settled = Settled::default();
+        let start = Instant::now();
+        let second = Second::begin(self);
+        self.hollow[chosen.clone()].iter().for_each(|node| node.leave());
+        thread::sleep(pause);
+        second.end(&mut settled);
+        for place in chosen {
+            let name = self.hollow[place].name().to_owned();
+            self.hollow[place] = self.start_hollow(name)?;
+        }
+        self.settle_since(start, limit, &mut settled);
+        Ok(settled)
+    }
+}
+
+/// What is sent in a second, by node.
+struct Second {
+    began: Instant,
+    nodes: Vec<(Arc<HollowNode>, Sent)>,
+}
+
+impl Second {
+    fn begin(fleet: &MixedFleet) -> Self {
+        let nodes = fleet.hollow.iter().map(|node| (node.clone(), node.sent())).collect();
+        Self { began: Instant::now(), nodes }
+    }
+
+    fn end(&self, settled: &mut Settled) {
+        // A shorter span is no second: its bytes count as they are.
+        let span = self.began.elapsed().as_secs_f64().max(1.0);
+        let mut all = Sent::default();
+        let mut most = 0;
+        for (node, before) in &self.nodes {
+            let sent = node.sent().since(*before);
+            all.add(sent);
+            most = most.max(sent.bytes);
+        }
+        settled.sent.add(all);
+        let a_second = |bytes: u64| (bytes as f64 / span) as u64;
+        settled.peak_bytes = settled.peak_bytes.max(a_second(all.bytes));
+        settled.peak_node_bytes = settled.peak_node_bytes.max(a_second(most));
+    }
+}
--- /dev/null
+++ b/crates/rig/src/hollow/mod.rs
@@ -0,0 +1,18 @@
+//! Hollow nodes: members of a fleet without traffic or servers, many of them in one process.
+//!
+//! A hollow node runs the membership machine of `pumicehead-members` as it is, over sockets of its own on loopback. Only the
+//! driver is not the node's: that one is part of a program, bound to its log and its recorder. The driver here does the same
+//! in the same order, with the same bounds on streams. Nobody has to believe that: `measure::capacity::fleet` counts what hollow
+//! nodes and real processes send in one fleet, at their peers, and compares.
+//!
+//! - `counts`: messages by kind, counted where they arrive;
+//! - `node`: the hollow node, and `stream`, its part over TCP;
+//! - `process`: real nodes as processes that end with this one;
+//! - `mixed`: a fleet of both; `event_loops`, the threads of its hollow nodes.
+
+pub mod counts;
+mod event_loops;
+pub mod mixed;
+pub mod node;
+pub mod process;
+mod stream;
--- /dev/null
+++ b/crates/rig/src/hollow/node.rs
@@ -0,0 +1,274 @@
+//! One hollow node: sockets and time for a membership machine.
+
+use std::io;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use pumicehead_members::member::{Event, Member, Output, Setup};
+use pumicehead_members::settings::LARGEST_DATAGRAM;
+use pumicehead_members::{Card, Key, Nanos, SECOND, Settings, State};
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::sync::Notify;
+use tokio::task::JoinSet;
+use tokio::time::{Instant, sleep_until};
+
+use super::counts::{PeerCounts, Sent, Traffic};
+use super::stream;
+
+/// How often the number of nodes that share a server is computed, as the real node does.
+const SHARING_INTERVAL: Nanos = SECOND;
+/// Ports that are tried until one is free for datagrams and streams alike.
+const PORT_TRIES: usize = 32;
+
+/// The time since 1970, which never jumps; one for all hollow nodes of a process.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock {
+    start: Instant,
+    start_unix: Nanos,
+}
+
+impl Clock {
+    /// Reads the machine's clock.
+    #[must_use]
+    pub fn start() -> Self {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Self { start: Instant::now(), start_unix: unix.as_nanos() as Nanos }
+    }
+
+    /// The time now.
+    #[must_use]
+    pub fn now(&self) -> Nanos {
+        self.start_unix + self.start.elapsed().as_nanos() as Nanos
+    }
+
+    /// The instant of a time; a far one is brought within the runtime's bounds.
+    fn instant(&self, at: Nanos) -> Instant {
+        let span = at.saturating_sub(self.start_unix).min(u64::from(u32::MAX) * SECOND);
+        self.start + Duration::from_nanos(span)
+    }
+}
+
+/// What a hollow node is started with.
+#[derive(Clone, Debug)]
+pub struct HollowSetup {
+    /// Its name.
+    pub name: String,
+    /// Its fleet.
+    pub fleet: String,
+    /// Its zone.
+    pub zone: String,
+    /// Members that it asks first.
+    pub seeds: Vec<SocketAddr>,
+    /// For its random numbers.
+    pub seed: u64,
+    /// Its clock.
+    pub clock: Clock,
+    /// Where its peers' messages are counted.
+    pub peers: Arc<PeerCounts>,
+}
+
+/// A member of a fleet without traffic. It runs until [`HollowNode::kill`] or [`HollowNode::leave`].
+pub struct HollowNode {
+    name: String,
+    address: SocketAddr,
+    clock: Clock,
+    member: Mutex<Member>,
+    datagrams: UdpSocket,
+    /// The machine was handed something outside of the node's own loop.
+    pub(super) touched: Notify,
+    pub(super) open_streams: AtomicUsize,
+    pub(super) traffic: Traffic,
+    pub(super) peers: Arc<PeerCounts>,
+    /// Times that the machine noticed that its process had stood still.
+    stalls: AtomicU64,
+    tasks: Mutex<JoinSet<()>>,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl HollowNode {
+    /// Binds on loopback and begins to ask the seeds. To be called within a runtime.
+    ///
+    /// # Errors
+    /// No port, or a setup that the machine does not take.
+    pub async fn start(setup: HollowSetup) -> io::Result<Arc<Self>> {
+        let (listener, datagrams) = bind().await?;
+        let address = listener.local_addr()?;
+        let now = setup.clock.now();
+        let card = Card {
+            name: setup.name.clone(),
+            epoch: now / 1_000_000,
+            address: address.to_string(),
+            zone: setup.zone,
+            program: env!("CARGO_PKG_VERSION").into(),
+            offers: vec!["view".into()],
+            ..Card::default()
+        };
+        let machine = Setup {
+            settings: Settings::default(),
+            fleet: setup.fleet,
+            card,
+            seeds: setup.seeds,
+            reach: Vec::new(),
+            nodes: 1,
+            seed: setup.seed,
+        };
+        let node = Arc::new(Self {
+            name: setup.name,
+            address,
+            clock: setup.clock,
+            member: Mutex::new(Member::new(machine, now).map_err(io::Error::other)?),
+            datagrams,
+            touched: Notify::new(),
+            open_streams: AtomicUsize::new(0),
+            traffic: Traffic::default(),
+            peers: setup.peers,
+            stalls: AtomicU64::new(0),
+            tasks: Mutex::new(JoinSet::new()),
+        });
+        node.spawn(node.clone().run());
+        node.spawn(stream::accept(node.clone(), listener));
+        Ok(node)
+    }
+
+    /// Its name.
+    #[must_use]
+    pub fn name(&self) -> &str {
+        &self.name
+    }
+
+    /// Where it is reached.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// What it has sent until now.
+    #[must_use]
+    pub fn sent(&self) -> Sent {
+        self.traffic.sent()
+    }
+
+    /// Times that it noticed that its process had stood still.
+    #[must_use]
+    pub fn stalls(&self) -> u64 {
+        self.stalls.load(Ordering::Relaxed)
+    }
+
+    /// The fingerprint of its view, and how many members it holds to be there.
+    #[must_use]
+    pub fn view(&self) -> (u64, usize) {
+        let member = self.member();
+        (member.table().fingerprint(), member.table().there())
+    }
+
+    /// What it holds another member for.
+    #[must_use]
+    pub fn holds(&self, name: &str) -> Option<State> {
+        self.member().table().get(Key::of(name)).map(|held| held.state)
+    }
+
+    /// Ends it as a crash does: without a word.
+    pub fn kill(&self) {
+        lock(&self.tasks).abort_all();
+    }
+
+    /// Ends it in order: it tells some members that it goes.
+    pub fn leave(&self) {
+        self.member().leave(self.clock.now());
+        let outputs: Vec<_> = self.member().outputs().collect();
+        for output in outputs {
+            if let Output::Datagram { to, bytes } = output {
+                self.send(to, &bytes);
+            }
+        }
+        self.kill();
+    }
+
+    pub(super) fn member(&self) -> MutexGuard<'_, Member> {
+        lock(&self.member)
+    }
+
+    pub(super) fn now(&self) -> Nanos {
+        self.clock.now()
+    }
+
+    /// Runs a task that ends with the node.
+    pub(super) fn spawn(&self, task: impl Future<Output = ()> + Send + 'static) {
+        let mut tasks = lock(&self.tasks);
+        // Ended ones are let go, or a long life would gather them.
+        while tasks.try_join_next().is_some() {}
+        tasks.spawn(task);
+    }
+
+    async fn run(self: Arc<Self>) {
+        let mut bytes = vec![0; LARGEST_DATAGRAM + 1];
+        let mut sharing_at = self.now();
+        loop {
+            self.carry_out();
+            let now = self.now();
+            if now >= sharing_at {
+                sharing_at = now + SHARING_INTERVAL;
+                let _ = self.member().nodes(now);
+            }
+            let next = self.member().next().min(sharing_at);
+            tokio::select! {
+                came = self.datagrams.recv_from(&mut bytes) => {
+                    // An error tells that an earlier datagram was refused: the missing answer says the same.
+                    if let Ok((count, from)) = came {
+                        self.peers.datagram(&bytes[..count]);
+                        self.member().on_datagram(self.now(), from, &bytes[..count]);
+                    }
+                }
+                () = sleep_until(self.clock.instant(next)) => {
+                    let now = self.now();
+                    let mut member = self.member();
+                    if member.next() <= now {
+                        member.on_timer(now);
+                    }
+                }
+                () = self.touched.notified() => {}
+            }
+        }
+    }
+
+    fn carry_out(self: &Arc<Self>) {
+        let outputs: Vec<_> = self.member().outputs().collect();
+        for output in outputs {
+            match output {
+                Output::Datagram { to, bytes } => self.send(to, &bytes),
+                Output::Check { seq, to, frame } => self.spawn(stream::check(self.clone(), seq, to, frame)),
+                Output::Sync { to, frame } => self.spawn(stream::compare(self.clone(), to, frame)),
+                Output::Event(Event::Stood(_)) => {
+                    self.stalls.fetch_add(1, Ordering::Relaxed);
+                }
+                Output::Event(_) => {}
+            }
+        }
+    }
+
+    fn send(&self, to: SocketAddr, bytes: &[u8]) {
+        // A full buffer loses a datagram, as any link may.
+        if self.datagrams.try_send_to(bytes, to).is_ok() {
+            self.traffic.datagram(bytes.len());
+        }
+    }
+}
+
+/// Binds one port for streams and datagrams.
+async fn bind() -> io::Result<(TcpListener, UdpSocket)> {
+    for _ in 0..PORT_TRIES {
+        let streams = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
+        match UdpSocket::bind(streams.local_addr()?).await {
+            Ok(datagrams) => return Ok((streams, datagrams)),
+            // Another program has this one for datagrams.
+            Err(error) if error.kind() == io::ErrorKind::AddrInUse => {}
+            Err(error) => return Err(error),
+        }
+    }
+    Err(io::ErrorKind::AddrInUse.into())
+}
--- /dev/null
+++ b/crates/rig/src/hollow/process.rs
@@ -0,0 +1,186 @@
+//! Real nodes as processes. Each runs under a shell that waits on a pipe of this process: when the pipe closes, also because
+//! this process was killed, the shell kills the node and ends.
+
+use std::fs;
+use std::io::{self, BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::os::unix::process::CommandExt;
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use pumicehead_members::State;
+use serde::Deserialize;
+
+use crate::program::{LIMIT, built, memory, temporary};
+
+/// Starts the node, tells its process id, and ends it when the standard input does.
+const GUARD: &str = r#""$0" run "$1" </dev/null & echo $!; read _; kill -KILL $! 2>/dev/null; wait"#;
+/// Between two looks at a log.
+const POLL: Duration = Duration::from_millis(5);
+/// Longest wait for an answer to staff.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// A real node without traffic; killed when dropped.
+pub struct RealNode {
+    name: String,
+    guard: Child,
+    pid: u32,
+    file: PathBuf,
+    log: Arc<Mutex<Vec<String>>>,
+    /// Where other members reach it.
+    pub address: SocketAddr,
+    calls: SocketAddr,
+}
+
+/// A node's answer to staff about its view.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+pub struct View {
+    /// Of the whole view, in hexadecimal.
+    pub fingerprint: String,
+    /// Members that are there.
+    pub there: usize,
+}
+
+/// What a node holds a member for.
+#[derive(Deserialize)]
+struct Entry {
+    state: String,
+}
+
+fn text(name: &str, fleet: &str, zone: &str, seeds: &[SocketAddr]) -> String {
+    let seeds: String = seeds.iter().map(|seed| format!(" {seed}")).collect();
+    let seeds = if seeds.is_empty() { seeds } else { format!("seeds{seeds}") };
+    // No request comes, so nothing is ever sent to the server.
+    format!(
+        "node {{ name {name}; zones {zone}; zone {zone} }}\n\
+         listener public {{ address 127.0.0.1:0 }}\n\
+         pool boards {{ server s {{ address 127.0.0.1:9 }} }}\n\
+         class read {{ aim 5s; deadline 20s; repeats safe }}\n\
+         route all {{ path /**; class read; pool boards }}\n\
+         observe {{ calls 127.0.0.1:0 }}\n\
+         fleet {{ name {fleet}; address 127.0.0.1:0; {seeds} }}\n"
+    )
+}
+
+impl RealNode {
+    /// Starts one, and waits until it listens.
+    ///
+    /// # Errors
+    /// A program that is not built, or a node that does not come up.
+    pub fn start(name: &str, fleet: &str, zone: &str, seeds: &[SocketAddr]) -> io::Result<Self> {
+        let file = temporary(".conf");
+        fs::write(&file, text(name, fleet, zone, seeds))?;
+        let mut command = Command::new("/bin/sh");
+        command.args(["-c", GUARD]).arg(built("pumicehead")?).arg(&file).env_remove("EDGE_CONFIG");
+        // A group of its own: what interrupts this process from a terminal leaves the guard to do its work.
+        command.process_group(0).stdin(Stdio::piped()).stdout(Stdio::piped()).stderr(Stdio::piped());
+        let mut guard = command.spawn()?;
+        let output = guard.stdout.take().ok_or(io::ErrorKind::BrokenPipe)?;
+        let mut pid = String::new();
+        BufReader::new(output).read_line(&mut pid)?;
+        let pid = pid.trim().parse().map_err(io::Error::other)?;
+        let errors = guard.stderr.take().ok_or(io::ErrorKind::BrokenPipe)?;
+        let log = Arc::new(Mutex::new(Vec::new()));
+        let lines = log.clone();
+        thread::spawn(move || {
+            for line in BufReader::new(errors).lines().map_while(Result::ok) {
+                lines.lock().unwrap_or_else(PoisonError::into_inner).push(line);
+            }
+        });
+        let nowhere = ([127, 0, 0, 1], 0).into();
+        let mut node = Self { name: name.into(), guard, pid, file, log, address: nowhere, calls: nowhere };
+        node.address = node.listens(" speaks on ")?;
+        node.calls = node.listens(" takes calls on ")?;
+        Ok(node)
+    }
+
+    fn listens(&self, words: &str) -> io::Result<SocketAddr> {
+        let start = Instant::now();
+        while start.elapsed() < LIMIT {
+            let log = self.log.lock().unwrap_or_else(PoisonError::into_inner).clone();
+            let told = log.iter().find_map(|line| line.split_once(words)?.1.trim().parse().ok());
+            if let Some(address) = told {
+                return Ok(address);
+            }
+            thread::sleep(POLL);
+        }
+        Err(io::Error::new(io::ErrorKind::TimedOut, format!("{} does not start", self.name)))
+    }
+
+    /// Its name.
+    #[must_use]
+    pub fn name(&self) -> &str {
+        &self.name
+    }
+
+    /// Its view, asked where it takes calls.
+    ///
+    /// # Errors
+    /// No answer, or one that is no view.
+    pub fn view(&self) -> io::Result<View> {
+        Ok(serde_json::from_str(&self.ask("FLEET members")?)?)
+    }
+
+    /// Whether it holds a member dead, asked where it takes calls: its log tells of many like changes only later.
+    ///
+    /// # Errors
+    /// No answer, or one that is about no member.
+    pub fn holds_dead(&self, name: &str) -> io::Result<bool> {
+        let entry: Entry = serde_json::from_str(&self.ask(&format!("FLEET why {name}"))?)?;
+        Ok(entry.state == State::Dead.word())
+    }
+
+    fn ask(&self, call: &str) -> io::Result<String> {
+        let mut stream = TcpStream::connect(self.calls)?;
+        stream.set_read_timeout(Some(ANSWER_TIMEOUT))?;
+        stream.write_all(format!("{call}\n").as_bytes())?;
+        let mut text = String::new();
+        stream.read_to_string(&mut text)?;
+        Ok(text)
+    }
+
+    /// Its process.
+    #[must_use]
+    pub fn pid(&self) -> u32 {
+        self.pid
+    }
+
+    /// Memory that it holds now, in bytes.
+    #[must_use]
+    pub fn memory(&self) -> u64 {
+        memory(self.pid)
+    }
+
+    /// Processor time that all its threads have used, in seconds.
+    #[must_use]
+    pub fn cpu_seconds(&self) -> f64 {
+        all_threads_cpu_seconds(self.pid)
+    }
+
+    /// Kills it, without a word to the others.
+    pub fn kill(&mut self) {
+        drop(self.guard.stdin.take());
+        let _ = self.guard.wait();
+    }
+}
+
+impl Drop for RealNode {
+    fn drop(&mut self) {
+        self.kill();
+        let _ = fs::remove_file(&self.file);
+    }
+}
+
+/// Processor time that the living threads of a process have used, in seconds; 0 where the system does not tell.
+#[must_use]
+pub fn all_threads_cpu_seconds(pid: u32) -> f64 {
+    let Ok(threads) = fs::read_dir(format!("/proc/{pid}/task")) else { return 0.0 };
+    let of_thread = |thread: fs::DirEntry| {
+        let schedule = fs::read_to_string(thread.path().join("schedstat")).ok()?;
+        schedule.split(' ').next()?.parse::<f64>().ok()
+    };
+    threads.filter_map(Result::ok).filter_map(of_thread).sum::<f64>() / 1e9
+}
--- /dev/null
+++ b/crates/rig/src/hollow/stream.rs
@@ -0,0 +1,154 @@
+//! A hollow node's streams: frames with their length before them, bounded in number and time as the real node's are.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use pumicehead_members::member::{Checked, Exchange};
+use pumicehead_members::settings::LARGEST_FRAME;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Semaphore;
+use tokio::time::{sleep, timeout};
+
+use super::node::HollowNode;
+
+/// Streams from others at once; more wait.
+const MOST_ACCEPTED: usize = 8;
+/// Streams to others at once; more are not opened.
+const MOST_OPENED: usize = 16;
+/// Longest that a comparison of views takes.
+const EXCHANGE_TIMEOUT: Duration = Duration::from_secs(10);
+/// Longest wait for the answer to a check.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(200);
+/// Pause after an accept that failed for lack of descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+async fn read(node: &HollowNode, stream: &mut TcpStream) -> io::Result<Option<Vec<u8>>> {
+    let mut length = [0; 4];
+    match stream.read_exact(&mut length).await {
+        Ok(_) => {}
+        Err(error) if error.kind() == io::ErrorKind::UnexpectedEof => return Ok(None),
+        Err(error) => return Err(error),
+    }
+    let length = u32::from_be_bytes(length) as usize;
+    if length > LARGEST_FRAME {
+        return Err(io::ErrorKind::InvalidData.into());
+    }
+    let mut bytes = vec![0; length];
+    stream.read_exact(&mut bytes).await?;
+    node.peers.frame(&bytes);
+    Ok(Some(bytes))
+}
+
+async fn write(node: &HollowNode, stream: &mut TcpStream, bytes: &[u8]) -> io::Result<()> {
+    let length = u32::try_from(bytes.len()).map_err(io::Error::other)?;
+    stream.write_all(&[&length.to_be_bytes(), bytes].concat()).await?;
+    node.traffic.frame(bytes.len());
+    Ok(())
+}
+
+/// Takes streams for as long as the node lives.
+pub(super) async fn accept(node: Arc<HollowNode>, listener: TcpListener) {
+    let permits = Arc::new(Semaphore::new(MOST_ACCEPTED));
+    loop {
+        let Ok(permit) = permits.clone().acquire_owned().await else { return };
+        let Ok((stream, from)) = listener.accept().await else {
+            sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let server = node.clone();
+        node.spawn(async move {
+            // A stream that fails is an exchange that did not take place.
+            let _ = timeout(EXCHANGE_TIMEOUT, serve(&server, stream, from)).await;
+            drop(permit);
+        });
+    }
+}
+
+async fn serve(node: &HollowNode, mut stream: TcpStream, from: SocketAddr) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    while let Some(bytes) = read(node, &mut stream).await? {
+        let came = node.member().on_frame(node.now(), from, &bytes);
+        node.touched.notify_one();
+        match came {
+            Ok(Exchange::Answer(answer)) => write(node, &mut stream, &answer).await?,
+            Ok(Exchange::Over) => return Ok(()),
+            Err((_, refusal)) => return write(node, &mut stream, &refusal).await,
+        }
+    }
+    Ok(())
+}
+
+/// A permit for a stream of the node's own, until it is dropped.
+struct Opened(Arc<HollowNode>);
+
+impl Opened {
+    fn new(node: &Arc<HollowNode>) -> Option<Self> {
+        let opened = Self(node.clone());
+        let before = node.open_streams.fetch_add(1, Ordering::Relaxed);
+        (before < MOST_OPENED).then_some(opened)
+    }
+}
+
+impl Drop for Opened {
+    fn drop(&mut self) {
+        self.0.open_streams.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// Asks a member over a stream whether it is there.
+pub(super) async fn check(node: Arc<HollowNode>, seq: u32, to: SocketAddr, frame: Vec<u8>) {
+    let Some(_permit) = Opened::new(&node) else { return };
+    let asked = timeout(2 * CHECK_TIMEOUT, ask(&node, to, &frame));
+    let checked = asked.await.unwrap_or(Checked::Unreachable);
+    node.member().on_checked(node.now(), seq, checked);
+    node.touched.notify_one();
+}
+
+async fn ask(node: &HollowNode, to: SocketAddr, frame: &[u8]) -> Checked {
+    let mut stream = match TcpStream::connect(to).await {
+        Ok(stream) => stream,
+        Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => return Checked::Refused,
+        Err(_) => return Checked::Unreachable,
+    };
+    let _ = stream.set_nodelay(true);
+    let answered = async {
+        write(node, &mut stream, frame).await?;
+        read(node, &mut stream).await
+    };
+    match timeout(CHECK_TIMEOUT, answered).await {
+        Ok(Ok(Some(bytes))) => {
+            node.member().on_reply(node.now(), to, &bytes);
+            Checked::Answered
+        }
+        // Closed without an answer: nothing behind this address takes connections.
+        Ok(Ok(None) | Err(_)) => Checked::Refused,
+        Err(_) => Checked::Silent,
+    }
+}
+
+/// Compares views with a member.
+pub(super) async fn compare(node: Arc<HollowNode>, to: SocketAddr, frame: Vec<u8>) {
+    let Some(_permit) = Opened::new(&node) else { return };
+    // One that fails is tried again with another member.
+    let _ = timeout(EXCHANGE_TIMEOUT, exchange(&node, to, frame)).await;
+}
+
+async fn exchange(node: &HollowNode, to: SocketAddr, frame: Vec<u8>) -> io::Result<()> {
+    let mut stream = TcpStream::connect(to).await?;
+    stream.set_nodelay(true)?;
+    let mut next = frame;
+    loop {
+        write(node, &mut stream, &next).await?;
+        let Some(bytes) = read(node, &mut stream).await? else { return Ok(()) };
+        let came = node.member().on_reply(node.now(), to, &bytes);
+        node.touched.notify_one();
+        match came {
+            Exchange::Answer(answer) => next = answer,
+            Exchange::Over => return Ok(()),
+        }
+    }
+}
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod board;
 pub mod client;
+pub mod hollow;
 pub mod late;
 pub mod measure;
 pub mod parity;
--- /dev/null
+++ b/crates/rig/src/measure/capacity/fleet.rs
@@ -0,0 +1,282 @@
+//! The membership of a fleet by its size: real processes and hollow nodes on loopback, and larger fleets in virtual time.
+//!
+//! The order is that of trust: first a small fleet in which hollow nodes are counted beside real ones, then one fleet that
+//! grows to its full size, in which a process is killed and many nodes restart, then what sockets can't show: a zone gone, two
+//! regions that lose each other, three times the size. Each row says whether its nodes are real, hollow or virtual.
+
+mod growth;
+mod parity;
+mod virtual_time;
+
+use std::io;
+use std::thread;
+use std::time::Duration;
+
+use crate::report::Report;
+pub use growth::{Burst, Growth, Rest, Size};
+pub use parity::{Parity, Rate};
+pub use virtual_time::{Cut, VirtualJoin, VirtualSize, ZoneGone};
+
+/// Share of a core that a node may spend for control.
+pub const CPU_BUDGET: f64 = 0.034;
+/// Memory that a node may spend for control, in bytes.
+pub const MEMORY_BUDGET: f64 = 64e6;
+/// Bytes a second that a node may spend for control.
+pub const BYTES_BUDGET: f64 = 9_000.0;
+/// A killed process is known to all within this.
+const DETECTION_LIMIT: Duration = Duration::from_secs(10);
+/// The time over which a burst is held against the budget.
+const BURST_SPAN_SECONDS: f64 = 60.0;
+/// What the table's columns are.
+const COLUMNS: [&str; 11] = [
+    "members",
+    "nodes are",
+    "all see all, s",
+    "messages/s",
+    "bytes/s",
+    "core, %",
+    "MB",
+    "dead: first, s",
+    "last, s",
+    "peak bytes/s",
+    "most of one",
+];
+
+/// All figures.
+#[derive(Debug)]
+pub struct FleetFigures {
+    /// Hollow nodes beside real ones.
+    pub parity: Parity,
+    /// One fleet that grows.
+    pub growth: Growth,
+    /// Fleets in virtual time, by size.
+    pub virtual_sizes: Vec<VirtualSize>,
+    /// Fleets in virtual time whose nodes all start at once.
+    pub joins: Vec<VirtualJoin>,
+    /// A zone of nodes gone at once.
+    pub zone: ZoneGone,
+    /// Two regions that lose each other for a minute.
+    pub cut: Cut,
+}
+
+/// Measures all of it: some half a minute, or with `full` some minutes.
+///
+/// # Errors
+/// Processes or sockets that can't be had.
+pub fn measure(seed: u64, full: bool) -> io::Result<FleetFigures> {
+    // Virtual time needs a core and no sockets; the small fleet waits most of the time.
+    let (parity, (virtual_sizes, joins, zone, cut)) = thread::scope(|scope| {
+        let parity = scope.spawn(|| parity::measure(seed, full));
+        let simulated = simulate(seed, full);
+        (parity.join().unwrap_or_else(|_| Err(io::Error::other("a thread failed"))), simulated)
+    });
+    let growth = growth::measure(seed, full)?;
+    Ok(FleetFigures { parity: parity?, growth, virtual_sizes, joins, zone, cut })
+}
+
+fn simulate(seed: u64, full: bool) -> (Vec<VirtualSize>, Vec<VirtualJoin>, ZoneGone, Cut) {
+    let sizes: &[usize] = if full { &[58, 145, 290, 580, 1_740] } else { &[58, 145, 290, 580] };
+    let joins: &[usize] = if full { &[14, 29, 58, 145, 290] } else { &[14, 29, 58, 145] };
+    let most = if full { 580 } else { 145 };
+    (
+        sizes.iter().map(|nodes| virtual_time::size(*nodes, seed)).collect(),
+        joins.iter().map(|nodes| virtual_time::join(*nodes, seed)).collect(),
+        virtual_time::zone_gone(most, seed),
+        virtual_time::regions_cut(most, seed),
+    )
+}
+
+fn seconds(span: Option<Duration>) -> String {
+    span.map_or("no".into(), |span| format!("{:.1}", span.as_secs_f64()))
+}
+
+fn megabytes(bytes: f64) -> String {
+    format!("{:.2}", bytes / 1e6)
+}
+
+/// A row of the table, filled in by column.
+struct Row([String; COLUMNS.len()]);
+
+impl Row {
+    fn new(members: impl ToString, nodes_are: &str) -> Self {
+        let mut cells: [String; COLUMNS.len()] = Default::default();
+        cells[0] = members.to_string();
+        cells[1] = nodes_are.into();
+        Self(cells)
+    }
+
+    fn set(mut self, column: &str, value: impl ToString) -> Self {
+        if let Some(place) = COLUMNS.iter().position(|known| *known == column) {
+            self.0[place] = value.to_string();
+        }
+        self
+    }
+
+    fn rest(self, rest: &Rest) -> Self {
+        self.set("messages/s", format!("{:.2}", rest.messages))
+            .set("bytes/s", format!("{:.0}", rest.bytes))
+            .set("core, %", format!("{:.2}", rest.cpu * 100.0))
+            .set("MB", megabytes(rest.memory))
+    }
+}
+
+impl FleetFigures {
+    /// Adds its rows, figures and claims to a report.
+    pub fn add_to(&self, report: &mut Report) {
+        self.add_parity(report);
+        report.row(&COLUMNS.map(str::to_owned));
+        self.add_growth(report);
+        self.add_virtual(report);
+        self.claim_budgets(report);
+    }
+
+    fn add_parity(&self, report: &mut Report) {
+        let head = format!(
+            "sent by a node a second, {} real and {} hollow, counted by peers over {:.0} s",
+            self.parity.real,
+            self.parity.hollow,
+            self.parity.span.as_secs_f64()
+        );
+        report.row(&[head, "real".into(), "hollow".into(), "hollow/real".into()]);
+        for rate in &self.parity.rates {
+            report.row(&[
+                rate.what.into(),
+                format!("{:.2}", rate.real),
+                format!("{:.2}", rate.hollow),
+                rate.ratio().map_or(String::new(), |ratio| format!("{ratio:.3}")),
+            ]);
+        }
+        for rate in self.parity.rates.iter().filter(|rate| rate.is_judged) {
+            let within = rate.ratio().is_some_and(|ratio| (ratio - 1.0).abs() <= self.parity.tolerance);
+            let percent = self.parity.tolerance * 100.0;
+            report.claim(
+                within,
+                format!("hollow nodes send as real ones, within {percent:.0}%: {}", rate.what),
+            );
+        }
+    }
+
+    fn add_growth(&self, report: &mut Report) {
+        for size in &self.growth.sizes {
+            let joined = seconds(size.joined.after);
+            report.row(
+                &Row::new(size.nodes, &format!("{} hollow", size.nodes - size.real))
+                    .set("all see all, s", joined)
+                    .set("peak bytes/s", size.joined.peak_bytes / (size.nodes - size.real) as u64)
+                    .set("most of one", size.joined.peak_node_bytes)
+                    .rest(&size.hollow_rest)
+                    .0,
+            );
+            report.row(&Row::new(size.nodes, &format!("{} real", size.real)).rest(&size.real_rest).0);
+            report.claim(size.joined.after.is_some(), format!("{} nodes: all see all", size.nodes));
+        }
+        let most = self.growth.nodes();
+        let detection = self.growth.detection.ok();
+        report.row(
+            &Row::new(format!("{most}, a process killed"), "hollow, real")
+                .set("dead: first, s", seconds(detection.map(|found| found.first)))
+                .set("last, s", seconds(detection.map(|found| found.last)))
+                .0,
+        );
+        let in_time = detection.is_some_and(|found| found.last <= DETECTION_LIMIT);
+        report.claim(in_time, format!("a killed process is known to all {most} in {DETECTION_LIMIT:?}"));
+        let burst = &self.growth.burst;
+        report.row(
+            &Row::new(format!("{most}, {} restart at once", burst.restarted), "hollow")
+                .set("all see all, s", seconds(burst.settled.after))
+                .set("peak bytes/s", format!("{:.0}", burst.peak_bytes_a_node()))
+                .set("most of one", burst.settled.peak_node_bytes)
+                .0,
+        );
+        report.claim(burst.settled.after.is_some(), "after a burst of restarts all see all");
+        report.figure("fleet_nodes", most);
+        report.figure("fleet_processes", self.growth.processes);
+        report.figure("fleet_burst_peak_bytes", format!("{:.0}", burst.peak_bytes_a_node()));
+        report
+            .figure("fleet_burst_peak_of_budget", format!("{:.1}", burst.peak_bytes_a_node() / BYTES_BUDGET));
+        report.figure("fleet_burst_bytes", format!("{:.0}", burst.bytes_a_node()));
+        report.figure("fleet_burst_cpu_s", format!("{:.3}", burst.cpu_seconds_a_node));
+        report.figure("fleet_stalls", self.growth.stalls);
+    }
+
+    fn add_virtual(&self, report: &mut Report) {
+        for size in &self.virtual_sizes {
+            report.row(
+                &Row::new(size.nodes, "virtual")
+                    .set("messages/s", format!("{:.2}", size.datagrams))
+                    .set("bytes/s", format!("{:.0}", size.bytes))
+                    .set("dead: first, s", seconds(size.first))
+                    .set("last, s", seconds(size.last))
+                    .0,
+            );
+            let known = size.last.is_some_and(|last| last <= DETECTION_LIMIT);
+            report.claim(
+                known,
+                format!("{} in virtual time: a crash is known in {DETECTION_LIMIT:?}", size.nodes),
+            );
+            let within = size.bytes <= BYTES_BUDGET;
+            report.claim(within, format!("{} in virtual time: bytes a second within the budget", size.nodes));
+        }
+        for join in &self.joins {
+            report.row(
+                &Row::new(format!("{}, all start at once", join.nodes), "virtual")
+                    .set("all see all, s", seconds(join.settled))
+                    .set("bytes/s", format!("{:.0}", join.bytes))
+                    .0,
+            );
+            report.claim(
+                join.settled.is_some(),
+                format!("{} start at once in virtual time: all see all", join.nodes),
+            );
+        }
+        if let Some(join) = self.joins.last() {
+            report.figure("fleet_join_contests", format!("{}:{:.0}", join.nodes, join.changes));
+        }
+        let zone = &self.zone;
+        report.row(
+            &Row::new(format!("{}, a zone of {} gone", zone.nodes, zone.gone), "virtual")
+                .set("dead: first, s", seconds(zone.first))
+                .set("last, s", seconds(zone.last))
+                .set("peak bytes/s", format!("{:.0}", zone.peak_bytes))
+                .0,
+        );
+        report.claim(zone.last.is_some(), "a zone that is gone is known to all");
+        let cut = &self.cut;
+        report.row(
+            &Row::new(format!("{}, two of three regions cut for a minute, healed", cut.nodes), "virtual")
+                .set("all see all, s", seconds(cut.healed))
+                .set("bytes/s", format!("{:.0}", cut.bytes))
+                .set("peak bytes/s", format!("{:.0}", cut.peak_bytes))
+                .0,
+        );
+        report
+            .claim(cut.healed.is_some(), "two regions that were cut off from each other hold the same again");
+        report.claim(cut.wronged == 0, "nobody is held dead whom a third region reaches");
+        report.figure("fleet_cut_wronged", cut.wronged);
+    }
+
+    fn claim_budgets(&self, report: &mut Report) {
+        let Some(size) = self.growth.sizes.last() else { return };
+        for (nodes_are, rest) in [("hollow", &size.hollow_rest), ("real", &size.real_rest)] {
+            let claims = [
+                (rest.bytes <= BYTES_BUDGET, "bytes a second"),
+                (rest.cpu <= CPU_BUDGET, "processor time"),
+                (rest.memory <= MEMORY_BUDGET, "memory"),
+            ];
+            for (holds, what) in claims {
+                report.claim(
+                    holds,
+                    format!("{} {nodes_are} nodes at rest: {what} within the budget", size.nodes),
+                );
+            }
+        }
+        let burst = self.growth.burst.bytes_a_node() / BURST_SPAN_SECONDS;
+        report.claim(
+            burst <= BYTES_BUDGET,
+            "a burst of restarts, over a minute: bytes a second within the budget",
+        );
+        report.figure("fleet_rest_bytes", format!("{:.0}", size.real_rest.bytes));
+        report.figure("fleet_rest_cpu_percent", format!("{:.2}", size.real_rest.cpu * 100.0));
+        report.figure("fleet_rest_mb", megabytes(size.real_rest.memory));
+    }
+}
--- /dev/null
+++ b/crates/rig/src/measure/capacity/mod.rs
@@ -0,0 +1,3 @@
+//! What the design carries at the size that operators need.
+
+pub mod fleet;
--- a/crates/rig/src/measure/mod.rs
+++ b/crates/rig/src/measure/mod.rs
@@ -1,5 +1,6 @@
 //! Measurements that anyone can run, each in a module of its own.
 
+pub mod capacity;
 pub mod config;
 pub mod cost;
 pub mod eyes;
--- /dev/null
+++ b/crates/rig/tests/hollow_fleet.rs
@@ -0,0 +1,73 @@
+//! Hollow nodes beside a real process: one view, the same kinds of messages, and the end of all that was started.
+//!
+//! Counts are compared, never times: the verdict is the same on a busy machine.
+
+use std::path::Path;
+use std::time::Duration;
+
+use pumicehead_rig::hollow::counts::{KINDS, Received};
+use pumicehead_rig::hollow::mixed::MixedFleet;
+use pumicehead_rig::program::{LIMIT, wait_for};
+
+const HOLLOW: usize = 20;
+/// Probes of the real node after which counts are compared.
+const PROBES: u64 = 12;
+/// Place of probes, and of their answers, in [`KINDS`].
+const PING: usize = 1;
+const ACK: usize = 3;
+/// Shares of kinds differ by no more than this: rumours of a busy machine's stalls come on top of probes.
+const SHARE: f64 = 0.3;
+
+fn share(received: &Received, kind: usize) -> f64 {
+    received.datagrams[kind] as f64 / received.all_datagrams().max(1) as f64
+}
+
+fn bytes_each(received: &Received) -> f64 {
+    received.datagram_bytes as f64 / received.all_datagrams().max(1) as f64
+}
+
+/// Guards the hollow node against drifting from the real one: they find each other, hold one view, and send the same kinds of
+/// messages of the same size in the same proportion.
+#[test]
+fn hollow_nodes_are_members_as_a_real_process_is() {
+    let fleet = MixedFleet::start(1, HOLLOW, 7).unwrap();
+    assert_eq!(fleet.len(), HOLLOW + 1);
+    wait_for("one view", || fleet.is_settled());
+    let real = fleet.real()[0].name().to_owned();
+    let enough = || fleet.counted(&real).datagrams[PING] >= PROBES;
+    let counted = fleet.count_until(LIMIT, enough);
+    let from_real = counted[&real];
+    assert!(from_real.datagrams[PING] >= PROBES, "{from_real:?}");
+    let mut from_hollow = Received::default();
+    for node in fleet.hollow() {
+        let from = counted[node.name()];
+        assert!(from.datagrams[PING] > 0 && from.datagrams[ACK] > 0, "{}: {from:?}", node.name());
+        from_hollow.datagram_bytes += from.datagram_bytes;
+        for (sum, count) in from_hollow.datagrams.iter_mut().zip(from.datagrams) {
+            *sum += count;
+        }
+    }
+    for kind in [PING, ACK] {
+        let (real, hollow) = (share(&from_real, kind), share(&from_hollow, kind));
+        let name = KINDS[kind].1;
+        assert!((real - hollow).abs() <= SHARE, "{name}: {real:.2} and {hollow:.2} of all datagrams");
+    }
+    let (real, hollow) = (bytes_each(&from_real), bytes_each(&from_hollow));
+    assert!(real < 2.0 * hollow && hollow < 2.0 * real, "{real:.0} and {hollow:.0} bytes a datagram");
+}
+
+/// Guards detection and restarts across both sorts: a killed process is held dead by all, and hollow nodes that restart are
+/// members again.
+#[test]
+fn a_killed_process_is_found_and_restarts_settle() {
+    let mut fleet = MixedFleet::start(2, HOLLOW, 8).unwrap();
+    wait_for("one view", || fleet.is_settled());
+    let settled = fleet.restart_hollow(HOLLOW / 2, Duration::from_millis(200), LIMIT).unwrap();
+    assert!(settled.after.is_some(), "{settled:?}");
+    assert!(settled.sent.datagrams > 0 && settled.peak_node_bytes <= settled.peak_bytes, "{settled:?}");
+    let pid = fleet.real()[1].pid();
+    let detection = fleet.kill_real(LIMIT).expect("all hold it dead");
+    assert!(detection.first <= detection.last && detection.last_real <= detection.last, "{detection:?}");
+    assert!(!Path::new(&format!("/proc/{pid}")).exists(), "process {pid} is still there");
+    wait_for("one view without it", || fleet.is_settled());
+}
