--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -6,7 +6,7 @@
 use std::process::ExitCode;
 use std::time::Duration;
 
-use clap::{Parser, Subcommand};
+use clap::{Parser, Subcommand, ValueEnum};
 use pumicehead_rig::measure::{ALL, Plan, capacity, storm};
 use pumicehead_rig::report::Report;
 use pumicehead_rig::standin::{StandIn, Work};
@@ -30,7 +30,7 @@
         #[arg(long, default_value_t = 5)]
         takes_ms: u64,
     },
-    /// What a node carries: slopes by each factor of its configuration, and all factors at once.
+    /// What a node and a fleet carry: slopes by each factor, and all factors at once, beside the budgets.
     Capacity {
         #[command(flatten)]
         options: Options,
@@ -40,6 +40,9 @@
         /// Another build of the node, played in turn with this one.
         #[arg(long)]
         beside: Option<PathBuf>,
+        /// What is measured.
+        #[arg(long, value_enum, default_value_t = CapacityPart::All)]
+        part: CapacityPart,
     },
     /// The configuration: checks, matches, reloads.
     Config(Options),
@@ -63,6 +66,27 @@
     },
 }
 
+/// Parts of `capacity`.
+#[derive(Clone, Copy, ValueEnum)]
+enum CapacityPart {
+    /// One node and the fleet.
+    All,
+    /// One node alone.
+    Node,
+    /// The fleet alone.
+    Fleet,
+}
+
+impl From<CapacityPart> for capacity::Part {
+    fn from(part: CapacityPart) -> Self {
+        match part {
+            CapacityPart::All => Self::All,
+            CapacityPart::Node => Self::Node,
+            CapacityPart::Fleet => Self::Fleet,
+        }
+    }
+}
+
 #[derive(clap::Args)]
 struct Options {
     /// For random numbers.
@@ -79,9 +103,10 @@
 fn main() -> ExitCode {
     let done = match Arguments::parse().command {
         Command::StandIn { addresses, takes_ms } => stand_in(&addresses, takes_ms),
-        Command::Capacity { options, full, beside } => {
-            capacity::measure(options.plan(), full || options.long, beside.as_deref())
-                .map(|report| show(&report, &options))
+        Command::Capacity { options, full, beside, part } => {
+            let full = full || options.long;
+            let how = capacity::Options { seed: options.seed, full, beside, part: part.into() };
+            capacity::measure(&how).map(|report| show(&report, &options))
         }
         Command::Config(options) => measure("config", &options),
         Command::Cost(options) => measure("cost", &options),
--- a/crates/rig/src/measure/capacity/claims.rs
+++ b/crates/rig/src/measure/capacity/claims.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use super::fleet::{CPU_BUDGET, MEMORY_BUDGET};
 use super::load::LoadResult;
 use super::sample::Sample;
 use super::size::Size;
@@ -10,10 +11,6 @@
 };
 use crate::report::Report;
 
-/// Control state of a node at the target, in bytes ("for control a node spends at most 64 MB").
-const CONTROL_STATE: f64 = 64.0 * MEGABYTE;
-/// Processor that control may take, as a share of a core ("at most 3.4% of a core").
-const CONTROL_CPU: f64 = 0.034;
 /// Changes of configuration a day ("2,100 changes of configuration a day").
 const CHANGES_A_DAY: f64 = 2_100.0;
 /// Until a change is in force everywhere, in milliseconds ("within 12 s"); at one node it must be less.
@@ -72,7 +69,7 @@
 pub fn judge_samples(report: &mut Report, measured: &Measured<'_>) {
     let samples = measured.samples;
     let share = measured.corner.share_of_target();
-    let (state, budget) = (state_bytes(measured), CONTROL_STATE * share);
+    let (state, budget) = (state_bytes(measured), MEMORY_BUDGET * share);
     report.claim(
         state <= budget,
         format!(
@@ -98,8 +95,8 @@
     );
     let share = control_cpu(samples);
     report.claim(
-        share <= CONTROL_CPU,
-        format!("rest and {CHANGES_A_DAY} changes a day take at most {CONTROL_CPU} of a core: {share:.4}"),
+        share <= CPU_BUDGET,
+        format!("rest and {CHANGES_A_DAY} changes a day take at most {CPU_BUDGET} of a core: {share:.4}"),
     );
     let in_force = IN_FORCE.median(samples);
     report.claim(
