--- a/crates/rig/src/measure/capacity/table.rs
+++ b/crates/rig/src/measure/capacity/table.rs
@@ -233,6 +233,7 @@
         "failed",
         "p50 ms",
         "p99 ms",
+        "p99 of rounds",
         "longest ms",
         "direct p50",
         "direct p99",
@@ -245,7 +246,7 @@
 
 /// A loaded node's row, beside what clients of the backends saw at the same times.
 pub fn load_row(report: &mut Report, node: &LoadedNode, result: &LoadResult) {
-    let LoadResult { through, direct, changes, stalls } = result;
+    let LoadResult { through, p99_of_rounds: (least, most), direct, changes, stalls } = result;
     let kept = if through.valid && direct.valid { "in time" } else { "late" };
     report.row(&[
         node.name.clone(),
@@ -255,6 +256,7 @@
         through.failed.to_string(),
         short(millis(through.p50)),
         short(millis(through.p99)),
+        format!("{}..{}", short(millis(*least)), short(millis(*most))),
         short(millis(through.longest)),
         short(millis(direct.p50)),
         short(millis(direct.p99)),
