--- a/crates/rig/src/measure/capacity/probe.rs
+++ b/crates/rig/src/measure/capacity/probe.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 use super::file::HOST;
-use super::proc;
+use super::procfs;
 use crate::scripted::Message;
 
 /// Between an answer and the next request.
@@ -138,8 +138,8 @@
 
 fn read_turns(process: u32) -> io::Result<TurnReading> {
     // Sleeps first: time that is used between the two reads then counts to the turn that is under way.
-    let sleeps = proc::sleeps(process, process)?;
-    Ok(TurnReading { sleeps, used: proc::thread_time(process, process)? })
+    let sleeps = procfs::sleeps(process, process)?;
+    Ok(TurnReading { sleeps, used: procfs::thread_time(process, process)? })
 }
 
 /// A reading of a thread.
--- a/crates/rig/src/measure/capacity/process.rs
+++ b/crates/rig/src/measure/capacity/process.rs
@@ -9,7 +9,7 @@
 use std::{fs, thread};
 
 use super::probe::ProbeClient;
-use super::proc::CpuTimes;
+use super::procfs::CpuTimes;
 use crate::program::temporary;
 
 /// A node that is not ready, or has not taken a change, within this has failed.
--- a/crates/rig/src/measure/capacity/sample.rs
+++ b/crates/rig/src/measure/capacity/sample.rs
@@ -10,8 +10,8 @@
 use super::file::{Change, TENANT_HEADER, Variant, text};
 use super::fit::median;
 use super::probe::{LoopTimes, LoopWatch, ProbeClient};
-use super::proc::{self, CpuTimes};
 use super::process::NodeProcess;
+use super::procfs::{self, CpuTimes};
 use super::size::Size;
 
 /// How long nodes are left alone to see what they use at rest.
@@ -96,7 +96,7 @@
     backends: &[SocketAddr],
     rest_cpu: Duration,
 ) -> io::Result<Sample> {
-    let resident = proc::resident(node.id())?;
+    let resident = procfs::resident(node.id())?;
     let quiet = watch_quiet(node)?;
     let request_cpu = cost_of_a_request(node, size)?;
     let cost = cost_of_changes(node, size, backends, 0..CHANGES)?;
@@ -172,7 +172,7 @@
     backends: &[SocketAddr],
     numbers: Range<usize>,
 ) -> io::Result<ChangeCost> {
-    proc::reset_peak(node.id())?;
+    procfs::reset_peak(node.id())?;
     let before = CpuTimes::read(node.id())?;
     let (changes, mut spans) = (numbers.len(), Vec::new());
     for number in numbers {
@@ -185,6 +185,6 @@
         cpu: after.all_since(&before),
         loop_cpu: after.loop_since(&before),
         in_force_after: Duration::from_secs_f64(median(spans)),
-        peak: proc::peak(node.id())?,
+        peak: procfs::peak(node.id())?,
     })
 }
