Capacity: the loop's longest turn under load

Cause: at the target p99 without changes was far over that of the backends asked directly, and the table could not say whether the loop was why.

--- a/crates/node/tests/capacity.rs
+++ b/crates/node/tests/capacity.rs
@@ -81,6 +81,7 @@
     assert!(expected > 100, "{expected}");
     for result in results {
         assert_eq!((result.through.requests, result.direct.requests), (expected, expected));
+        assert!(result.longest_turn > Duration::ZERO);
     }
 }
 
--- a/crates/rig/src/measure/capacity/load.rs
+++ b/crates/rig/src/measure/capacity/load.rs
@@ -15,6 +15,7 @@
 use pumicehead_load::shape::Shape;
 
 use super::file::{Change, Variant, mix, text};
+use super::probe::TurnWatch;
 use super::process::NodeProcess;
 use super::size::Size;
 
@@ -51,6 +52,8 @@
     through: Vec<Tally>,
     /// What clients of the backends saw at the same times.
     direct: Vec<Tally>,
+    /// The longest turn of its loop.
+    longest_turn: Duration,
     /// Changes that were in force by the end.
     changes: usize,
 }
@@ -64,6 +67,8 @@
     pub p99_of_rounds: (Duration, Duration),
     /// Asking the backends directly at the same times.
     pub direct: Latencies,
+    /// The longest turn of the node's loop meanwhile: processor time between two sleeps, at least this.
+    pub longest_turn: Duration,
     /// Changes that were in force by the end.
     pub changes: usize,
     /// How often the node's log told of a loop that was late.
@@ -102,7 +107,15 @@
         backends: &[SocketAddr],
     ) -> io::Result<Self> {
         let node = NodeProcess::start(program, &text(size, backends, Variant::default()))?;
-        Ok(Self { name, change, node, through: Vec::new(), direct: Vec::new(), changes: 0 })
+        Ok(Self {
+            name,
+            change,
+            node,
+            through: Vec::new(),
+            direct: Vec::new(),
+            longest_turn: Duration::ZERO,
+            changes: 0,
+        })
     }
 
     /// One round: asked at the rate, while changes come.
@@ -110,12 +123,14 @@
         let seed = plan.seed.wrapping_add(round as u64);
         let (address, span) = (vec![self.node.address], plan.span);
         let direct = backends[..DIRECT_BACKENDS.min(backends.len())].to_vec();
+        let turns = TurnWatch::start(self.node.id())?;
         let through = thread::spawn(move || ask(address, size, span, seed));
         let beside = thread::spawn(move || ask(direct, size, span, seed));
         self.make_changes(plan, size, backends)?;
         let failed = |_| io::Error::other("a thread failed");
         self.through.push(through.join().map_err(failed)??);
         self.direct.push(beside.join().map_err(failed)??);
+        self.longest_turn = self.longest_turn.max(turns.stop()?);
         Ok(())
     }
 
@@ -138,6 +153,7 @@
             through: latencies(&self.through, plan),
             p99_of_rounds: p99_of_rounds(&self.through, plan),
             direct: latencies(&self.direct, plan),
+            longest_turn: self.longest_turn,
             changes: self.changes,
             stalls: self.node.stalls(),
         }
--- a/crates/rig/src/measure/capacity/probe.rs
+++ b/crates/rig/src/measure/capacity/probe.rs
@@ -75,11 +75,40 @@
     pub answers: u64,
 }
 
-/// Watches a node's loop on two threads until it is stopped.
+/// Watches the processor time of a node's loop on a thread until it is stopped; asks the node nothing.
+pub struct TurnWatch {
+    over: Arc<AtomicBool>,
+    sampler: JoinHandle<io::Result<Duration>>,
+}
+
+impl TurnWatch {
+    /// Begins.
+    ///
+    /// # Errors
+    /// A process that the system does not tell of.
+    pub fn start(process: u32) -> io::Result<Self> {
+        let first = read_turns(process)?;
+        let over = Arc::new(AtomicBool::new(false));
+        let sampler_over = over.clone();
+        let sampler = thread::spawn(move || sample_until(&sampler_over, process, first));
+        Ok(Self { over, sampler })
+    }
+
+    /// Ends it: the longest turn, at least.
+    ///
+    /// # Errors
+    /// A process that the system told nothing of.
+    pub fn stop(self) -> io::Result<Duration> {
+        self.over.store(true, Ordering::Relaxed);
+        self.sampler.join().map_err(|_| io::Error::other("a thread failed"))?
+    }
+}
+
+/// Watches a node's loop from outside as well until it is stopped.
 pub struct LoopWatch {
     over: Arc<AtomicBool>,
     client: JoinHandle<io::Result<(Duration, u64)>>,
-    sampler: JoinHandle<io::Result<Duration>>,
+    turns: TurnWatch,
 }
 
 impl LoopWatch {
@@ -90,12 +119,11 @@
     pub fn start(process: u32, address: SocketAddr) -> io::Result<Self> {
         let mut probe = ProbeClient::connect(address)?;
         probe.time_own_answer()?;
-        let first = read_turns(process)?;
+        let turns = TurnWatch::start(process)?;
         let over = Arc::new(AtomicBool::new(false));
-        let (client_over, sampler_over) = (over.clone(), over.clone());
+        let client_over = over.clone();
         let client = thread::spawn(move || ask_until(&client_over, &mut probe));
-        let sampler = thread::spawn(move || sample_until(&sampler_over, process, first));
-        Ok(Self { over, client, sampler })
+        Ok(Self { over, client, turns })
     }
 
     /// Ends it.
@@ -104,9 +132,9 @@
     /// A node that did not answer, or that the system told nothing of.
     pub fn stop(self) -> io::Result<LoopTimes> {
         self.over.store(true, Ordering::Relaxed);
-        let failed = |_| io::Error::other("a thread failed");
-        let (longest_answer, answers) = self.client.join().map_err(failed)??;
-        let longest_turn = self.sampler.join().map_err(failed)??;
+        let client = self.client.join().map_err(|_| io::Error::other("a thread failed"))?;
+        let longest_turn = self.turns.stop()?;
+        let (longest_answer, answers) = client?;
         Ok(LoopTimes { longest_answer, longest_turn, answers })
     }
 }
--- a/crates/rig/src/measure/capacity/table.rs
+++ b/crates/rig/src/measure/capacity/table.rs
@@ -238,6 +238,7 @@
         "direct p50",
         "direct p99",
         "direct longest",
+        "turn ms",
         "stalls logged",
         "generator",
     ];
@@ -246,7 +247,7 @@
 
 /// A loaded node's row, beside what clients of the backends saw at the same times.
 pub fn load_row(report: &mut Report, node: &LoadedNode, result: &LoadResult) {
-    let LoadResult { through, p99_of_rounds: (least, most), direct, changes, stalls } = result;
+    let LoadResult { through, p99_of_rounds: (least, most), direct, longest_turn, changes, stalls } = result;
     let kept = if through.valid && direct.valid { "in time" } else { "late" };
     report.row(&[
         node.name.clone(),
@@ -261,6 +262,7 @@
         short(millis(direct.p50)),
         short(millis(direct.p99)),
         short(millis(direct.longest)),
+        short(millis(*longest_turn)),
         stalls.to_string(),
         kept.into(),
     ]);
--- a/crates/rig/tests/capacity.rs
+++ b/crates/rig/tests/capacity.rs
@@ -187,7 +187,14 @@
         valid: true,
     };
     let direct = Latencies { p99: 2 * MILLISECOND, ..through };
-    LoadResult { through, p99_of_rounds: (through.p99, through.p99), direct, changes: 4, stalls: 0 }
+    LoadResult {
+        through,
+        p99_of_rounds: (through.p99, through.p99),
+        direct,
+        longest_turn: MILLISECOND,
+        changes: 4,
+        stalls: 0,
+    }
 }
 
 /// Whether a node at the target with such figures keeps all claims.
