Rig: a fleet is at rest once nothing is left to pass on

Figures at rest began 1.2 s after all views were equal. At 580 nodes they held what joining had left to pass on, some 12 s of it: 10.7 KB a second by hollow nodes, where a node at rest sends 0.3. Members now tell whether they have anything to pass on, and the time until none has is a column of its own. A guard removes its node's file also when this process was killed.

--- a/crates/members/src/member.rs
+++ b/crates/members/src/member.rs
@@ -210,6 +210,12 @@
         self.over
     }
 
+    /// Whether it has anything to pass on to others.
+    #[must_use]
+    pub fn is_passing_on(&self) -> bool {
+        !self.news.is_empty()
+    }
+
     /// Bytes of datagrams sent.
     #[must_use]
     pub fn sent(&self) -> u64 {
--- a/crates/rig/src/hollow/mixed.rs
+++ b/crates/rig/src/hollow/mixed.rs
@@ -237,6 +237,19 @@
         second.end(settled);
     }
 
+    /// Waits until no hollow node has changes to pass on, and tells how long that took; `None`: not within the limit.
+    #[must_use]
+    pub fn wait_quiet(&self, limit: Duration) -> Option<Duration> {
+        let start = Instant::now();
+        while self.hollow.iter().any(|node| node.is_passing_on()) {
+            if start.elapsed() >= limit {
+                return None;
+            }
+            thread::sleep(POLL);
+        }
+        Some(start.elapsed())
+    }
+
     /// Counts what each node sends over a span, at the hollow nodes that receive it, by name.
     #[must_use]
     pub fn count(&self, span: Duration) -> HashMap<String, Received> {
--- a/crates/rig/src/hollow/node.rs
+++ b/crates/rig/src/hollow/node.rs
@@ -166,6 +166,12 @@
         (member.table().fingerprint(), member.table().there())
     }
 
+    /// Whether it has changes to pass on to others.
+    #[must_use]
+    pub fn is_passing_on(&self) -> bool {
+        self.member().is_passing_on()
+    }
+
     /// Memory that its view takes, counted, in bytes.
     #[must_use]
     pub fn view_bytes(&self) -> usize {
--- a/crates/rig/src/hollow/process.rs
+++ b/crates/rig/src/hollow/process.rs
@@ -17,8 +17,9 @@
 use super::event_loops::thread_cpu_seconds;
 use crate::program::{LIMIT, built, memory, temporary};
 
-/// Starts the node, tells its process id, and ends it when the standard input does.
-const GUARD: &str = r#""$0" run "$1" </dev/null & echo $!; read _; kill -KILL $! 2>/dev/null; wait"#;
+/// Starts the node, tells its process id, and ends it and its file when the standard input does.
+const GUARD: &str =
+    r#""$0" run "$1" </dev/null & echo $!; read _; kill -KILL $! 2>/dev/null; wait; rm -f "$1""#;
 /// Between two looks at a log.
 const POLL: Duration = Duration::from_millis(5);
 /// Longest wait for an answer to staff.
--- a/crates/rig/src/measure/capacity/fleet.rs
+++ b/crates/rig/src/measure/capacity/fleet.rs
@@ -28,10 +28,11 @@
 /// The time over which a burst is held against the budget.
 const BURST_SPAN_SECONDS: f64 = 60.0;
 /// What the table's columns are.
-const COLUMNS: [&str; 11] = [
+const COLUMNS: [&str; 12] = [
     "members",
     "nodes are",
     "all see all, s",
+    "passed on, s",
     "messages/s",
     "bytes/s",
     "core, %",
@@ -165,13 +166,15 @@
             report.row(
                 &Row::new(size.nodes, &format!("{} hollow", size.nodes - size.real))
                     .set("all see all, s", joined)
+                    .set("passed on, s", seconds(size.quiet))
                     .set("peak bytes/s", size.joined.peak_bytes / (size.nodes - size.real) as u64)
                     .set("most of one", size.joined.peak_node_bytes)
                     .rest(&size.hollow_rest)
                     .0,
             );
             report.row(&Row::new(size.nodes, &format!("{} real", size.real)).rest(&size.real_rest).0);
-            report.claim(size.joined.after.is_some(), format!("{} nodes: all see all", size.nodes));
+            let rests = size.joined.after.is_some() && size.quiet.is_some();
+            report.claim(rests, format!("{} nodes: all see all, and come to rest", size.nodes));
         }
         let most = self.growth.nodes();
         let detection = self.growth.detection.ok();
--- a/crates/rig/src/measure/capacity/fleet/growth.rs
+++ b/crates/rig/src/measure/capacity/fleet/growth.rs
@@ -1,10 +1,8 @@
 //! One fleet that grows: what joining takes, what a node spends at rest, a process killed, a burst of restarts.
 
 use std::io;
-use std::thread;
 use std::time::{Duration, Instant};
 
-use super::parity::QUIET;
 use crate::hollow::counts::{DATAGRAM_HEADS, FRAME_HEAD, Received};
 use crate::hollow::mixed::{Detection, MixedFleet, NotDetected, Settled};
 use crate::hollow::process::RealNode;
@@ -22,8 +20,7 @@
 }
 
 /// What fits into half a minute.
-const SHORT: Scale =
-    Scale { sizes: [14, 29, 43, 58], real: 6, restarts: 32, span: Duration::from_millis(1_200) };
+const SHORT: Scale = Scale { sizes: [14, 29, 43, 58], real: 6, restarts: 32, span: Duration::from_secs(2) };
 /// The size that operators need.
 const FULL: Scale =
     Scale { sizes: [58, 145, 290, 580], real: 36, restarts: 320, span: Duration::from_secs(10) };
@@ -54,6 +51,8 @@
     pub real: usize,
     /// Until all saw all, after the last was started.
     pub joined: Settled,
+    /// From then until nothing was left to pass on; figures at rest are of the time after.
+    pub quiet: Option<Duration>,
     /// The mean of the hollow nodes.
     pub hollow_rest: Rest,
     /// The mean of the real nodes; memory is the most of them.
@@ -118,9 +117,9 @@
     for nodes in sizes {
         fleet.add_hollow(nodes.saturating_sub(fleet.len()))?;
         let joined = fleet.settle(SETTLE_LIMIT);
-        thread::sleep(QUIET);
+        let quiet = fleet.wait_quiet(SETTLE_LIMIT);
         let (hollow_rest, real_rest) = rest(&fleet, span);
-        measured.push(Size { nodes, real, joined, hollow_rest, real_rest });
+        measured.push(Size { nodes, real, joined, quiet, hollow_rest, real_rest });
     }
     let detection = fleet.kill_real(SETTLE_LIMIT);
     let burst = burst(&mut fleet, restarts)?;
--- a/crates/rig/src/measure/capacity/fleet/parity.rs
+++ b/crates/rig/src/measure/capacity/fleet/parity.rs
@@ -2,7 +2,6 @@
 
 use std::collections::HashMap;
 use std::io;
-use std::thread;
 use std::time::Duration;
 
 use pumicehead_members::wire::Step;
@@ -15,8 +14,6 @@
 const TOLERANCE: f64 = 0.15;
 /// The same over the longer span of a full measurement.
 const TOLERANCE_FULL: f64 = 0.05;
-/// What joining has left to pass on is over after this.
-pub(super) const QUIET: Duration = Duration::from_millis(1_200);
 
 /// What a node sends in a second, of one kind.
 #[derive(Clone, Debug)]
@@ -63,7 +60,7 @@
     if fleet.settle(LIMIT).after.is_none() {
         return Err(io::Error::new(io::ErrorKind::TimedOut, "a fleet of 20 does not settle"));
     }
-    thread::sleep(QUIET);
+    let _ = fleet.wait_quiet(LIMIT);
     let counted = fleet.count(span);
     Ok(Parity { real, hollow, span, tolerance, rates: rates(&fleet, &counted, span) })
 }
