--- a/crates/node/tests/crossings.rs
+++ b/crates/node/tests/crossings.rs
@@ -2,15 +2,15 @@
 //! all pairs is in `docs/crossings.md`. What is asserted is the rule: how often a server got an id, and what a client read.
 
 use std::io::{BufReader, Read, Write};
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::net::{TcpListener, TcpStream};
 use std::sync::mpsc;
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
+use pumicehead_rig::departure::{Departure, id_of as id, ids_at as ids};
 use pumicehead_rig::late::Late;
 use pumicehead_rig::scripted::*;
-use socket2::SockRef;
 
 const NO_CANCEL: (&str, &str) = ("\"cancel\":true", "\"cancel\":false");
 
@@ -20,63 +20,6 @@
     "\"effect\":\"pure\",\"dedup_scope\":\"all\",\"window_ns\":5000000000,\"target_ns\":10000000000,\"deadline_ns\":20000000000,\"worth\":0.2",
 );
 
-/// The id of a request.
-fn id(text: &str) -> String {
-    let line = text.lines().find_map(|line| line.strip_prefix("X-Correlation-Id: "));
-    line.expect("an id").to_owned()
-}
-
-fn ids(backend: &Backend) -> Vec<String> {
-    let seen = backend.seen.lock().unwrap();
-    seen.iter().filter_map(|message| message.header("x-correlation-id").map(str::to_owned)).collect()
-}
-
-/// Ways for a client to leave; each has its request, or what it sends, and what it does then.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Way {
-    Fin,
-    Reset,
-    HalfClose,
-    /// With further requests behind the first.
-    Pipelined,
-    /// With more behind it than the library or the kernel's buffer of one read takes.
-    MuchAtOnce,
-    /// In the middle of its body.
-    InTheBody,
-}
-
-const WAYS: [Way; 6] =
-    [Way::Fin, Way::Reset, Way::HalfClose, Way::Pipelined, Way::MuchAtOnce, Way::InTheBody];
-
-/// Has a client ask and be ready to leave in a way.
-fn ask_and_wait(node: SocketAddr, way: Way) -> (Client, Vec<String>) {
-    let (mut client, first) = (Client::connect(node), request("submit", "x"));
-    let mut asked = vec![id(&first)];
-    match way {
-        Way::InTheBody => client.write(&first.replace("Content-Length: 1", "Content-Length: 9")),
-        Way::Pipelined | Way::MuchAtOnce => {
-            let behind = if way == Way::Pipelined { 3 } else { 400 };
-            let more: Vec<_> = (0..behind).map(|_| request("submit", "y")).collect();
-            asked.extend(more.iter().map(|text| id(text)));
-            client.write(&(first + &more.concat()));
-        }
-        _ => client.write(&first),
-    }
-    (client, asked)
-}
-
-fn leave(client: Client, way: Way) -> Option<Client> {
-    match way {
-        Way::Reset => SockRef::from(client.stream()).set_linger(Some(Duration::ZERO)).unwrap(),
-        Way::HalfClose => {
-            client.stream().shutdown(Shutdown::Write).unwrap();
-            return Some(client);
-        }
-        _ => {}
-    }
-    None
-}
-
 /// Guards what waits in a queue from being sent on once its client has left, by every way, whatever the settings say of
 /// cancelling, in a burst, and while the node is ending: none of it has come to a server 0.3 s later. A client with
 /// further bytes behind its request was noticed only at its answer.
@@ -92,7 +35,7 @@
         let (_, lines) = discovery.next();
         // No server is known: everything waits.
         let clients: Vec<_> =
-            (0..10).flat_map(|_| WAYS).map(|way| (way, ask_and_wait(node.address, way))).collect();
+            (0..10).flat_map(|_| Departure::ALL).map(|way| way.ask(node.address, "submit")).collect();
         let mut staying = node.connect();
         let marker = request("submit", "marker");
         staying.write(&marker);
@@ -101,19 +44,15 @@
             thread::sleep(Duration::from_millis(100));
             node.terminate();
         }
-        let (mut left, mut open) = (Vec::new(), Vec::new());
-        for (way, (client, asked)) in clients {
-            open.extend(leave(client, way));
-            left.extend(asked.into_iter().map(|id| (id, way)));
-        }
+        let left: Vec<_> = clients.into_iter().map(|client| client.leave()).collect();
         // The claim: after this nothing of theirs is sent on.
         thread::sleep(Duration::from_millis(300));
         lines.send(list(2, true, &[host("s-0", backend.address, "active")])).unwrap();
         assert_eq!(staying.read().expect("an answer").body, b"done");
-        drop(open);
         let sent = ids(&backend);
         assert!(sent.contains(&id(&marker)));
-        let late: Vec<_> = left.iter().filter(|(id, _)| sent.contains(id)).collect();
+        let asked = left.iter().flat_map(|client| client.ids.iter().map(|id| (id, client.departure)));
+        let late: Vec<_> = asked.filter(|(id, _)| sent.contains(id)).collect();
         assert!(late.is_empty(), "{} of {} sent on, {changes:?}: {late:?}", late.len(), left.len());
     }
 }
@@ -131,20 +70,14 @@
         let setup =
             Setup { known: list(1, true, &[host("s-0", address, "active")]), changes, ..Setup::of(&[]) };
         let mut node = setup.start();
-        let mut clients = Vec::new();
-        for way in [Way::Fin, Way::HalfClose, Way::Pipelined] {
-            clients.push((way, ask_and_wait(node.address, way)));
-        }
+        let ways = [Departure::Fin, Departure::HalfClose, Departure::Pipelined];
+        let clients = ways.map(|way| way.ask(node.address, "submit"));
         let mut staying = node.connect();
         let marker = request("submit", "marker");
         staying.write(&marker);
         // Those that found a place are dialling by now; for the others it is the test above.
         thread::sleep(Duration::from_millis(200));
-        let (mut left, mut open) = (Vec::new(), Vec::new());
-        for (way, (client, asked)) in clients {
-            open.extend(leave(client, way));
-            left.extend(asked);
-        }
+        let left = clients.map(|client| client.leave());
         thread::sleep(Duration::from_millis(300));
         let seen = late.let_go();
         assert_eq!(staying.read().expect("an answer").body, b"done");
@@ -153,7 +86,7 @@
         let seen = seen.lock().unwrap();
         let sent: Vec<_> = seen.iter().filter_map(|message| message.header("x-correlation-id")).collect();
         assert_eq!(sent, [id(&marker)], "{changes:?}");
-        assert!(left.iter().all(|id| !sent.contains(&id.as_str())));
+        assert!(left.iter().flat_map(|client| &client.ids).all(|id| !sent.contains(&id.as_str())));
     }
 }
 
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -3,6 +3,8 @@
 
 pub mod board;
 pub mod client;
+pub mod departure;
+pub mod gate;
 pub mod late;
 pub mod measure;
 pub mod parity;
--- a/crates/rig/src/scripted.rs
+++ b/crates/rig/src/scripted.rs
@@ -302,6 +302,15 @@
     )
 }
 
+/// Which node of how many it is, as its settings tell it.
+#[derive(Clone, Copy, Debug)]
+pub struct FleetPosition {
+    /// From 0 on.
+    pub number: u32,
+    /// All of them.
+    pub nodes: u32,
+}
+
 /// How a node is started.
 pub struct Setup {
     /// The list that it knows.
@@ -324,6 +333,8 @@
     pub socket: Option<TcpListener>,
     /// A line of the shell that ends in the node, which is its `$0`.
     pub line: Option<String>,
+    /// Where it shares the servers with other nodes.
+    pub position: Option<FleetPosition>,
     /// Other settings: texts of the configuration, each with what stands in its place.
     pub changes: &'static [(&'static str, &'static str)],
 }
@@ -344,6 +355,7 @@
             folder: None,
             socket: None,
             line: None,
+            position: None,
             changes: &[],
         }
     }
@@ -359,12 +371,20 @@
     }
 
     fn text(&self) -> String {
-        self.changes.iter().fold(self.plain_text(), |text, (from, to)| {
+        self.changes.iter().fold(self.positioned_text(), |text, (from, to)| {
             assert!(text.contains(from), "no {from} in {text}");
             text.replace(from, to)
         })
     }
 
+    /// With the number of the node, and a seed of its own, where it is one of several.
+    fn positioned_text(&self) -> String {
+        let text = self.plain_text();
+        let Some(FleetPosition { number, nodes }) = self.position else { return text };
+        text.replace("\"unheard\":{}", &format!("\"me\":{number},\"replicas_of_me\":{nodes}"))
+            .replace("8c1f30d27a5be964", &format!("8c1f30d27a5b{number:04x}"))
+    }
+
     fn plain_text(&self) -> String {
         let ask_every = if self.slow_to_ask { 600_000_000_000u64 } else { 200_000_000 };
         format!(
@@ -453,14 +473,26 @@
         }
         let mut child = command.spawn().unwrap();
         let mut log = BufReader::new(child.stderr.take().unwrap());
+        let (first_lines, said) = mpsc::channel();
+        let count = 1 + usize::from(setup.folder.is_some());
+        thread::spawn(move || {
+            for _ in 0..count {
+                let mut line = String::new();
+                let _ = log.read_line(&mut line);
+                let _ = first_lines.send(line);
+            }
+            std::io::copy(&mut log, &mut std::io::sink())
+        });
+        // One that does not come so far must not hang its test.
         let mut address = || {
-            let mut line = String::new();
-            log.read_line(&mut line).unwrap();
+            let line = said.recv_timeout(LIMIT).unwrap_or_else(|_| {
+                let _ = child.kill();
+                "nothing in time".to_owned()
+            });
             let address = line.trim().rsplit(' ').next().and_then(|text| text.parse().ok());
             address.unwrap_or_else(|| panic!("no address in `{line}`"))
         };
         let (address, calls) = (address(), setup.folder.is_some().then(&mut address));
-        thread::spawn(move || std::io::copy(&mut log, &mut std::io::sink()));
         Self { child, config, address, calls }
     }
 
