--- a/crates/lang/src/lib.rs
+++ b/crates/lang/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod model;
 pub mod span;
 pub mod syntax;
+mod tables;
 pub mod units;
 
 pub use diag::{Diagnostic, Severity};
--- a/crates/lang/tests/properties.rs
+++ b/crates/lang/tests/properties.rs
@@ -64,6 +64,14 @@
         prop_assert!(diff(&config(&text), &config(&once)).is_empty());
     }
 
+    #[test]
+    fn the_tables_of_one_meaning_are_equal_in_any_form(gaps in prop::collection::vec(any::<u8>(), 1..300)) {
+        let (plain, odd) = (config(SOUND).snapshot().unwrap(), config(&odd_layout(&gaps)).snapshot().unwrap());
+        prop_assert_eq!(&plain, &odd);
+        prop_assert_eq!(plain.digest(), odd.digest());
+        prop_assert!(plain.difference(&odd).is_empty());
+    }
+
     #[test]
     fn bytes_of_any_kind_give_messages_and_no_panic(bytes in prop::collection::vec(any::<u8>(), 0..400)) {
         let checked = pumicehead_lang::check(&Memory::default().with("main.conf", &bytes), std::path::Path::new("main.conf"));
--- a/crates/node/src/net/ask.rs
+++ b/crates/node/src/net/ask.rs
@@ -46,6 +46,8 @@
     pub hint: Option<Nanos>,
     /// What it is about.
     pub key: Option<Vec<u8>>,
+    /// The revision of the configuration that it was admitted under, where there are several.
+    pub revision: Option<u64>,
     /// How long the client waits from now on.
     pub left: Duration,
     /// How long its body took to come.
--- a/crates/node/src/net/core/requests.rs
+++ b/crates/node/src/net/core/requests.rs
@@ -36,6 +36,7 @@
                 left: ask.left.as_nanos() as Nanos,
                 sending: ask.sending.as_nanos() as Nanos,
                 name: text::Name::new(&ask.correlation),
+                revision: ask.revision,
             });
         }
         let overdue = (deadline + OVERDUE, Due::Overdue(id.0));
--- a/crates/node/src/net/discovery.rs
+++ b/crates/node/src/net/discovery.rs
@@ -32,7 +32,7 @@
 const AGENT_SILENCE: Duration = Duration::from_secs(1);
 
 /// Backends, all or those that changed.
-#[derive(Clone, Debug, Default, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Deserialize)]
 pub struct List {
     /// Version.
     pub seq: u64,
@@ -44,7 +44,7 @@
 }
 
 /// A backend as listed.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Deserialize)]
 pub struct Host {
     /// Its name, the same at every node.
     pub host: String,
--- a/crates/node/src/net/handle.rs
+++ b/crates/node/src/net/handle.rs
@@ -139,8 +139,8 @@
     }
 
     /// The module goes on with these settings; [`Settings::retunes_to`] must allow it.
-    pub fn retune(&self, settings: Settings) {
-        let _ = self.messages.send(Message::Retune(Box::new(settings)));
+    pub fn retune(&self, settings: Box<Settings>) {
+        let _ = self.messages.send(Message::Retune(settings));
     }
 
     /// So many nodes share the servers from now on.
--- a/crates/node/src/platform/admin.rs
+++ b/crates/node/src/platform/admin.rs
@@ -113,6 +113,7 @@
             Call::Detach(server) => self.set_out(&server, true).await,
             Call::Attach(server) => self.set_out(&server, false).await,
             Call::Members | Call::WhyMember(_) => no("this node shares nothing with others"),
+            Call::Config => no("this node's configuration has no revisions"),
             // The eyes' own.
             Call::Trace | Call::Metrics | Call::Filter(_) | Call::Record(_) => String::new(),
         }
--- a/crates/node/src/platform/admission.rs
+++ b/crates/node/src/platform/admission.rs
@@ -121,6 +121,7 @@
             hint,
             key: path.next_back().filter(|key| !key.is_empty()).map(Into::into),
             // Whatever the client says, nobody waits longer than its class does.
+            revision: None,
             left: left.min(rule.deadline),
             sending: Duration::ZERO,
             call,
--- a/crates/node/src/standalone/admission.rs
+++ b/crates/node/src/standalone/admission.rs
@@ -2,12 +2,14 @@
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
 use hyper::{Method, StatusCode, Uri, Version};
 use pumicehead_lang::explain::key_of;
 use pumicehead_lang::model::{Config, KeyOf, Protocol, Repeats, TenantOf};
+use pumicehead_resources::Revision;
 use pumicehead_route::{Found, Matcher, Query, RequestPath, request_host};
 
 use crate::net::admission::{Admission, Admitted, Bad, Head, Manner};
@@ -19,18 +21,20 @@
 /// A name that servers may log a request by.
 const CORRELATION: HeaderName = HeaderName::from_static("x-correlation-id");
 
-/// A configuration as requests meet it. Requests keep the one that they began with.
-pub struct Live {
+/// The routes of one revision of the configuration, compiled. Immutable and `Send`: it is built off the loop's thread.
+pub struct RouteTable {
+    revision: Revision,
     matcher: Matcher,
-    routes: Vec<LiveRoute>,
-    tenants: Vec<String>,
+    routes: Vec<RouteEntry>,
+    tenants: Arc<[String]>,
     /// This node's entries of `Via`, of messages of HTTP/1.0 and of 1.1.
     via: [Option<HeaderValue>; 2],
 }
 
-/// A route with the loop of its pool.
-struct LiveRoute {
-    core: Handle,
+/// What a request that fits a route is.
+struct RouteEntry {
+    /// Place of its pool in the configuration.
+    pool: usize,
     /// Among the classes of its pool.
     class: usize,
     deadline: Duration,
@@ -42,20 +46,20 @@
     decoded: bool,
 }
 
-impl Live {
-    /// `cores` has the loop of each pool, with the names of its classes in their places.
-    pub fn new(config: &Config, cores: &[(Handle, Vec<String>)]) -> Self {
+impl RouteTable {
+    /// `classes` has the names of the classes of each pool, in the order of the pool's settings.
+    pub fn new(revision: Revision, config: &Config, classes: &[&[String]], tenants: Arc<[String]>) -> Self {
         let routes = config.routes.iter().map(|route| {
             let class = &config.classes[route.class];
             let keyed = match &class.repeats {
                 Repeats::Keyed { header, .. } => HeaderName::from_bytes(header.as_bytes()).ok(),
                 Repeats::Safe | Repeats::Unsafe => None,
             };
-            let (core, classes) = &cores[route.pool];
-            LiveRoute {
-                core: core.clone(),
-                // Every class that leads to a pool is among its own.
-                class: classes.iter().position(|name| *name == class.name).unwrap_or_default(),
+            // Every class that leads to a pool is among its own.
+            let place = classes[route.pool].iter().position(|name| *name == class.name);
+            RouteEntry {
+                pool: route.pool,
+                class: place.unwrap_or_default(),
                 deadline: Duration::from_nanos(class.deadline),
                 keyed,
                 tenant: route.tenant.clone(),
@@ -64,14 +68,24 @@
             }
         });
         Self {
+            revision,
             matcher: config.matcher(),
             routes: routes.collect(),
-            tenants: config.tenants.iter().map(|tenant| tenant.name.clone()).collect(),
+            tenants,
             via: [Version::HTTP_10, Version::HTTP_11].map(|version| fields::via(version, &config.node.name)),
         }
     }
 }
 
+/// One revision as requests meet it: its routes with the loops of its pools. A request takes all that it needs of it in
+/// one step, so that none sees parts of two revisions.
+pub struct Live {
+    /// The routes.
+    pub table: Arc<RouteTable>,
+    /// The loop of each pool, in the order of the configuration.
+    pub pools: Vec<Handle>,
+}
+
 /// Knows requests by the routes that are in force.
 pub struct Gateway {
     live: RefCell<Rc<Live>>,
@@ -88,9 +102,9 @@
         Rc::new(Self { live: RefCell::new(Rc::new(live)), seed, next: Cell::new(0), recorder })
     }
 
-    /// Requests from now on meet this one.
+    /// Requests from now on are admitted under this revision.
     pub fn set_live(&self, live: Live) {
-        *self.live.borrow_mut() = Rc::new(live);
+        self.live.replace(Rc::new(live));
     }
 
     fn correlation(&self) -> String {
@@ -121,12 +135,13 @@
         let host = request_host(&authority).map_err(|fault| target(format!("the host is {fault}")))?;
         let path = RequestPath::parse(head.uri.path()).map_err(|fault| target(fault.to_string()))?;
         let query = Query { host: &host, path: &path, method: head.method, headers: &head.headers };
-        let place = match live.matcher.find(&query) {
+        let table = &live.table;
+        let place = match table.matcher.find(&query) {
             Found::Route(place) => place,
             Found::Method(allowed) => return Err(Bad::Method(allowed)),
             Found::Nothing => return Err(Bad::Unknown),
         };
-        let route = &live.routes[place];
+        let route = &table.routes[place];
         if route.decoded && path.holds_slash() {
             return Err(Bad::Unknown);
         }
@@ -140,7 +155,7 @@
                 let missing = || Bad::Header(name.clone().into());
                 let field = HeaderName::from_bytes(name.as_bytes()).map_err(|_| missing())?;
                 let value = one(&head.headers, &field)?;
-                let known = live.tenants.iter().position(|tenant| tenant.as_bytes() == value);
+                let known = table.tenants.iter().position(|tenant| tenant.as_bytes() == value);
                 Some(known.ok_or_else(missing)?)
             }
         };
@@ -150,7 +165,7 @@
         headers
             .insert(header::HOST, HeaderValue::from_str(&authority).map_err(|_| Bad::Header("host".into()))?);
         fields::strip_hop_by_hop(&mut headers);
-        append(&mut headers, header::VIA, live.via[usize::from(head.version != Version::HTTP_10)].clone());
+        append(&mut headers, header::VIA, table.via[usize::from(head.version != Version::HTTP_10)].clone());
         append(&mut headers, header::FORWARDED, fields::forwarded(head.peer, Some(&authority)));
         if !headers.contains_key(&CORRELATION) {
             append(&mut headers, CORRELATION, HeaderValue::from_bytes(correlation.as_bytes()).ok());
@@ -163,13 +178,19 @@
             tenant,
             hint: None,
             key,
+            revision: Some(table.revision.0),
             left: route.deadline,
             sending: Duration::ZERO,
             call,
         };
         // The server's answer is one of HTTP/1.1 whatever it speaks: the node has taken it whole.
-        let via = live.via[1].clone().unwrap_or(HeaderValue::from_static("1.1 pumicehead"));
-        Ok(Admitted { core: route.core.clone(), ask, manner: Manner::Gateway(via), bodiless: false })
+        let via = table.via[1].clone().unwrap_or(HeaderValue::from_static("1.1 pumicehead"));
+        Ok(Admitted {
+            core: live.pools[route.pool].clone(),
+            ask,
+            manner: Manner::Gateway(via),
+            bodiless: false,
+        })
     }
 }
 
--- a/crates/node/src/standalone/mod.rs
+++ b/crates/node/src/standalone/mod.rs
@@ -1,8 +1,13 @@
 //! A node of its own: one configuration file, any number of listeners and pools, plain HTTP clients.
 
 mod admission;
+mod listeners;
+mod pools;
 mod record;
+mod reload;
+mod revision;
 mod site;
+mod touched;
 
 use std::error::Error;
 use std::hash::{BuildHasher, Hasher, RandomState};
@@ -10,9 +15,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use pumicehead_lang::disk::Disk;
+use pumicehead_lang::Checked;
 use pumicehead_lang::model::Observe;
-use pumicehead_lang::{Checked, check};
 use pumicehead_ops::call::{Call, no, yes};
 use pumicehead_policy::interface::Sharing;
 use pumicehead_trace::recorder::Level;
@@ -28,8 +32,8 @@
 use crate::log::{Form, Log};
 use crate::net::clock::Clock;
 use crate::net::front;
-use crate::report::{Format, report};
 use record::Recorder;
+use reload::reload_on;
 use site::Site;
 
 /// How often the fleet may be told of this node's load; it passes on far less of it.
@@ -90,29 +94,6 @@
     Ok(())
 }
 
-/// Reads the file again at each signal. Signals that come while it is read count as one more.
-async fn reload_on(site: Rc<Site>, path: PathBuf, mut next: impl AsyncFnMut() -> Option<()>) {
-    while next().await.is_some() {
-        let file = path.clone();
-        // Off the loop: a file with thousands of routes takes longer than a request should wait.
-        let Ok(checked) = task::spawn_blocking(move || check(&Disk, &file)).await else { continue };
-        report(&checked.sources, &checked.diagnostics, Format::Text);
-        match checked.config {
-            None => warn!(target: "settings", "reload: the old configuration stays"),
-            Some(config) => match site.reload(config) {
-                Ok(changes) => {
-                    for change in &changes {
-                        let shown = pumicehead_lang::diff::Shown { change, sources: &checked.sources };
-                        info!(target: "settings", "reload: {shown}");
-                    }
-                    info!(target: "settings", "reload: done, {} changes", changes.len());
-                }
-                Err(error) => warn!(target: "settings", "reload: the old configuration stays: {error}"),
-            },
-        }
-    }
-}
-
 /// What the log tells and how, as a file has it.
 fn set_log(log: &Log, observe: &Observe) {
     log.set_form(if observe.json { Form::Json } else { Form::Text });
@@ -156,20 +137,24 @@
             return answer;
         }
         let text = match (&call, &self.fleet) {
-            (Call::Ping, _) if self.site.is_lame() => yes("serves what comes, and is emptied"),
+            (Call::Ping, _) if self.site.is_draining() => yes("serves what comes, and is emptied"),
             (Call::Ping, _) => yes(""),
             (Call::LameDuck | Call::Rejoin, fleet) => {
-                let lame = call == Call::LameDuck;
-                self.site.set_lame(lame);
+                let draining = call == Call::LameDuck;
+                self.site.set_draining(draining);
                 if let Some(fleet) = fleet {
-                    fleet.set_lame(lame);
+                    fleet.set_lame(draining);
                 }
                 yes("")
             }
+            (Call::Config, _) => {
+                let active = self.site.active();
+                yes(&format!("revision {} digest {}", active.revision, active.digest))
+            }
             (Call::Members | Call::WhyMember(_), Some(fleet)) => fleet.answer(&call).unwrap_or_default(),
             (Call::Members | Call::WhyMember(_), None) => no("the configuration has no block `fleet`"),
             _ => no(
-                "calls here are PING, LAMEDUCK, REJOIN, TRACE, METRICS, FILTER LEVELS, RECORD off|on|full, FLEET members, FLEET why NODE",
+                "calls here are PING, LAMEDUCK, REJOIN, TRACE, METRICS, FILTER LEVELS, RECORD off|on|full, CONFIG, FLEET members, FLEET why NODE",
             ),
         };
         text.into_bytes()
--- a/crates/node/src/standalone/site.rs
+++ b/crates/node/src/standalone/site.rs
@@ -1,4 +1,4 @@
-//! What runs: a loop for each pool, a front for each listener, and how a new file changes them.
+//! What runs: a loop for each pool, a front for each listener, and how the next revision takes their place.
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -6,43 +6,31 @@
 use std::hash::{BuildHasher, Hasher};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::sync::Arc;
 
-use pumicehead_lang::Span;
-use pumicehead_lang::diff::{Change, What, diff};
-use pumicehead_lang::model::{Config, Limits, Members, Pool, Protocol};
-use pumicehead_policy::interface::{Nanos, SECOND, Settings, Sharing};
+use pumicehead_lang::model::Config;
+use pumicehead_policy::interface::Sharing;
 use thiserror::Error;
-use tokio::net::TcpListener;
-use tokio::sync::oneshot;
-use tokio::task::{self, JoinHandle};
 use tracing::{info, warn};
 
 use super::admission::{Gateway, Live};
+use super::listeners::{self, BoundListener, RunningListener};
+use super::pools::{Endpoints, PoolContext};
 use super::record::Recorder;
+use super::revision::{NodeConfig, PoolStep, Transition};
 use crate::calls::MOST_CALLERS;
 use crate::eyes::Eyes;
 use crate::fleet;
 use crate::net::connections::Connections;
-use crate::net::core::{Core, Setup, Source};
-use crate::net::discovery::{Health, Host, List};
 use crate::net::front::budget::Budget;
-use crate::net::front::{self, Ending, Front, Options};
+use crate::net::front::{Ending, Front};
 use crate::net::handle::{Handle, Held};
-use crate::net::http::answer::Reader;
 use crate::net::room::Room;
-use crate::net::transport::Transport;
-use crate::net::verdict::Reading;
-use crate::net::{fastcgi, http};
 use crate::places::Places;
 
 /// Long answers may take this part of the memory: the rest of it is for connections and requests.
 const LONG_SHARE: u64 = 4;
 
-/// Classes that a pool no longer serves stay in its settings, so that the others keep their places: so many more than
-/// there are in the file, then the pool begins anew.
-const MOST_SPARE_CLASSES: usize = 32;
-
 /// What keeps a configuration from being used.
 #[derive(Debug, Error)]
 pub enum SiteError {
@@ -54,6 +42,9 @@
         /// Why not.
         source: std::io::Error,
     },
+    /// A state that the tables don't allow.
+    #[error(transparent)]
+    Unsound(#[from] pumicehead_resources::Fault),
     /// Settings that the decision module can't use.
     #[error("pool {pool}: {source}")]
     Settings {
@@ -64,88 +55,24 @@
     },
 }
 
-/// What a pool's knowledge rests on: while this stays the same, so does its loop.
-#[derive(Clone, PartialEq)]
-struct Footing {
-    settings: Settings,
-    /// Names of its classes, in the order of the settings.
-    classes: Vec<String>,
-    zones: Vec<String>,
-    fixed: bool,
-    connect_timeout: Nanos,
-    idle: Nanos,
-    answer_body: u64,
-    protocol: Protocol,
-    script: String,
-    root: String,
-}
-
-impl Footing {
-    /// The same with the classes of a former one in their places, and new ones behind.
-    fn behind(mut self, former: &Self) -> Self {
-        let spare = former.classes.iter().filter(|name| !self.classes.contains(name)).count();
-        if spare > MOST_SPARE_CLASSES {
-            return self;
-        }
-        let own = std::mem::take(&mut self.classes);
-        let settings = std::mem::take(&mut self.settings.classes);
-        let mut own: Vec<_> = own.into_iter().zip(settings).collect();
-        for (name, class) in former.classes.iter().zip(&former.settings.classes) {
-            let place = own.iter().position(|(other, _)| other == name);
-            let class = place.map_or_else(|| class.clone(), |place| own.remove(place).1);
-            self.classes.push(name.clone());
-            self.settings.classes.push(class);
-        }
-        for (name, class) in own {
-            self.classes.push(name);
-            self.settings.classes.push(class);
-        }
-        self
-    }
-
-    /// Whether a loop may go over to another one with what it has learned.
-    fn retunes_to(&self, new: &Self) -> bool {
-        let settings = new.settings.clone();
-        let classes = new.classes.clone();
-        let same_names = self.classes.iter().zip(&classes).all(|(old, new)| old == new);
-        let rest = Self { settings, classes, ..self.clone() };
-        same_names && self.settings.retunes_to(&new.settings) && rest == *new
-    }
-}
-
-struct RunningPool {
-    footing: Footing,
-    handle: Handle,
-}
-
-struct RunningFront {
-    /// As the file has it.
-    address: SocketAddr,
-    front: Rc<Front>,
-    stop: oneshot::Sender<Ending>,
-    done: JoinHandle<()>,
-}
-
+/// What belongs to the revision in force.
 struct Running {
-    config: Config,
-    pools: HashMap<String, RunningPool>,
-    fronts: Vec<RunningFront>,
+    active: Arc<NodeConfig>,
+    /// The loops of its pools, by name.
+    pools: HashMap<String, Handle>,
+    listeners: Vec<RunningListener>,
 }
 
 /// A running node.
 pub struct Site {
     gateway: Rc<Gateway>,
-    held: Held,
+    pools: PoolContext,
     budget: Rc<Budget>,
-    connections: Rc<Connections>,
-    room: std::sync::Arc<Room>,
-    seed: u64,
-    eyes: Rc<Eyes>,
     running: RefCell<Running>,
     /// How many nodes share the servers, where the fleet says so.
     sharing: Cell<Option<Sharing>>,
     /// Staff empty this node.
-    lame: Cell<bool>,
+    draining: Cell<bool>,
 }
 
 impl Site {
@@ -154,200 +81,198 @@
     /// # Errors
     /// An address that can't be listened on, or settings that can't be used.
     pub fn start(config: Config, recorder: Option<Recorder>, eyes: Rc<Eyes>) -> Result<Rc<Self>, SiteError> {
-        let listeners = bind(&config, &[])?;
-        let limits = &config.limits;
-        let calls = if config.observe.calls.is_some() { 1 + MOST_CALLERS } else { 0 };
-        let others = calls + if config.fleet.is_some() { fleet::DESCRIPTORS } else { 0 };
-        let places = Places::of(limits.descriptors, config.listeners.len() + others);
-        let connections = Connections::new(places.servers);
+        let bound = listeners::bind(&config, &[])?;
+        let active = Arc::new(NodeConfig::first(config)?);
+        let config = &active.config;
+        let places = descriptor_budget(config);
         // Hash tables are seeded from the system's source of randomness.
         let seed = RandomState::new().build_hasher().finish();
-        let held = Held::default();
-        let room = Room::new((limits.memory / LONG_SHARE) as usize);
-        let mut pools = HashMap::new();
-        let mut cores = Vec::new();
-        for place in 0..config.pools.len() {
-            let footing = footing(&config, place)?;
-            let handle = start_pool(&config, place, &footing, (&connections, &room), seed, &held, &eyes);
-            cores.push((handle.clone(), footing.classes.clone()));
-            pools.insert(config.pools[place].name.clone(), RunningPool { footing, handle });
-        }
-        let gateway = Gateway::new(Live::new(&config, &cores), seed, recorder);
-        let budget = Budget::new(places.clients, limits.descriptors);
-        let site = Rc::new(Self {
-            gateway,
-            held,
-            budget,
-            connections,
-            room,
-            seed,
+        let pools = PoolContext {
+            connections: Connections::new(places.servers),
+            room: Room::new((config.limits.memory / LONG_SHARE) as usize),
+            held: Held::default(),
             eyes,
-            running: RefCell::new(Running { config: config.clone(), pools, fronts: Vec::new() }),
+            seed,
+        };
+        let handles: Vec<_> = (0..config.pools.len())
+            .map(|place| start_pool(&pools, &active, place, Endpoints::of(config, place)))
+            .collect();
+        let live = Live { table: active.table.clone(), pools: handles.clone() };
+        let names = config.pools.iter().map(|pool| pool.name.clone());
+        let running =
+            Running { pools: names.zip(handles).collect(), listeners: Vec::new(), active: active.clone() };
+        let site = Rc::new(Self {
+            gateway: Gateway::new(live, seed, recorder),
+            budget: Budget::new(places.clients, config.limits.descriptors),
+            pools,
+            running: RefCell::new(running),
             sharing: Cell::new(None),
-            lame: Cell::new(false),
+            draining: Cell::new(false),
         });
-        site.start_fronts(&config, listeners);
-        site.set_protocols(&config);
+        site.start_listeners(config, bound);
+        site.set_listener_options(config);
         Ok(site)
     }
 
-    fn set_protocols(&self, config: &Config) {
-        for front in &self.running.borrow().fronts {
-            let listener = config.listeners.iter().find(|listener| listener.address == front.address);
-            front.front.set_protocol(listener.map_or(Protocol::Http, |listener| listener.protocol));
-        }
+    /// The configuration in force.
+    pub fn active(&self) -> Arc<NodeConfig> {
+        self.running.borrow().active.clone()
     }
 
-    /// Goes over to another configuration, or changes nothing. Pools keep what they have learned, and take servers that
-    /// changed as a list that changed. Where the rules for repeats or what knowledge rests on are others, they begin
-    /// anew, and the old loops serve what they have. Listeners that are gone end in order.
+    /// Goes over to the next revision, or changes nothing. All of it happens in one turn of the loop, between two
+    /// requests; what takes long was done before. A pool whose step is [`PoolStep::Keep`] hears nothing, others keep
+    /// what they have learned where they can, and a loop that is replaced serves what it has. Listeners that are gone
+    /// end in order.
     ///
     /// # Errors
-    /// An address that can't be listened on, or settings that can't be used.
-    pub fn reload(self: &Rc<Self>, config: Config) -> Result<Vec<Change>, SiteError> {
-        let mut running = self.running.borrow_mut();
-        let mut changes = diff(&running.config, &config);
-        // What is gone stood in texts that are gone as well.
-        let gone = changes.iter_mut().filter(|change| change.what == What::Removed);
-        gone.for_each(|change| change.place = Span::default());
+    /// An address that can't be listened on.
+    pub fn apply(self: &Rc<Self>, transition: &mut Transition) -> Result<(), SiteError> {
+        let next = transition.next.clone();
+        let config = &next.config;
         // All that can fail comes first.
-        let footings =
-            (0..config.pools.len()).map(|place| footing(&config, place)).collect::<Result<Vec<_>, _>>()?;
-        let bound: Vec<_> = running.fronts.iter().map(|front| front.address).collect();
-        let listeners = bind(&config, &bound)?;
-        let (old, new) = (&running.config.limits, &config.limits);
-        if (old.memory, old.descriptors) != (new.memory, new.descriptors) {
-            warn!(target: "settings", "reload: `memory` and `descriptors` wait for the next start");
-        }
-        let (old, new) = (&running.config.observe, &config.observe);
-        if (old.calls, old.recorder, &old.recordings) != (new.calls, new.recorder, &new.recordings) {
-            warn!(target: "settings", "reload: `calls`, `recorder` and `recordings` wait for the next start");
+        let addresses: Vec<_> = self.running.borrow().listeners.iter().map(|one| one.address).collect();
+        let bound = listeners::bind(config, &addresses)?;
+        for setting in &transition.waiting {
+            warn!(target: "settings", "reload: {setting} for the next start");
         }
-        if running.config.fleet != config.fleet {
-            warn!(target: "settings", "reload: `fleet` waits for the next start");
-        }
-        super::set_log(self.eyes.log(), new);
-        let mut pools = HashMap::new();
-        let mut cores = Vec::new();
-        for (place, footing) in footings.into_iter().enumerate() {
-            let pool = &config.pools[place];
-            let former = running.pools.remove(&pool.name);
-            let in_place = former.as_ref().map(|former| footing.clone().behind(&former.footing));
-            let (kept, replaced, footing) = match (former, in_place) {
-                (Some(former), Some(new)) if former.footing.retunes_to(&new) => (Some(former), None, new),
-                (former, _) => (None, former, footing),
-            };
-            let handle = match kept {
-                Some(kept) => {
-                    if kept.footing.settings != footing.settings {
-                        kept.handle.retune(footing.settings.clone());
-                    }
-                    match &pool.members {
-                        Members::Static(_) => kept.handle.set_servers(servers(&config, pool)),
-                        Members::Discovery { address, .. } => kept.handle.move_discovery(*address),
-                    }
-                    kept.handle
+        super::set_log(self.pools.eyes.log(), &config.observe);
+        let handles = self.change_pools(&next, std::mem::take(&mut transition.steps));
+        self.gateway.set_live(Live { table: next.table.clone(), pools: handles });
+        self.running.borrow_mut().active = next.clone();
+        self.stop_listeners(config);
+        self.start_listeners(config, bound);
+        self.set_listener_options(config);
+        Ok(())
+    }
+
+    /// Carries out what becomes of each pool; the loops, in the order of the configuration.
+    fn change_pools(&self, next: &NodeConfig, steps: Vec<PoolStep>) -> Vec<Handle> {
+        let mut running = self.running.borrow_mut();
+        let mut former = std::mem::take(&mut running.pools);
+        let mut handles = Vec::with_capacity(steps.len());
+        for (place, step) in steps.into_iter().enumerate() {
+            let name = &next.config.pools[place].name;
+            let kept = former.remove(name);
+            let handle = match (step, kept) {
+                (PoolStep::Keep, Some(kept)) => kept,
+                (PoolStep::Update { settings, endpoints }, Some(kept)) => {
+                    update_pool(&kept, settings, endpoints);
+                    kept
                 }
-                None => {
-                    let shared = (&self.connections, &self.room);
-                    let fresh =
-                        start_pool(&config, place, &footing, shared, self.seed, &self.held, &self.eyes);
-                    if let Some(sharing) = self.sharing.get() {
-                        fresh.share(sharing);
+                (PoolStep::Start(endpoints), replaced) => {
+                    if let Some(replaced) = replaced {
+                        // Its servers are still there: what it holds may go to them.
+                        replaced.retire(false);
                     }
-                    fresh
+                    self.start_shared_pool(next, place, endpoints)
+                }
+                // A step that keeps a loop is prepared from the revision that has it.
+                (PoolStep::Keep | PoolStep::Update { .. }, None) => {
+                    self.start_shared_pool(next, place, Endpoints::of(&next.config, place))
                 }
             };
-            if let Some(replaced) = replaced {
-                // Its servers are still there: what it holds may go to them.
-                replaced.handle.retire(false);
-            }
-            cores.push((handle.clone(), footing.classes.clone()));
-            pools.insert(pool.name.clone(), RunningPool { footing, handle });
+            running.pools.insert(name.clone(), handle.clone());
+            handles.push(handle);
         }
-        for (_, gone) in running.pools.drain() {
-            gone.handle.retire(true);
+        for gone in former.into_values() {
+            gone.retire(true);
         }
-        self.gateway.set_live(Live::new(&config, &cores));
-        running.pools = pools;
-        let stays = |front: &RunningFront| config.listeners.iter().any(|l| l.address == front.address);
-        let (kept, gone): (Vec<_>, Vec<_>) = running.fronts.drain(..).partition(stays);
-        running.fronts = kept;
-        for front in gone {
-            // It goes on by itself until its last answer.
-            let _ = front.stop.send(Ending::Listener);
+        handles
+    }
+
+    /// Starts a pool that knows how many nodes share its servers.
+    fn start_shared_pool(&self, next: &NodeConfig, place: usize, endpoints: Endpoints) -> Handle {
+        let handle = start_pool(&self.pools, next, place, endpoints);
+        if let Some(sharing) = self.sharing.get() {
+            handle.share(sharing);
         }
-        running.config = config.clone();
-        drop(running);
-        self.start_fronts(&config, listeners);
-        let options = options(&config);
-        self.running.borrow().fronts.iter().for_each(|front| front.front.set_options(options));
-        self.set_protocols(&config);
-        Ok(changes)
+        handle
     }
 
-    fn start_fronts(self: &Rc<Self>, config: &Config, listeners: Vec<(SocketAddr, TcpListener)>) {
-        for (address, listener) in listeners {
-            if let Ok(bound) = listener.local_addr() {
-                info!(target: "node", "{} listens on {bound}", config.node.name);
+    fn start_listeners(self: &Rc<Self>, config: &Config, bound: Vec<BoundListener>) {
+        for bound in bound {
+            if let Ok(address) = bound.listener.local_addr() {
+                info!(target: "node", "{} listens on {address}", config.node.name);
             }
-            // The fronts belong to the site: it may not be kept by them.
-            let site = Rc::downgrade(self);
-            let give_up = move || {
-                if let Some(site) = site.upgrade() {
-                    site.running.borrow().pools.values().for_each(|pool| pool.handle.give_up());
-                }
-            };
-            let (gateway, held) = (self.gateway.clone(), self.held.clone());
-            let front = Front::new(
-                gateway,
-                held,
-                options(config),
-                self.budget.clone(),
-                give_up,
-                Rc::default(),
-                self.room.clone(),
-            );
-            front.set_tap(self.eyes.front_tap());
-            front.set_lame(self.lame.get());
-            let (stop, stopped) = oneshot::channel();
-            let stopped = async move { stopped.await.unwrap_or(Ending::Process) };
-            let done = task::spawn_local(front.clone().run(listener, stopped));
-            self.running.borrow_mut().fronts.push(RunningFront { address, front, stop, done });
+            let front = self.front(config);
+            self.running.borrow_mut().listeners.push(RunningListener::start(bound, front));
+        }
+    }
+
+    fn front(self: &Rc<Self>, config: &Config) -> Rc<Front> {
+        // The fronts belong to the site: it may not be kept by them.
+        let site = Rc::downgrade(self);
+        let give_up = move || {
+            if let Some(site) = site.upgrade() {
+                site.running.borrow().pools.values().for_each(Handle::give_up);
+            }
+        };
+        let front = Front::new(
+            self.gateway.clone(),
+            self.pools.held.clone(),
+            listeners::options(config),
+            self.budget.clone(),
+            give_up,
+            Rc::default(),
+            self.pools.room.clone(),
+        );
+        front.set_tap(self.pools.eyes.front_tap());
+        front.set_lame(self.draining.get());
+        front
+    }
+
+    /// Stops listeners whose addresses the configuration no longer has; they go on by themselves until their last
+    /// answers.
+    fn stop_listeners(&self, config: &Config) {
+        let mut running = self.running.borrow_mut();
+        let stays = |one: &RunningListener| config.listeners.iter().any(|other| other.address == one.address);
+        let (kept, gone): (Vec<_>, Vec<_>) = running.listeners.drain(..).partition(stays);
+        running.listeners = kept;
+        for listener in gone {
+            listener.stop(Ending::Listener);
+        }
+    }
+
+    fn set_listener_options(&self, config: &Config) {
+        let options = listeners::options(config);
+        for listener in &self.running.borrow().listeners {
+            listener.front.set_options(options);
+            listener.front.set_protocol(listeners::protocol(config, listener.address));
         }
     }
 
     /// So many nodes share the servers of all pools from now on.
     pub fn share(&self, sharing: Sharing) {
         self.sharing.set(Some(sharing));
-        self.running.borrow().pools.values().for_each(|pool| pool.handle.share(sharing));
+        self.running.borrow().pools.values().for_each(|pool| pool.share(sharing));
     }
 
     /// Staff empty this node, or have it back at work: connections of clients end with their next answers.
-    pub fn set_lame(&self, lame: bool) {
-        self.lame.set(lame);
-        self.running.borrow().fronts.iter().for_each(|front| front.front.set_lame(lame));
+    pub fn set_draining(&self, draining: bool) {
+        self.draining.set(draining);
+        self.running.borrow().listeners.iter().for_each(|listener| listener.front.set_lame(draining));
     }
 
     /// Whether staff empty it.
-    pub fn is_lame(&self) -> bool {
-        self.lame.get()
+    pub fn is_draining(&self) -> bool {
+        self.draining.get()
     }
 
     /// How much it has to do: requests in hand, in eighths of what it may hold.
     pub fn load(&self) -> u32 {
-        let most = self.running.borrow().config.limits.held.max(1);
-        (self.held.count() * 8 / most).min(8) as u32
+        let most = self.running.borrow().active.config.limits.held.max(1);
+        (self.pools.held.count() * 8 / most).min(8) as u32
     }
 
     /// What the node can be asked about itself.
     pub fn eyes(&self) -> &Eyes {
-        &self.eyes
+        &self.pools.eyes
     }
 
     /// What is in hand now.
     pub async fn gauges(&self) -> Vec<(&'static str, f64)> {
-        let handles: Vec<_> = self.running.borrow().pools.values().map(|pool| pool.handle.clone()).collect();
+        let handles: Vec<_> = self.running.borrow().pools.values().cloned().collect();
+        let active = self.active();
         let (mut listed, mut unavailable) = (0, 0);
         for handle in handles {
             let members = handle.look().await;
@@ -355,147 +280,48 @@
             unavailable += members.unavailable;
         }
         vec![
-            ("pumicehead_requests_open", self.held.count() as f64),
+            ("pumicehead_requests_open", self.pools.held.count() as f64),
             ("pumicehead_servers", listed as f64),
             ("pumicehead_servers_unavailable", unavailable as f64),
+            ("pumicehead_config_revision", active.revision.0 as f64),
+            ("pumicehead_config_digest", active.digest.short() as f64),
         ]
     }
 
     /// Answers what was taken, and returns when all of it is.
     pub async fn end(&self) {
-        let fronts = std::mem::take(&mut self.running.borrow_mut().fronts);
-        let mut ending = Vec::new();
-        for front in fronts {
-            let _ = front.stop.send(Ending::Process);
-            ending.push(front.done);
-        }
+        let listeners = std::mem::take(&mut self.running.borrow_mut().listeners);
+        // All are told before any is waited for.
+        let ending: Vec<_> = listeners.into_iter().map(|listener| listener.stop(Ending::Process)).collect();
         for done in ending {
             let _ = done.await;
         }
     }
 }
 
-/// Binds the listeners whose addresses are not bound yet.
-fn bind(config: &Config, bound: &[SocketAddr]) -> Result<Vec<(SocketAddr, TcpListener)>, SiteError> {
-    let new = config.listeners.iter().map(|listener| listener.address);
-    let new = new.filter(|address| !bound.contains(address));
-    new.map(|address| match front::listen(address) {
-        Ok(listener) => Ok((address, listener)),
-        Err(source) => Err(SiteError::Listen { address, source }),
-    })
-    .collect()
+fn start_pool(pools: &PoolContext, revision: &NodeConfig, place: usize, endpoints: Endpoints) -> Handle {
+    let name = &revision.config.pools[place].name;
+    pools.start(name, place, &revision.identities[place], endpoints, &revision.tenants)
 }
 
-fn options(config: &Config) -> Options {
-    let Limits { request_time, idle, request_body, held, .. } = config.limits;
-    let longest = config.classes.iter().map(|class| class.deadline).max().unwrap_or_default();
-    Options {
-        patience: Duration::from_nanos(request_time),
-        keep: Duration::from_nanos(idle),
-        longest_body: request_body as usize,
-        passes: None,
-        most_held: held,
-        // A request may come in as slowly as it may, and then wait for its deadline.
-        last_deadline: Duration::from_nanos(longest.saturating_add(request_time)),
-        healthz: false,
-        // A front has pools of its own settings each; these advise half a second.
-        advice: Some(SECOND / 2),
+fn update_pool(
+    pool: &Handle,
+    settings: Option<Box<pumicehead_policy::interface::Settings>>,
+    endpoints: Option<Endpoints>,
+) {
+    if let Some(settings) = settings {
+        pool.retune(settings);
     }
-}
-
-fn footing(config: &Config, place: usize) -> Result<Footing, SiteError> {
-    let pool = &config.pools[place];
-    let settings = config.settings(place);
-    // A pool that no route leads to has no classes, and needs no decisions.
-    if !settings.classes.is_empty() {
-        settings.check().map_err(|source| SiteError::Settings { pool: pool.name.clone(), source })?;
+    match endpoints {
+        Some(Endpoints::Fixed(list)) => pool.set_servers(list),
+        Some(Endpoints::Discovery(address)) => pool.move_discovery(address),
+        None => {}
     }
-    Ok(Footing {
-        settings,
-        classes: config
-            .classes_of(place)
-            .into_iter()
-            .map(|class| config.classes[class].name.clone())
-            .collect(),
-        zones: config.node.zones.clone(),
-        fixed: matches!(pool.members, Members::Static(_)),
-        connect_timeout: pool.connect_timeout,
-        idle: pool.idle,
-        answer_body: config.limits.answer_body,
-        protocol: pool.protocol,
-        script: pool.script.clone(),
-        root: pool.root.clone(),
-    })
-}
-
-fn start_pool(
-    config: &Config,
-    place: usize,
-    footing: &Footing,
-    (connections, room): (&Rc<Connections>, &std::sync::Arc<Room>),
-    seed: u64,
-    held: &Held,
-    eyes: &Eyes,
-) -> Handle {
-    let pool = &config.pools[place];
-    let (dial, idle) = (Duration::from_nanos(footing.connect_timeout), Duration::from_nanos(footing.idle));
-    let transport: Rc<dyn Transport> = match footing.protocol {
-        Protocol::Http => {
-            let reader = Reader {
-                reading: Reading::Gateway,
-                longest: footing.answer_body,
-                longest_unstated: footing.answer_body,
-                passes: false,
-                room: room.clone(),
-            };
-            http::upstream::Upstream::new(connections.clone(), dial, idle, reader, Rc::default())
-        }
-        Protocol::FastCgi => {
-            let settings = fastcgi::upstream::Settings {
-                dial_timeout: dial,
-                conn_idle: idle,
-                longest: footing.answer_body,
-                room: room.clone(),
-                script: footing.script.clone(),
-                root: footing.root.clone(),
-            };
-            fastcgi::upstream::Upstream::new(connections.clone(), settings)
-        }
-    };
-    let tenants: Vec<_> = config.tenants.iter().map(|tenant| tenant.name.clone()).collect();
-    let tap = eyes.tap(&pool.name, &footing.settings, &footing.classes, &tenants);
-    let setup = Setup {
-        settings: footing.settings.clone(),
-        seed: seed.wrapping_add(place as u64),
-        zones: footing.zones.clone(),
-        source: match &pool.members {
-            Members::Static(_) => Source::Fixed(servers(config, pool)),
-            Members::Discovery { address, .. } => {
-                Source::Watch { discovery: *address, known: None, at_once: false }
-            }
-        },
-        transport,
-        hands: Rc::default(),
-        learned: None,
-        clock: eyes.clock(),
-        tap: Some(tap),
-    };
-    let (core, handle) = Core::new(setup, held.clone());
-    task::spawn_local(core.run());
-    handle
 }
 
-/// A pool's servers as a list; none where discovery lists them.
-fn servers(config: &Config, pool: &Pool) -> List {
-    let Members::Static(servers) = &pool.members else { return List::default() };
-    let hosts = servers.iter().map(|server| Host {
-        host: server.name.clone(),
-        dial: server.address.clone(),
-        site: config.node.zones[server.zone].clone(),
-        block: server.cell,
-        health: Health::Active,
-        share: server.weight as f32,
-        born_ms: 0,
-    });
-    List { seq: 0, whole: true, hosts: hosts.collect() }
+/// Descriptors for clients and for servers, after what the node needs for itself.
+fn descriptor_budget(config: &Config) -> Places {
+    let calls = if config.observe.calls.is_some() { 1 + MOST_CALLERS } else { 0 };
+    let others = calls + if config.fleet.is_some() { fleet::DESCRIPTORS } else { 0 };
+    Places::of(config.limits.descriptors, config.listeners.len() + others)
 }
--- a/crates/node/tests/unit/core.rs
+++ b/crates/node/tests/unit/core.rs
@@ -74,6 +74,7 @@
             tenant: None,
             hint: None,
             key: None,
+            revision: None,
             left: Duration::from_millis(100),
             sending: Duration::ZERO,
             call: Call::default(),
--- a/crates/node/tests/unit/front.rs
+++ b/crates/node/tests/unit/front.rs
@@ -66,6 +66,7 @@
             tenant: None,
             hint: None,
             key: None,
+            revision: None,
             left: Duration::from_secs(60),
             sending: Duration::ZERO,
             call: Call { method: Method::GET, uri: Uri::from_static("/"), ..Call::default() },
--- /dev/null
+++ b/crates/node/tests/unit/touched.rs
@@ -0,0 +1,100 @@
+//! Which pools a change has to do with.
+
+use std::sync::Arc;
+
+use pumicehead_lang::Files;
+use pumicehead_lang::model::Config;
+use pumicehead_resources::Delta;
+
+use super::*;
+
+/// One file in memory.
+struct OneFile(String);
+
+impl Files for OneFile {
+    fn read(&self, _: &std::path::Path) -> Result<Vec<u8>, pumicehead_lang::ReadFault> {
+        Ok(self.0.clone().into_bytes())
+    }
+
+    fn list(&self, _: &std::path::Path) -> Result<Vec<String>, pumicehead_lang::ReadFault> {
+        Ok(Vec::new())
+    }
+
+    fn identity(&self, path: &std::path::Path) -> std::path::PathBuf {
+        path.into()
+    }
+}
+
+const BASE: &str = "
+    node { zones a b; zone a }
+    listener public { address 127.0.0.1:8080 }
+    pool one { server s { address 127.0.0.1:9001; zone a } }
+    pool two { server s { address 127.0.0.1:9002; zone b } }
+    pool three { server s { address 127.0.0.1:9003; zone a } }
+    class read { aim 1s; deadline 2s; repeats safe }
+    class submit { aim 1s; deadline 2s; repeats unsafe }
+    tenant acme { share 50%; rate 100/s }
+    route first { path /a/**; class read; pool one }
+    route second { path /b/**; class read; pool two }
+    route third { path /c/**; class submit; pool three }
+";
+
+fn config(text: &str) -> Config {
+    let checked = pumicehead_lang::check(&OneFile(text.into()), std::path::Path::new("main.conf"));
+    checked.config.expect("a sound configuration")
+}
+
+fn touched(from: &str, to: &str) -> Touched {
+    let (old, new) = (config(from).snapshot().unwrap(), config(to).snapshot().unwrap());
+    let delta = old.difference(&new);
+    Touched::by(&delta, &old, &new)
+}
+
+fn pools(names: &[&str]) -> Touched {
+    Touched::Some(names.iter().map(|name| Arc::from(*name)).collect())
+}
+
+#[test]
+fn a_change_touches_the_pools_that_it_has_to_do_with() {
+    let cases: &[(&str, &str, &[&str])] = &[
+        ("127.0.0.1:9002", "127.0.0.1:9009", &["two"]),
+        ("127.0.0.1:9002; zone b", "127.0.0.1:9002; zone a", &["two"]),
+        ("pool one {", "pool one { attempts 2;", &["one"]),
+        ("class read { aim 1s", "class read { aim 900ms", &["one", "two"]),
+        (
+            "class submit { aim 1s; deadline 2s; repeats unsafe",
+            "class submit { aim 1s; deadline 2s; repeats safe",
+            &["three"],
+        ),
+        ("path /b/**; class read; pool two", "path /b/**; class read; pool three", &["two", "three"]),
+        ("path /b/**; class read", "path /b/**; class submit", &["two"]),
+        ("address 127.0.0.1:8080", "address 127.0.0.1:8081", &[]),
+    ];
+    for (from, to, expected) in cases {
+        assert_eq!(touched(BASE, &BASE.replace(from, to)), pools(expected), "{from} -> {to}");
+    }
+}
+
+#[test]
+fn an_order_of_routes_touches_no_pool() {
+    let first = "route first { path /a/**; class read; pool one }\n";
+    let moved = BASE.replace(first, "") + first;
+    assert_ne!(BASE, moved);
+    assert_eq!(touched(BASE, &moved), pools(&[]));
+}
+
+#[test]
+fn tenants_and_the_node_touch_all_pools() {
+    for (from, to) in
+        [("rate 100/s", "rate 90/s"), ("zones a b;", "zones a b c;"), ("tenant acme", "tenant other")]
+    {
+        assert_eq!(touched(BASE, &BASE.replace(from, to)), Touched::All, "{from} -> {to}");
+    }
+}
+
+#[test]
+fn no_change_touches_nothing() {
+    let state = config(BASE).snapshot().unwrap();
+    assert_eq!(Touched::by(&Delta::default(), &state, &state), pools(&[]));
+    assert_eq!(touched(BASE, &format!("# a comment\n{BASE}")), pools(&[]));
+}
--- a/crates/ops/src/call.rs
+++ b/crates/ops/src/call.rs
@@ -9,7 +9,7 @@
 
 /// All there are.
 const CALLS: &str = "PING, INFO, DETACH ID, ATTACH ID, LAMEDUCK, REJOIN, TRACE, METRICS, FILTER LEVELS, \
-    RECORD off|on|full, FLEET members, FLEET why NODE";
+    RECORD off|on|full, CONFIG, FLEET members, FLEET why NODE";
 
 /// What is asked.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -34,6 +34,8 @@
     Filter(String),
     /// How much is recorded from now on.
     Record(Amount),
+    /// The revision of the configuration in force, and its digest.
+    Config,
     /// The fleet as this node sees it, as JSON.
     Members,
     /// Why a node is held for what it is, as JSON.
@@ -108,6 +110,7 @@
             "ATTACH" => about("ATTACH").map(Self::Attach),
             "TRACE" => alone("TRACE", Self::Trace),
             "METRICS" => alone("METRICS", Self::Metrics),
+            "CONFIG" => alone("CONFIG", Self::Config),
             "FILTER" => match (server, rest) {
                 (Some(levels), None) => Ok(Self::Filter(levels.to_owned())),
                 _ => Err(CallError::Needs("FILTER", "levels, as `info` or `warn,discovery=debug`")),
--- /dev/null
+++ b/crates/resources/tests/changes.rs
@@ -0,0 +1,120 @@
+//! Changes one by one: what is refused, and that nothing of it stays.
+
+mod common;
+
+use common::*;
+use pumicehead_resources::{ApplyError, Change, Fault, Kind, Repeats, Resource, ResourceId};
+
+/// Applies changes that must be refused, and returns why.
+fn refused(changes: impl IntoIterator<Item = Change>) -> ApplyError {
+    let mut state = snapshot(base());
+    let (before, digest) = (state.clone(), state.digest());
+    let error = state.apply(&delta(changes)).expect_err("the changes are refused");
+    assert_eq!(state, before, "a refused delta left something behind");
+    assert_eq!(state.digest(), digest);
+    error
+}
+
+fn route_id(own: &str) -> ResourceId {
+    ResourceId::Route(name(own))
+}
+
+#[test]
+fn a_change_that_cannot_be_used_half_way_leaves_nothing_behind() {
+    // Sound changes on both sides of one that names a pool that is not there.
+    let error = refused([
+        Change::Set(pool("p9", 2)),
+        Change::Remove(route_id("r0")),
+        Change::Set(route("r8", "/8", "c0", "nowhere", None)),
+        Change::Set(class("c9", 1.0, Repeats::Safe)),
+    ]);
+    let dangling = Fault::Dangling { from: route_id("r8"), to: ResourceId::Pool(name("nowhere")) };
+    assert_eq!(error, ApplyError::Unsound(dangling));
+    // One that fails by itself, after others that do not.
+    let missing = ResourceId::Tenant(name("t9"));
+    let error = refused([Change::Set(pool("p9", 2)), Change::Remove(missing.clone())]);
+    assert_eq!(error, ApplyError::Missing(missing));
+}
+
+#[test]
+fn what_others_name_is_not_removed() {
+    for (gone, from) in [
+        (ResourceId::Pool(name("p0")), ResourceId::Backend { pool: name("p0"), name: name("s0") }),
+        (ResourceId::Class(name("c1")), route_id("r1")),
+        (ResourceId::Tenant(name("t0")), route_id("r1")),
+    ] {
+        let error = refused([Change::Remove(gone.clone())]);
+        assert_eq!(error, ApplyError::Unsound(Fault::Dangling { from, to: gone }));
+    }
+    assert_eq!(refused([Change::Remove(ResourceId::Node)]), ApplyError::NodeRemoved);
+    let all_listeners = [Change::Remove(ResourceId::Listener(name("l0")))];
+    assert_eq!(refused(all_listeners), ApplyError::Unsound(Fault::NoneOf(Kind::Listener)));
+}
+
+#[test]
+fn values_that_no_decision_can_be_made_with_are_refused() {
+    let of = ResourceId::Backend { pool: name("p0"), name: name("s0") };
+    for weight in [0.0, -1.0, f64::NAN, f64::INFINITY] {
+        let error = refused([Change::Set(backend("p0", "s0", "a", weight))]);
+        assert_eq!(error, ApplyError::Unsound(Fault::OutOfRange { of: of.clone(), value: "weight" }));
+    }
+    let error = refused([Change::Set(backend("p0", "s0", "nowhere", 1.0))]);
+    assert_eq!(error, ApplyError::Unsound(Fault::UnknownZone { from: of, zone: "nowhere".into() }));
+    let error = refused([Change::Set(listener("l1", 8_000))]);
+    let (one, other) = (ResourceId::Listener(name("l0")), ResourceId::Listener(name("l1")));
+    assert_eq!(error, ApplyError::Unsound(Fault::SameAddress(one, other)));
+}
+
+#[test]
+fn changes_are_checked_together() {
+    let mut state = snapshot(base());
+    // The class goes before the route that names it does.
+    let changes = [
+        Change::Remove(ResourceId::Class(name("c1"))),
+        Change::Remove(ResourceId::Tenant(name("t0"))),
+        Change::Set(route("r1", "/b/**", "c0", "p1", None)),
+    ];
+    state.apply(&delta(changes)).unwrap();
+    assert_eq!(state.classes().count(), 1);
+}
+
+#[test]
+fn a_backend_moves_to_another_pool_or_zone_under_its_name() {
+    let from = snapshot(base());
+    let moved = |pool: &str, zone: &str| {
+        let others = base().into_iter().filter(|one| one.id() != backend("p0", "s0", "a", 1.0).id());
+        snapshot(others.chain([backend(pool, "s1", zone, 1.0)]))
+    };
+    let gone = ResourceId::Backend { pool: name("p0"), name: name("s0") };
+    let to_pool = from.difference(&moved("p1", "a"));
+    assert_eq!(to_pool, delta([Change::Remove(gone), Change::Set(backend("p1", "s1", "a", 1.0))]));
+    let in_zone = base().into_iter().map(|one| match one {
+        Resource::Backend(one) if *one.pool == *"p0" => backend("p0", "s0", "b", 1.0),
+        other => other,
+    });
+    let to_zone = from.difference(&snapshot(in_zone));
+    assert_eq!(to_zone, delta([Change::Set(backend("p0", "s0", "b", 1.0))]));
+}
+
+#[test]
+fn an_order_that_changes_and_nothing_else_is_a_change() {
+    let mut state = snapshot(base());
+    let digest = state.digest();
+    let first = Change::Place { route: name("r2"), before: Some(name("r0")) };
+    state.apply(&delta([first.clone()])).unwrap();
+    let order: Vec<_> = state.routes().map(|route| route.name.to_string()).collect();
+    assert_eq!(order, ["r2", "r0", "r1"]);
+    assert_ne!(state.digest(), digest);
+    assert_eq!(snapshot(base()).difference(&state), delta([first]));
+    state.apply(&delta([Change::Place { route: name("r2"), before: None }])).unwrap();
+    assert_eq!((state.digest(), &state), (digest, &snapshot(base())));
+    let missing = refused([Change::Place { route: name("r0"), before: Some(name("r7")) }]);
+    assert_eq!(missing, ApplyError::Missing(route_id("r7")));
+}
+
+/// Another form takes another key, and this test another value: nodes of two versions compare digests.
+#[test]
+fn the_digest_of_a_state_stays_what_it_is() {
+    assert_eq!(snapshot(base()).digest().to_string(), "1c6cfc1bb86d5c17e355b3d5327829eb");
+    assert_eq!(snapshot(base()).digest().short(), (snapshot(base()).digest().0 >> 76) as u64);
+}
--- /dev/null
+++ b/crates/resources/tests/common/mod.rs
@@ -0,0 +1,180 @@
+//! Small states, and random changes of them.
+
+#![allow(dead_code, reason = "each test file uses a part of it")]
+
+use std::sync::Arc;
+
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use pumicehead_resources::{
+    Address, Backend, Change, Class, Delta, Endpoints, KeySource, Listener, Name, Node, Pool, Protocol,
+    Repeats, Resource, ResourceId, Route, Snapshot, Tenant, TenantSource,
+};
+use pumicehead_route::{HostPattern, Methods, Route as Pattern};
+
+pub const SECOND: u64 = 1_000_000_000;
+
+pub fn cases(cases: u32) -> ProptestConfig {
+    ProptestConfig {
+        cases,
+        rng_seed: RngSeed::Fixed(23),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+pub fn name(text: &str) -> Name {
+    text.into()
+}
+
+pub fn node() -> Resource {
+    Resource::Node(Arc::new(Node {
+        name: name("n1"),
+        zones: vec![name("a"), name("b")],
+        zone: name("a"),
+        nodes: 1,
+        ..Node::default()
+    }))
+}
+
+pub fn listener(own: &str, port: u16) -> Resource {
+    let address = ([127, 0, 0, 1], port).into();
+    Resource::Listener(Arc::new(Listener { name: name(own), address, protocol: Protocol::Http }))
+}
+
+pub fn pool(own: &str, attempts: u32) -> Resource {
+    Resource::Pool(Arc::new(Pool {
+        name: name(own),
+        endpoints: Endpoints::Listed,
+        protocol: Protocol::Http,
+        script: String::new(),
+        root: String::new(),
+        warm_up: SECOND,
+        cold_from: 0.1,
+        tips_at: 2.0,
+        tips_within: SECOND,
+        connect_timeout: SECOND,
+        idle: SECOND,
+        attempts,
+        hedge: false,
+        crossing: 0.01,
+    }))
+}
+
+pub fn backend(pool: &str, own: &str, zone: &str, weight: f64) -> Resource {
+    let address = Address::Tcp(([127, 0, 0, 1], 9_000).into());
+    let (pool, zone) = (name(pool), name(zone));
+    Resource::Backend(Arc::new(Backend { pool, name: name(own), address, zone, weight, cell: 0 }))
+}
+
+pub fn class(own: &str, worth: f64, repeats: Repeats) -> Resource {
+    let (aim, deadline) = (SECOND, 2 * SECOND);
+    let late_worth = 0.0;
+    Resource::Class(Arc::new(Class {
+        name: name(own),
+        aim,
+        deadline,
+        worth,
+        late_worth,
+        repeats,
+        ordered: false,
+    }))
+}
+
+pub fn tenant(own: &str, share: f64) -> Resource {
+    Resource::Tenant(Arc::new(Tenant { name: name(own), share, rate: 10.0 }))
+}
+
+pub fn route(own: &str, path: &str, class: &str, pool: &str, tenant: Option<&str>) -> Resource {
+    Resource::Route(Arc::new(Route {
+        name: name(own),
+        pattern: Pattern {
+            host: HostPattern::Any,
+            path: path.parse().expect("a path"),
+            methods: Methods::Any,
+            headers: Vec::new(),
+        },
+        class: name(class),
+        pool: name(pool),
+        tenant: tenant.map_or(TenantSource::None, |tenant| TenantSource::Fixed(name(tenant))),
+        key: KeySource::None,
+    }))
+}
+
+/// A state with two of most kinds.
+pub fn base() -> Vec<Resource> {
+    vec![
+        node(),
+        listener("l0", 8_000),
+        pool("p0", 3),
+        pool("p1", 3),
+        backend("p0", "s0", "a", 1.0),
+        backend("p1", "s0", "b", 1.0),
+        class("c0", 1.0, Repeats::Safe),
+        class("c1", 10.0, Repeats::Unsafe),
+        tenant("t0", 0.5),
+        route("r0", "/a/**", "c0", "p0", None),
+        route("r1", "/b/**", "c1", "p1", Some("t0")),
+        route("r2", "/**", "c0", "p1", None),
+    ]
+}
+
+pub fn snapshot(resources: impl IntoIterator<Item = Resource>) -> Snapshot {
+    Snapshot::build(resources).expect("a sound state")
+}
+
+pub fn delta(changes: impl IntoIterator<Item = Change>) -> Delta {
+    Delta { changes: changes.into_iter().collect() }
+}
+
+/// All resources of a state, the routes in their order.
+pub fn resources(state: &Snapshot) -> Vec<Resource> {
+    let mut all = vec![Resource::Node(Arc::new(state.node().clone()))];
+    all.extend(state.listeners().cloned().map(Resource::Listener));
+    for pool in state.pools() {
+        all.push(Resource::Pool(pool.clone()));
+        all.extend(state.backends(&pool.name).cloned().map(Resource::Backend));
+    }
+    all.extend(state.classes().cloned().map(Resource::Class));
+    all.extend(state.tenants().cloned().map(Resource::Tenant));
+    all.extend(state.routes().cloned().map(Resource::Route));
+    all
+}
+
+/// A change of any kind; whether it can be used depends on the state.
+pub fn change() -> impl Strategy<Value = Change> {
+    let few = 0..4_u8;
+    prop_oneof![
+        (few.clone(), 1..5_u32).prop_map(|(n, attempts)| Change::Set(pool(&format!("p{n}"), attempts))),
+        (few.clone(), 8_000..8_004_u16).prop_map(|(n, port)| Change::Set(listener(&format!("l{n}"), port))),
+        (few.clone(), few.clone(), 0..3_u8, 0..3_u8).prop_map(|(of, n, zone, weight)| {
+            let zone = ["a", "b", "nowhere"][usize::from(zone)];
+            Change::Set(backend(&format!("p{of}"), &format!("s{n}"), zone, weight.into()))
+        }),
+        (few.clone(), 0..3_u8, any::<bool>()).prop_map(|(n, worth, safe)| {
+            let repeats = if safe { Repeats::Safe } else { Repeats::Unsafe };
+            Change::Set(class(&format!("c{n}"), worth.into(), repeats))
+        }),
+        (few.clone(), 0..3_u8)
+            .prop_map(|(n, share)| { Change::Set(tenant(&format!("t{n}"), f64::from(share) / 2.0)) }),
+        (0..8_u8, few.clone(), few.clone(), prop::option::of(few.clone())).prop_map(
+            |(n, class, pool, tenant)| {
+                let tenant = tenant.map(|n| format!("t{n}"));
+                let (class, pool) = (format!("c{class}"), format!("p{pool}"));
+                Change::Set(route(&format!("r{n}"), &format!("/{n}/**"), &class, &pool, tenant.as_deref()))
+            }
+        ),
+        (0..8_u8, prop::option::of(0..8_u8)).prop_map(|(n, before)| Change::Place {
+            route: name(&format!("r{n}")),
+            before: before.map(|n| name(&format!("r{n}"))),
+        }),
+        (0..6_u8, few.clone(), 0..8_u8).prop_map(|(kind, n, more)| Change::Remove(match kind {
+            0 => ResourceId::Listener(name(&format!("l{n}"))),
+            1 => ResourceId::Pool(name(&format!("p{n}"))),
+            2 => ResourceId::Backend { pool: name(&format!("p{n}")), name: name(&format!("s{}", more % 4)) },
+            3 => ResourceId::Class(name(&format!("c{n}"))),
+            4 => ResourceId::Tenant(name(&format!("t{n}"))),
+            _ => ResourceId::Route(name(&format!("r{more}"))),
+        })),
+    ]
+}
--- a/crates/trace/src/event.rs
+++ b/crates/trace/src/event.rs
@@ -95,6 +95,9 @@
         sending: Nanos,
         /// What its client calls it.
         name: Name,
+        /// The revision of the configuration that it was admitted under; none on nodes that have but one, and in
+        /// recordings of versions that did not record it.
+        revision: Option<u64>,
     },
     /// What the module says of its reasons.
     Note(Note),
@@ -181,6 +184,11 @@
     },
 }
 
+/// Tag of a request without a revision, as versions before revisions wrote it.
+const ASKED: u8 = 1;
+/// Tag of a request with the revision that it was admitted under.
+const ASKED_UNDER_REVISION: u8 = 12;
+
 const OUTCOMES: [Outcome; 8] = [
     Outcome::Ok,
     Outcome::Error,
@@ -255,8 +263,14 @@
             put(out, u64::from(first));
         };
         match self {
-            Self::Asked { id, class, tenant, left, sending, name } => {
-                start(1, id.0);
+            Self::Asked { id, class, tenant, left, sending, name, revision } => {
+                match revision {
+                    None => start(ASKED, id.0),
+                    Some(revision) => {
+                        start(ASKED_UNDER_REVISION, id.0);
+                        put(out, *revision);
+                    }
+                }
                 put(out, u64::from(*class));
                 put_some(out, tenant.map(u64::from));
                 put(out, *left);
@@ -323,8 +337,9 @@
         let first = from.small::<u32>()?;
         let id = RequestId(first);
         Some(match tag {
-            1 => Self::Asked {
+            ASKED | ASKED_UNDER_REVISION => Self::Asked {
                 id,
+                revision: if tag == ASKED { None } else { Some(from.number()?) },
                 class: from.small()?,
                 tenant: from.some()?.map(u32::try_from).transpose().ok()?,
                 left: from.number()?,
--- a/crates/trace/src/story.rs
+++ b/crates/trace/src/story.rs
@@ -66,7 +66,7 @@
 fn sentence(head: &Head, story: &Story, event: &Event) -> Option<String> {
     let server = |id: u32| head.server(story.pool, id);
     Some(match event {
-        Event::Asked { class, tenant, left, sending, .. } => {
+        Event::Asked { class, tenant, left, sending, revision, .. } => {
             let mut text = format!(
                 "It came as `{}` to {}, and its client waits {}.",
                 head.class(story.pool, *class),
@@ -85,6 +85,9 @@
                     name.map_or_else(|| tenant.to_string(), |n| crate::text::plain(n))
                 );
             }
+            if let Some(revision) = revision {
+                let _ = write!(text, " Admitted under revision {revision} of the configuration.");
+            }
             text
         }
         Event::Note(Note::Taken { tier, worth, .. }) => {
--- a/crates/trace/tests/common/mod.rs
+++ b/crates/trace/tests/common/mod.rs
@@ -45,7 +45,7 @@
         let id = RequestId(self.next);
         self.next += 1;
         let name = Name::new(name);
-        self.tell(Event::Asked { id, class, tenant: None, left: SECOND, sending: 0, name });
+        self.tell(Event::Asked { id, class, tenant: None, left: SECOND, sending: 0, name, revision: None });
         id
     }
 
--- a/crates/trace/tests/files.rs
+++ b/crates/trace/tests/files.rs
@@ -31,8 +31,24 @@
     let outcomes = (0..8).filter_map(pumicehead_trace::event::outcome);
     let hows = [How::Served, How::ServedFault, How::Refused, How::Failed, How::Late, How::Body, How::Left];
     let mut all = vec![
-        Event::Asked { id, class: 9, tenant: Some(0), left: 1, sending: 2, name: Name::new("é\0") },
-        Event::Asked { id, class: 9, tenant: None, left: u64::MAX, sending: 0, name: Name::default() },
+        Event::Asked {
+            id,
+            class: 9,
+            tenant: Some(0),
+            left: 1,
+            sending: 2,
+            name: Name::new("é\0"),
+            revision: None,
+        },
+        Event::Asked {
+            id,
+            class: 9,
+            tenant: None,
+            left: u64::MAX,
+            sending: 0,
+            name: Name::default(),
+            revision: Some(u64::MAX),
+        },
         Event::Sent { id, attempt, server, timeout: Some(5) },
         Event::Began { id, attempt },
         Event::Advice { avoid: 3, rights: 4 },
