A reload words and compares only the entries that its typed changes name

The differences for the log were found by writing every value of both files as text. Now the difference of the tables names the entries, and only these are worded; the tables of both states are freed before the routes are compiled.

--- a/crates/lang/src/diff.rs
+++ b/crates/lang/src/diff.rs
@@ -1,10 +1,11 @@
 //! What differs in meaning between two configurations. Comments, layout, files and the order of entries don't show;
 //! the order of two routes does where a request fits both.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::fmt;
 
 use pumicehead_policy::interface::{Discovery, Group};
+use pumicehead_resources::{self as resources, Delta, ResourceId};
 use pumicehead_route::Methods;
 
 use crate::model::{
@@ -70,6 +71,11 @@
 /// The values of a configuration, those that are not written included.
 #[must_use]
 pub fn facts(config: &Config) -> Facts {
+    facts_of(config, &|_, _| true)
+}
+
+/// The values of the entries that are wanted, by kind and name.
+fn facts_of(config: &Config, wanted: &dyn Fn(&'static str, &str) -> bool) -> Facts {
     let mut facts = Facts::default();
     let Config { node, listeners, pools, classes, tenants, routes, limits, observe, fleet } = config;
     let mut add = |kind, name: &str, at: &Places, values: Vec<(&'static str, String)>| {
@@ -85,7 +91,9 @@
         ("number", number.to_string()),
     ];
     add("node", "", at, values);
-    for Listener { name, address, protocol, at } in listeners {
+    for Listener { name, address, protocol, at } in
+        listeners.iter().filter(|one| wanted("listener", &one.name))
+    {
         let values = vec![("address", address.to_string()), ("protocol", protocol.name().into())];
         add("listener", name, at, values);
     }
@@ -108,13 +116,17 @@
         match members {
             Members::Static(servers) => {
                 for Server { name: server, address, zone, weight, cell, at } in servers {
+                    let key = server_key(server, name);
+                    if !wanted("server", &key) {
+                        continue;
+                    }
                     let values = vec![
                         ("address", address.to_string()),
                         ("zone", zones[*zone].clone()),
                         ("weight", weight.to_string()),
                         ("cell", cell.to_string()),
                     ];
-                    add("server", &format!("{server} of pool {name}"), at, values);
+                    add("server", &key, at, values);
                 }
             }
             Members::Discovery { address, mode } => {
@@ -125,9 +137,13 @@
                 values.push(("discovery", format!("{mode} {address}")));
             }
         }
-        add("pool", name, at, values);
+        if wanted("pool", name) {
+            add("pool", name, at, values);
+        }
     }
-    for Class { name, aim, deadline, worth, late_worth, repeats, ordered, at } in classes {
+    for Class { name, aim, deadline, worth, late_worth, repeats, ordered, at } in
+        classes.iter().filter(|one| wanted("class", &one.name))
+    {
         let values = vec![
             ("aim", show_time(*aim)),
             ("deadline", show_time(*deadline)),
@@ -138,10 +154,12 @@
         ];
         add("class", name, at, values);
     }
-    for Tenant { name, share, rate, at } in tenants {
+    for Tenant { name, share, rate, at } in tenants.iter().filter(|one| wanted("tenant", &one.name)) {
         add("tenant", name, at, vec![("share", percent(*share)), ("rate", format!("{rate}/s"))]);
     }
-    for Route { name, pattern, class, pool, tenant, key, at } in routes {
+    for Route { name, pattern, class, pool, tenant, key, at } in
+        routes.iter().filter(|one| wanted("route", &one.name))
+    {
         let methods = match &pattern.methods {
             Methods::Any => "any".into(),
             Methods::Only(list) => {
@@ -248,10 +266,48 @@
     }
 }
 
+/// What a server is called among the servers of all pools.
+fn server_key(server: &str, pool: &str) -> String {
+    format!("{server} of pool {pool}")
+}
+
 /// What differs, by kind and name.
 #[must_use]
 pub fn diff(old: &Config, new: &Config) -> Vec<Change> {
-    let (before, after) = (facts(old).entries, facts(new).entries);
+    match (old.snapshot(), new.snapshot()) {
+        (Ok(before), Ok(after)) => diff_by(old, new, &before.difference(&after)),
+        _ => diff_of(old, new, &|_, _| true),
+    }
+}
+
+/// The same where the difference of the tables is known: only what it names is worded and compared, so that it costs no
+/// more than the change.
+#[must_use]
+pub fn diff_by(old: &Config, new: &Config, delta: &Delta) -> Vec<Change> {
+    let named: HashSet<_> = delta.changes.iter().filter_map(entry_of).collect();
+    diff_of(old, new, &|kind, name| named.contains(&(kind, name.to_owned())))
+}
+
+/// Kind and name of the entry that a change is about; none where it is about the node or an order.
+fn entry_of(change: &resources::Change) -> Option<(&'static str, String)> {
+    let id = match change {
+        resources::Change::Set(resource) => resource.id(),
+        resources::Change::Remove(id) => id.clone(),
+        resources::Change::Place { .. } => return None,
+    };
+    Some(match id {
+        ResourceId::Node => return None,
+        ResourceId::Listener(name) => ("listener", name.to_string()),
+        ResourceId::Pool(name) => ("pool", name.to_string()),
+        ResourceId::Backend { pool, name } => ("server", server_key(&name, &pool)),
+        ResourceId::Class(name) => ("class", name.to_string()),
+        ResourceId::Tenant(name) => ("tenant", name.to_string()),
+        ResourceId::Route(name) => ("route", name.to_string()),
+    })
+}
+
+fn diff_of(old: &Config, new: &Config, wanted: &dyn Fn(&'static str, &str) -> bool) -> Vec<Change> {
+    let (before, after) = (facts_of(old, wanted).entries, facts_of(new, wanted).entries);
     let keys: BTreeSet<_> = before.keys().chain(after.keys()).collect();
     let mut changes = Vec::new();
     for key in keys {
--- a/crates/node/src/standalone/revision.rs
+++ b/crates/node/src/standalone/revision.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 
 use pumicehead_lang::Span;
-use pumicehead_lang::diff::{Change, What, diff};
+use pumicehead_lang::diff::{Change, What, diff_by};
 use pumicehead_lang::model::Config;
 use pumicehead_policy::interface::Settings;
 use pumicehead_resources::{Delta, Digest, Revision, Snapshot};
@@ -124,9 +124,10 @@
     /// # Errors
     /// What keeps it from being used.
     pub fn prepare(current: &NodeConfig, config: Config) -> Result<Self, SiteError> {
-        let (old, new) = (current.config.snapshot()?, config.snapshot()?);
-        let delta = old.difference(&new);
-        let touched = touched_pools(current, &config, (&old, &new), &delta);
+        let Difference { digest, delta, touched, waiting } = Difference::of(current, &config)?;
+        let changes = shown_changes(&current.config, &config, &delta);
+        let revision = if delta.is_empty() { current.revision } else { current.revision.next() };
+        drop(delta);
         let mut identities = Vec::with_capacity(config.pools.len());
         let mut steps = Vec::with_capacity(config.pools.len());
         for place in 0..config.pools.len() {
@@ -134,11 +135,32 @@
             identities.push(identity);
             steps.push(step);
         }
-        let changes = shown_changes(&current.config, &config);
-        let revision = if delta.is_empty() { current.revision } else { current.revision.next() };
-        let next = Arc::new(NodeConfig::with(revision, new.digest(), config, identities));
+        let next = Arc::new(NodeConfig::with(revision, digest, config, identities));
         let counts = PoolCounts::of(&steps);
-        Ok(Self { next, steps, counts, waiting: waiting_settings(&old, &new), changes })
+        Ok(Self { next, steps, counts, waiting, changes })
+    }
+}
+
+/// How the tables of a configuration differ from those in force.
+struct Difference {
+    digest: Digest,
+    delta: Delta,
+    touched: Touched,
+    /// As [`Transition::waiting`].
+    waiting: Vec<&'static str>,
+}
+
+impl Difference {
+    /// The tables of both are gone when it is known: the routes are not built beside them.
+    fn of(current: &NodeConfig, config: &Config) -> Result<Self, SiteError> {
+        let (old, new) = (current.config.snapshot()?, config.snapshot()?);
+        let delta = old.difference(&new);
+        Ok(Self {
+            digest: new.digest(),
+            touched: touched_pools(current, config, (&old, &new), &delta),
+            waiting: waiting_settings(&old, &new),
+            delta,
+        })
     }
 }
 
@@ -186,8 +208,8 @@
 }
 
 /// The differences as the log tells them, with their places in the file.
-fn shown_changes(old: &Config, new: &Config) -> Vec<Change> {
-    let mut changes = diff(old, new);
+fn shown_changes(old: &Config, new: &Config, delta: &Delta) -> Vec<Change> {
+    let mut changes = diff_by(old, new, delta);
     // What is gone stood in texts that are gone as well.
     let gone = changes.iter_mut().filter(|change| change.what == What::Removed);
     gone.for_each(|change| change.place = Span::default());
