--- a/crates/lang/src/lib.rs
+++ b/crates/lang/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod route_table;
 pub mod span;
 pub mod syntax;
+mod tables;
 pub mod units;
 
 pub use diag::{Diagnostic, Severity};
--- a/crates/node/src/standalone/admission.rs
+++ b/crates/node/src/standalone/admission.rs
@@ -13,6 +13,7 @@
 use pumicehead_lang::route_table::RouteTable;
 use pumicehead_policy::interface::TenantId;
 use pumicehead_policy::tenant_ids::{IdsByName, TenantIds};
+use pumicehead_resources::Revision;
 use pumicehead_route::{Found, Query, RequestPath, request_host};
 
 use crate::net::admission::{Admission, Admitted, Bad, Head, Manner};
@@ -24,8 +25,10 @@
 /// A name that servers may log a request by.
 const CORRELATION: HeaderName = HeaderName::from_static("x-correlation-id");
 
-/// A configuration as requests meet it. Requests keep the one that they began with.
-pub struct Live {
+/// The routes of one revision of the configuration, with what their requests are. Immutable and `Send`: it is built off
+/// the loop's thread.
+pub struct RequestTable {
+    revision: Revision,
     routes: Arc<RouteTable>,
     /// The service of each route, by its place among the services.
     service_of: Box<[u32]>,
@@ -40,7 +43,8 @@
 
 /// A class of requests at a pool: what all routes that lead there have in common.
 struct Service {
-    core: Handle,
+    /// Place of its pool in the configuration.
+    pool: usize,
     /// Among the classes of its pool.
     class: usize,
     deadline: Duration,
@@ -52,14 +56,14 @@
 
 impl Service {
     /// `classes` are the names of the pool's classes in their places.
-    fn new(config: &Config, class: usize, pool: usize, core: &Handle, classes: &[String]) -> Self {
+    fn new(config: &Config, class: usize, pool: usize, classes: &[String]) -> Self {
         let class = &config.classes[class];
         let keyed = match &class.repeats {
             Repeats::Keyed { header, .. } => HeaderName::from_bytes(header.as_bytes()).ok(),
             Repeats::Safe | Repeats::Unsafe => None,
         };
         Self {
-            core: core.clone(),
+            pool,
             // Every class that leads to a pool is among its own.
             class: classes.iter().position(|name| *name == class.name).unwrap_or_default(),
             deadline: Duration::from_nanos(class.deadline),
@@ -69,21 +73,21 @@
     }
 }
 
-impl Live {
-    /// `cores` has the loop of each pool, with the names of its classes in their places; `tenants` the ids of the
+impl RequestTable {
+    /// `classes` has the names of the classes of each pool, in the order of the pool's settings; `tenants` the ids of the
     /// configuration's tenants.
-    pub fn new(config: &Config, cores: &[(Handle, Vec<String>)], tenants: &TenantIds) -> Self {
+    pub fn new(revision: Revision, config: &Config, classes: &[&[String]], tenants: &TenantIds) -> Self {
         let mut services = Vec::new();
         let mut places: HashMap<(usize, usize), u32> = HashMap::new();
         let service_of = config.routes.iter().map(|route| {
             let (class, pool) = (route.class, route.pool);
             *places.entry((class, pool)).or_insert_with(|| {
-                let (core, classes) = &cores[pool];
-                services.push(Service::new(config, class, pool, core, classes));
+                services.push(Service::new(config, class, pool, classes[pool]));
                 services.len() as u32 - 1
             })
         });
         Self {
+            revision,
             service_of: service_of.collect(),
             services: services.into(),
             routes: Arc::new(RouteTable::new(&config.routes)),
@@ -93,7 +97,7 @@
         }
     }
 
-    /// The routes in force.
+    /// The routes.
     pub fn routes(&self) -> &Arc<RouteTable> {
         &self.routes
     }
@@ -104,6 +108,15 @@
     }
 }
 
+/// One revision as requests meet it: its routes with the loops of its pools. A request takes all that it needs of it in
+/// one step, so that none sees parts of two revisions.
+pub struct Live {
+    /// The routes.
+    pub table: Arc<RequestTable>,
+    /// The loop of each pool, in the order of the configuration.
+    pub pools: Vec<Handle>,
+}
+
 /// Knows requests by the routes that are in force.
 pub struct Gateway {
     live: RefCell<Rc<Live>>,
@@ -120,14 +133,9 @@
         Rc::new(Self { live: RefCell::new(Rc::new(live)), seed, next: Cell::new(0), recorder })
     }
 
-    /// Requests from now on meet this one.
+    /// Requests from now on are admitted under this revision.
     pub fn set_live(&self, live: Live) {
-        *self.live.borrow_mut() = Rc::new(live);
-    }
-
-    /// The routes in force.
-    pub fn routes(&self) -> Arc<RouteTable> {
-        self.live.borrow().routes().clone()
+        self.live.replace(Rc::new(live));
     }
 
     fn correlation(&self) -> String {
@@ -158,36 +166,37 @@
         let host = request_host(&authority).map_err(|fault| target(format!("the host is {fault}")))?;
         let path = RequestPath::parse(head.uri.path()).map_err(|fault| target(fault.to_string()))?;
         let query = Query { host: &host, path: &path, method: head.method, headers: &head.headers };
-        let place = match live.routes.matcher().find(&query) {
+        let table = &live.table;
+        let place = match table.routes.matcher().find(&query) {
             Found::Route(place) => place,
             Found::Method(allowed) => return Err(Bad::Method(allowed)),
             Found::Nothing => return Err(Bad::Unknown),
         };
-        let service = live.service(place);
+        let service = table.service(place);
         if service.decoded && path.holds_slash() {
             return Err(Bad::Unknown);
         }
         if let Some(name) = &service.keyed {
             one(&head.headers, name)?;
         }
-        let tenant = match live.routes.tenant(place) {
+        let tenant = match table.routes.tenant(place) {
             TenantOf::None => None,
-            TenantOf::Fixed(place) => live.tenants[*place],
+            TenantOf::Fixed(place) => table.tenants[*place],
             TenantOf::Header(name) => {
                 let missing = || Bad::Header(name.clone().into());
                 let field = HeaderName::from_bytes(name.as_bytes()).map_err(|_| missing())?;
                 let value = std::str::from_utf8(one(&head.headers, &field)?).ok();
-                let known = value.and_then(|value| live.tenants_by_name.get(value)).copied();
+                let known = value.and_then(|value| table.tenants_by_name.get(value)).copied();
                 Some(known.ok_or_else(missing)?)
             }
         };
         let correlation = self.correlation();
-        let key = key_of(live.routes.key(place), &query);
+        let key = key_of(table.routes.key(place), &query);
         let mut headers = head.headers;
         headers
             .insert(header::HOST, HeaderValue::from_str(&authority).map_err(|_| Bad::Header("host".into()))?);
         fields::strip_hop_by_hop(&mut headers);
-        append(&mut headers, header::VIA, live.via[usize::from(head.version != Version::HTTP_10)].clone());
+        append(&mut headers, header::VIA, table.via[usize::from(head.version != Version::HTTP_10)].clone());
         append(&mut headers, header::FORWARDED, fields::forwarded(head.peer, Some(&authority)));
         if !headers.contains_key(&CORRELATION) {
             append(&mut headers, CORRELATION, HeaderValue::from_bytes(correlation.as_bytes()).ok());
@@ -200,13 +209,15 @@
             tenant,
             hint: None,
             key,
+            revision: Some(table.revision.0),
             left: service.deadline,
             sending: Duration::ZERO,
             call,
         };
         // The server's answer is one of HTTP/1.1 whatever it speaks: the node has taken it whole.
-        let via = live.via[1].clone().unwrap_or(HeaderValue::from_static("1.1 pumicehead"));
-        Ok(Admitted { core: service.core.clone(), ask, manner: Manner::Gateway(via), bodiless: false })
+        let via = table.via[1].clone().unwrap_or(HeaderValue::from_static("1.1 pumicehead"));
+        let core = live.pools[service.pool].clone();
+        Ok(Admitted { core, ask, manner: Manner::Gateway(via), bodiless: false })
     }
 }
 
--- a/crates/trace/src/story.rs
+++ b/crates/trace/src/story.rs
@@ -66,7 +66,7 @@
 fn sentence(head: &Head, story: &Story, event: &Event) -> Option<String> {
     let server = |id: u32| head.server(story.pool, id);
     Some(match event {
-        Event::Asked { class, tenant, left, sending, .. } => {
+        Event::Asked { class, tenant, left, sending, revision, .. } => {
             let mut text = format!(
                 "It came as `{}` to {}, and its client waits {}.",
                 head.class(story.pool, *class),
@@ -79,6 +79,9 @@
             if let Some(tenant) = tenant {
                 let _ = write!(text, " Tenant: {}.", head.tenant(story.pool, *tenant));
             }
+            if let Some(revision) = revision {
+                let _ = write!(text, " Admitted under revision {revision} of the configuration.");
+            }
             text
         }
         Event::Note(Note::Taken { tier, worth, .. }) => {
