Tests: a tenant keeps its id whatever stands before it in the file

The tests of reloads had tenants whose ids are also their places, so they passed with ids handed out anew at each reload.

--- a/crates/node/tests/tenants.rs
+++ b/crates/node/tests/tenants.rs
@@ -184,3 +184,37 @@
     let told = dump.stories.iter().map(|told| story::tell(&dump.head, told));
     assert!(told.into_iter().any(|told| told.contains("Tenant: greedy.")));
 }
+
+/// Guards that a tenant that came by a reload goes on with what it had left when others come before it in the file, and is
+/// told under its name: its id is not its place.
+#[test]
+fn a_tenant_keeps_what_it_had_left_whatever_stands_before_it() {
+    /// What the tenant below earns: 12 a minute over all nodes.
+    const RATE: f64 = 0.2;
+    /// What it has at first: ten seconds of that.
+    const FIRST: f64 = 2.0;
+    let servers = [Backend::start(|_| ok("done"))];
+    let with = |others: &[(&str, u32)], greedy: &str| {
+        text(&servers, others) + "observe { calls 127.0.0.1:0 }\n" + greedy
+    };
+    let greedy = "tenant greedy { share 0%; rate 12/min }\n";
+    let node = Standalone::start(&with(&[("a", 1)], ""), 1);
+    let started = Instant::now();
+    let others: [&[(&str, u32)]; 4] =
+        [&[("a", 1)], &[("a", 1), ("b", 1)], &[], &[("c", 1), ("d", 1), ("a", 1)]];
+    for others in others {
+        node.reload(&with(others, greedy));
+        (0..10).for_each(|_| assert_eq!(status(&node, &get("/boards/x", "greedy")), 200));
+    }
+    let most = FIRST + RATE * started.elapsed().as_secs_f64();
+    let dump = recording(&node);
+    let worths = dump.records.iter().filter_map(|record| match record.event {
+        Event::Note(Note::Taken { worth, .. }) => Some(worth),
+        _ => None,
+    });
+    let (within, over): (Vec<_>, Vec<_>) = worths.partition(|worth| *worth >= 1.0);
+    assert_eq!(within.len() + over.len(), 40);
+    assert!(!within.is_empty() && within.len() as f64 <= most, "{} of {most}", within.len());
+    let mut told = dump.stories.iter().map(|told| story::tell(&dump.head, told));
+    assert!(told.any(|told| told.contains("Tenant: greedy.")));
+}
