--- a/review/standin/src/backend.rs
+++ b/review/standin/src/backend.rs
@@ -3,8 +3,8 @@
 
 use std::io::Write;
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::{Arc, Mutex};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
 
@@ -99,7 +99,8 @@
             stream.write_all(answer.as_bytes())?;
             self.record.line(format!("{} ran and answered {id}", self.name));
             let copies = self.behaviour.copies.filter(|_| self.copies_on.load(Ordering::SeqCst));
-            let Some(LateCopies { delay, .. }) = copies.filter(|copies| number.is_multiple_of(copies.one_in)) else {
+            let Some(LateCopies { delay, .. }) = copies.filter(|copies| number.is_multiple_of(copies.one_in))
+            else {
                 continue;
             };
             // A copy is only sent while nothing else waits on the connection.
--- a/review/standin/src/bin/foreign_answer.rs
+++ b/review/standin/src/bin/foreign_answer.rs
@@ -47,7 +47,8 @@
     let counts = Arc::new(Mutex::new(BTreeMap::<String, usize>::new()));
     let clients: Vec<_> = (0..CLIENTS)
         .map(|number| {
-            let (stop, foreign, counts, record) = (stop.clone(), foreign.clone(), counts.clone(), record.clone());
+            let (stop, foreign, counts, record) =
+                (stop.clone(), foreign.clone(), counts.clone(), record.clone());
             let address = node.address;
             thread::spawn(move || {
                 let mut client = Client::new(address);
@@ -108,7 +109,8 @@
     record: &Record,
 ) {
     let id = new_id();
-    let (left, sent): (u64, &[u8]) = if class == "board-read" { (6000, b"") } else { (1200, b"run 1:23.456") };
+    let (left, sent): (u64, &[u8]) =
+        if class == "board-read" { (6000, b"") } else { (1200, b"run 1:23.456") };
     record.line(format!("client sends {class} {id}"));
     let end = client.ask(class, &id, sent, left, Duration::from_millis(left + 550));
     let end = match end {
--- a/review/standin/src/bin/full_house.rs
+++ b/review/standin/src/bin/full_house.rs
@@ -51,14 +51,17 @@
     let counts = Arc::new(Mutex::new(BTreeMap::<String, usize>::new()));
     let clients: Vec<_> = (0..CLIENTS)
         .map(|_| {
-            let (stop, counts, record, address) = (stop.clone(), counts.clone(), record.clone(), node.address);
+            let (stop, counts, record, address) =
+                (stop.clone(), counts.clone(), record.clone(), node.address);
             thread::spawn(move || use_node(address, &stop, &counts, &record))
         })
         .collect();
     thread::sleep(BEFORE);
     let mut stopping = Vec::new();
     if has_trouble() {
-        record.line(format!("{STOPPING_CLIENTS} clients come, send {PART} of {BODY} bytes of a body, and stop"));
+        record.line(format!(
+            "{STOPPING_CLIENTS} clients come, send {PART} of {BODY} bytes of a body, and stop"
+        ));
         for _ in 0..STOPPING_CLIENTS {
             let (address, stop, record) = (node.address, stop.clone(), record.clone());
             stopping.push(thread::spawn(move || stop_in_the_middle(address, &stop, &record)));
@@ -91,7 +94,12 @@
 
 /// A usual client: one request after another, with a pause. Where the node has closed the connection with no answer, it
 /// connects again for the next request; such a request counts neither as answered nor as lost.
-fn use_node(address: SocketAddr, stop: &AtomicBool, counts: &Mutex<BTreeMap<String, usize>>, record: &Record) {
+fn use_node(
+    address: SocketAddr,
+    stop: &AtomicBool,
+    counts: &Mutex<BTreeMap<String, usize>>,
+    record: &Record,
+) {
     let mut client = Client::new(address);
     while !stop.load(Ordering::SeqCst) {
         let id = new_id();
--- a/review/standin/src/bin/over_memory.rs
+++ b/review/standin/src/bin/over_memory.rs
@@ -49,14 +49,17 @@
     let platform = watch_memory(&node, &stop, &record);
     let clients: Vec<_> = (0..CLIENTS)
         .map(|number| {
-            let (stop, counts, record, address) = (stop.clone(), counts.clone(), record.clone(), node.address);
+            let (stop, counts, record, address) =
+                (stop.clone(), counts.clone(), record.clone(), node.address);
             thread::spawn(move || use_node(address, number, &stop, &counts, &record))
         })
         .collect();
     thread::sleep(BEFORE);
     let mut stopping = Vec::new();
     if has_trouble() {
-        record.line(format!("{STOPPING_CLIENTS} clients come, send {PART} of {BODY} bytes of a body, and stop"));
+        record.line(format!(
+            "{STOPPING_CLIENTS} clients come, send {PART} of {BODY} bytes of a body, and stop"
+        ));
         for _ in 0..STOPPING_CLIENTS {
             let (address, stop, record) = (node.address, stop.clone(), record.clone());
             stopping.push(thread::spawn(move || stop_in_the_middle(address, &stop, &record)));
@@ -110,7 +113,10 @@
             }
             // The limit is taken in units of 1,048,576 bytes, the larger reading.
             if bytes > MEMORY_MB << 20 {
-                record.say(format!("the node is over its limit with {:.1} MB: it is killed", bytes as f64 / 1e6));
+                record.say(format!(
+                    "the node is over its limit with {:.1} MB: it is killed",
+                    bytes as f64 / 1e6
+                ));
                 node.kill();
                 memory.killed = true;
             }
@@ -130,7 +136,8 @@
 ) {
     let mut client = Client::new(address);
     let class = if number % 2 == 0 { "board-read" } else { "run-submit" };
-    let (left, body): (u64, &[u8]) = if class == "board-read" { (6000, b"") } else { (1200, b"run 1:23.456") };
+    let (left, body): (u64, &[u8]) =
+        if class == "board-read" { (6000, b"") } else { (1200, b"run 1:23.456") };
     while !stop.load(Ordering::SeqCst) {
         let id = new_id();
         let end = client.ask(class, &id, body, left, Duration::from_millis(left + 550));
--- a/review/standin/src/client.rs
+++ b/review/standin/src/client.rs
@@ -188,7 +188,8 @@
         let _ = stream.set_read_timeout(Some(wait));
         match reader.message() {
             Ok(Some(answer)) => {
-                let closes = answer.header("connection").is_some_and(|value| value.eq_ignore_ascii_case("close"));
+                let closes =
+                    answer.header("connection").is_some_and(|value| value.eq_ignore_ascii_case("close"));
                 if !closes {
                     self.connection = Some((stream, reader));
                 }
