--- a/review/standin/src/backend.rs
+++ b/review/standin/src/backend.rs
@@ -6,7 +6,7 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crate::client::Reader;
 use crate::record::Record;
@@ -103,8 +103,9 @@
             else {
                 continue;
             };
-            // A copy is only sent while nothing else waits on the connection.
-            if !input.waits_for(delay)? {
+            // A copy is only sent while nothing else waits on the connection, and not if this thread comes too late to it.
+            let answered = Instant::now();
+            if !input.waits_for(delay)? && answered.elapsed() < delay + Duration::from_millis(2) {
                 stream.write_all(answer.as_bytes())?;
                 self.copied.fetch_add(1, Ordering::SeqCst);
                 self.record.line(format!("{} sent its answer to {id} a second time", self.name));
--- a/review/standin/src/bin/foreign_answer.rs
+++ b/review/standin/src/bin/foreign_answer.rs
@@ -16,7 +16,7 @@
 /// One-way delay between the node and its backends, in another site (BRIEF: 10 to 20 ms one way between sites).
 const ONE_WAY: Duration = Duration::from_millis(10);
 /// How much later a second copy is sent (STANDING: "some milliseconds late").
-const LATE: Duration = Duration::from_millis(4);
+const LATE: Duration = Duration::from_millis(6);
 /// One answer in this many is followed by a second copy.
 const ONE_IN: usize = 30;
 /// Clients, each with one connection.
--- a/review/standin/src/client.rs
+++ b/review/standin/src/client.rs
@@ -3,8 +3,12 @@
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::thread;
 use std::time::{Duration, Instant};
 
+/// Interval at which a wait for bytes looks for them.
+const LOOK: Duration = Duration::from_micros(200);
+
 /// A message whose body has a `Content-Length` or is chunked.
 pub struct Message {
     /// The first line.
@@ -61,15 +65,23 @@
         if !self.buffer.is_empty() {
             return Ok(true);
         }
-        self.stream.set_read_timeout(Some(limit))?;
-        let filled = self.fill();
-        self.stream.set_read_timeout(None)?;
-        match filled {
-            Ok(true) => Ok(true),
-            Ok(false) => Err(ErrorKind::UnexpectedEof.into()),
-            Err(error) if matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => Ok(false),
-            Err(error) => Err(error),
-        }
+        // A read timeout would be rounded up to the system's ticks.
+        self.stream.set_nonblocking(true)?;
+        let start = Instant::now();
+        let filled = loop {
+            match self.fill() {
+                Err(error) if error.kind() == ErrorKind::WouldBlock => {
+                    if start.elapsed() >= limit {
+                        break Ok(false);
+                    }
+                    thread::sleep(LOOK.min(limit));
+                }
+                Ok(false) => break Err(ErrorKind::UnexpectedEof.into()),
+                other => break other,
+            }
+        };
+        self.stream.set_nonblocking(false)?;
+        filled
     }
 
     /// Reads until `pattern` is in the buffer from `start` on; returns the position behind it.
