--- a/review/standin/src/bin/foreign_answer.rs
+++ b/review/standin/src/bin/foreign_answer.rs
@@ -18,7 +18,7 @@
 /// How much later a second copy is sent (STANDING: "some milliseconds late").
 const LATE: Duration = Duration::from_millis(6);
 /// One answer in this many is followed by a second copy.
-const ONE_IN: usize = 30;
+const ONE_IN: usize = 10;
 /// Clients, each with one connection.
 const CLIENTS: usize = 16;
 /// Time before the second copies begin, the time in which they are sent, and the time after that.
