Upstream: rest connections for 20 ms after each response, not only once a copy was seen

Callers were served the response to another request, and requests that were being executed were sent again, where endpoints in another zone sent second copies of responses some milliseconds late.

Cause: a connection carried the next request as soon as a response was read; the copy, written while that request was on its way, was taken for its response, and each later response on the connection for that of the next request. A shifted X-Unprocessed rejection had the node retry a request that was executing: the repeated requests have the same cause. The rest of 10 ms applied only after unsolicited data.

Change: connections rest for 20 ms from their first response on. An attempt waits for the one that is ready first, for at most four response times of the endpoint, else it connects. FastCGI numbers requests, so it is not affected (by reading).

--- a/crates/node/src/net/upstream/http/attempt.rs
+++ b/crates/node/src/net/upstream/http/attempt.rs
@@ -38,6 +38,8 @@
     pub connect_time: Duration,
     /// How long a reused connection had been idle.
     pub idle_time: Option<Duration>,
+    /// How long the attempt waited until an idle connection could be reused.
+    pub reuse_delay: Duration,
 }
 
 /// Progress of an attempt that can be observed while it is running.
@@ -77,11 +79,14 @@
         progress: &AttemptProgress,
         on_started: OnResponseStarted,
     ) -> AttemptEnd {
-        let started = Instant::now();
-        let mut connection = match self.ready_connection(started, progress).await {
+        let requested = Instant::now();
+        let mut connection = match self.ready_connection(progress).await {
             Ok(connection) => connection,
             Err(result) => return result.into(),
         };
+        // The time in which a connection must not be reused is none of the endpoint's.
+        let reuse_delay = progress.timing.get().reuse_delay;
+        let started = requested + reuse_delay;
         let time_left = deadlines.time_left(Instant::now());
         if time_left.is_zero() || !self.endpoint.is_usable.get() || request.finished.get() {
             return AttemptEnd::with_outcome(AttemptOutcome::NotSent);
@@ -99,7 +104,10 @@
             || upload.and_then(Upload::completed_at).map_or(started, Instant::from_std).elapsed();
         match self.pool.reader.read(response, &request.method).await {
             ReadResponse::Complete(mut result) => {
-                result.server_time = upload.is_some().then(server_time);
+                if result.outcome == AttemptOutcome::Success {
+                    self.endpoint.on_response(server_time());
+                }
+                result.server_time = (upload.is_some() || !reuse_delay.is_zero()).then(server_time);
                 let connection = (result.outcome != AttemptOutcome::Reset).then_some(connection);
                 AttemptEnd { result, connection }
             }
@@ -113,21 +121,24 @@
     }
 
     /// Returns a connection that is ready for a request: an idle one if there is one, otherwise a new one.
-    async fn ready_connection(
-        &self,
-        started: Instant,
-        progress: &AttemptProgress,
-    ) -> Result<HttpConnection, AttemptResult> {
-        let mut connection = match self.endpoint.take_idle() {
+    async fn ready_connection(&self, progress: &AttemptProgress) -> Result<HttpConnection, AttemptResult> {
+        let requested = Instant::now();
+        let mut connection = match self.endpoint.take_idle().await {
             Some(idle) => {
-                let idle_time = Some(started.saturating_duration_since(idle.since));
-                progress.timing.set(ConnectionTiming { connect_time: Duration::ZERO, idle_time });
+                let reuse_delay = idle.reusable_at().saturating_duration_since(requested);
+                let idle_time = Some(idle.since.elapsed());
+                progress.timing.set(ConnectionTiming {
+                    idle_time,
+                    reuse_delay,
+                    ..ConnectionTiming::default()
+                });
                 idle.connection
             }
             None => {
+                let connecting = Instant::now();
                 let connected = self.pool.connect(&self.endpoint).await;
-                let connect_time = started.elapsed();
-                progress.timing.set(ConnectionTiming { connect_time, idle_time: None });
+                let connect_time = connecting.elapsed();
+                progress.timing.set(ConnectionTiming { connect_time, ..ConnectionTiming::default() });
                 connected?
             }
         };
--- a/crates/node/src/net/upstream/http/idle_connections.rs
+++ b/crates/node/src/net/upstream/http/idle_connections.rs
@@ -6,21 +6,19 @@
 use std::time::Duration;
 
 use pumicehead_config::model::Address;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, sleep_until, timeout_at};
 
 use super::connection::HttpConnection;
 use crate::net::upstream::connection_registry::{ConnectionRegistry, IdleConnections};
 
 /// Maximum time to wait after a response until its connection is ready for another request.
 pub(super) const READY_TIMEOUT: Duration = Duration::from_millis(5);
-/// Connections that have been idle for at least this long are preferred for reuse. An endpoint may send a second
-/// response some milliseconds after the first; on a connection that is reused immediately it would be taken for the
-/// response to the next request. Since new connections cost the endpoint work, this time is only enforced while
-/// unsolicited data has been seen recently.
-pub(super) const MIN_IDLE_BEFORE_REUSE: Duration = Duration::from_millis(10);
-
-/// When unsolicited data, which belongs to no request, was last seen from an endpoint of the pool.
-pub(super) type LastUnsolicitedData = Rc<Cell<Option<Instant>>>;
+/// Minimum time between a response and the next request on its connection. An endpoint may send a second response some
+/// milliseconds after the first. If the request is already on its way by then, nothing distinguishes that response from
+/// the one to the request, and each later response on the connection is taken for that of the request after it.
+pub(super) const MIN_IDLE_BEFORE_REUSE: Duration = Duration::from_millis(20);
+/// An attempt waits for a connection for at most this many response times of its endpoint.
+const MAX_REUSE_WAIT_RESPONSES: u32 = 4;
 
 /// An idle connection.
 pub(super) struct IdleConnection {
@@ -28,6 +26,37 @@
     pub connection: HttpConnection,
 }
 
+impl IdleConnection {
+    /// When the connection may carry another request.
+    pub fn reusable_at(&self) -> Instant {
+        self.since + MIN_IDLE_BEFORE_REUSE
+    }
+}
+
+/// An idle connection that one attempt waits for. It becomes idle again if the attempt ends before that.
+struct ReservedConnection<'a> {
+    endpoint: &'a EndpointConnections,
+    idle: Option<IdleConnection>,
+}
+
+impl ReservedConnection<'_> {
+    /// Waits until the connection may carry another request.
+    async fn reusable(mut self) -> Option<IdleConnection> {
+        if let Some(idle) = self.idle.as_ref().filter(|idle| Instant::now() < idle.reusable_at()) {
+            sleep_until(idle.reusable_at()).await;
+        }
+        self.idle.take()
+    }
+}
+
+impl Drop for ReservedConnection<'_> {
+    fn drop(&mut self) {
+        if let Some(idle) = self.idle.take().filter(|_| self.endpoint.is_usable.get()) {
+            self.endpoint.insert_idle(idle);
+        }
+    }
+}
+
 /// The connections of one process of an endpoint.
 pub(super) struct EndpointConnections {
     pub address: Address,
@@ -35,19 +64,20 @@
     pub is_usable: Cell<bool>,
     /// Ordered by the time at which they became idle.
     idle: RefCell<VecDeque<IdleConnection>>,
-    unsolicited_data: LastUnsolicitedData,
+    /// How long the endpoint took for its last successful response, once there is one.
+    last_response_time: Cell<Option<Duration>>,
     /// How long idle connections are kept.
     max_idle: Duration,
     registered: Cell<bool>,
 }
 
 impl EndpointConnections {
-    pub fn new(address: Address, unsolicited_data: LastUnsolicitedData, max_idle: Duration) -> Self {
+    pub fn new(address: Address, max_idle: Duration) -> Self {
         Self {
             address,
             is_usable: Cell::new(true),
             idle: RefCell::default(),
-            unsolicited_data,
+            last_response_time: Cell::default(),
             max_idle,
             registered: Cell::new(false),
         }
@@ -87,32 +117,52 @@
         }
     }
 
-    /// Takes the most recently used open connection that has been idle for at least [`MIN_IDLE_BEFORE_REUSE`]. If
-    /// there is none, and the minimum idle time is not enforced, takes the longest idle connection.
-    pub fn take_idle(&self) -> Option<IdleConnection> {
-        let mut idle = self.idle.borrow_mut();
-        let now = Instant::now();
-        loop {
-            let idle_enough = idle.iter().rposition(|idle| now >= idle.since + MIN_IDLE_BEFORE_REUSE);
-            let index = idle_enough.or((!self.requires_min_idle()).then_some(0))?;
-            let taken = idle.remove(index)?;
-            self.check_unsolicited_data(&taken.connection, now);
-            if taken.since.elapsed() < self.max_idle && taken.connection.is_open() {
-                return Some(taken);
+    /// Records how long the endpoint took for a successful response.
+    pub fn on_response(&self, response_time: Duration) {
+        self.last_response_time.set(Some(response_time));
+    }
+
+    /// Takes an open connection that has been idle for at least [`MIN_IDLE_BEFORE_REUSE`]. If there is none, waits for
+    /// the one that has been idle for the longest time, unless that takes longer than [`MAX_REUSE_WAIT_RESPONSES`]. A
+    /// new connection costs the endpoint work, but an attempt that waits occupies one of the endpoint's places.
+    pub async fn take_idle(&self) -> Option<IdleConnection> {
+        while let Some(reserved) = self.reserve_idle() {
+            let Some(idle) = reserved.reusable().await else { continue };
+            if self.is_reusable(&idle, Instant::now()) {
+                return Some(idle);
             }
         }
+        None
     }
 
-    /// Whether connections must be idle for [`MIN_IDLE_BEFORE_REUSE`] before reuse: unsolicited data was seen so
-    /// recently that a connection that was idle then may still be kept.
-    fn requires_min_idle(&self) -> bool {
-        self.unsolicited_data.get().is_some_and(|at| at.elapsed() < self.max_idle)
+    /// Reserves the most recently used of the connections that may carry another request, so that the others expire,
+    /// or else the connection that has been idle for the longest time, if it is worth the wait.
+    fn reserve_idle(&self) -> Option<ReservedConnection<'_>> {
+        let mut idle = self.idle.borrow_mut();
+        let now = Instant::now();
+        let reusable = idle.iter().rposition(|idle| now >= idle.reusable_at());
+        let index = reusable.or_else(|| self.is_worth_waiting(idle.front()?, now).then_some(0))?;
+        let reserved = idle.remove(index)?;
+        Some(ReservedConnection { endpoint: self, idle: Some(reserved) })
     }
 
-    fn check_unsolicited_data(&self, connection: &HttpConnection, now: Instant) {
-        if connection.has_unsolicited_data() {
-            self.unsolicited_data.set(Some(now));
-        }
+    fn is_worth_waiting(&self, idle: &IdleConnection, now: Instant) -> bool {
+        let wait = idle.reusable_at().saturating_duration_since(now);
+        self.last_response_time.get().is_none_or(|time| wait <= time * MAX_REUSE_WAIT_RESPONSES)
+    }
+
+    /// Inserts a connection in the order of the times at which they became idle.
+    fn insert_idle(&self, connection: IdleConnection) {
+        let mut idle = self.idle.borrow_mut();
+        let index = idle.partition_point(|other| other.since <= connection.since);
+        idle.insert(index, connection);
+    }
+
+    /// Whether a connection is open, has received nothing since it became idle, and has not expired.
+    fn is_reusable(&self, idle: &IdleConnection, now: Instant) -> bool {
+        now < idle.since + self.max_idle
+            && idle.connection.is_open()
+            && !idle.connection.has_unsolicited_data()
     }
 }
 
@@ -131,10 +181,7 @@
 
     fn sweep(&self, now: Instant) -> bool {
         let mut idle = self.idle.borrow_mut();
-        idle.retain(|idle| {
-            self.check_unsolicited_data(&idle.connection, now);
-            now < idle.since + self.max_idle && idle.connection.is_open()
-        });
+        idle.retain(|idle| self.is_reusable(idle, now));
         !idle.is_empty()
     }
 }
--- a/crates/node/src/net/upstream/http/transport.rs
+++ b/crates/node/src/net/upstream/http/transport.rs
@@ -9,7 +9,7 @@
 
 use super::attempt::{AttemptEnd, AttemptProgress, ConnectionTiming};
 use super::attempt_timeout::timeout_outcome;
-use super::idle_connections::{EndpointConnections, LastUnsolicitedData};
+use super::idle_connections::EndpointConnections;
 use super::response_reader::ResponseReader;
 use crate::net::counting_stream::Counter;
 use crate::net::exchange::UpstreamRequest;
@@ -27,7 +27,6 @@
     pub reader: ResponseReader,
     /// Number of attempts whose request was written completely.
     pub written: Counter,
-    pub unsolicited_data: LastUnsolicitedData,
 }
 
 /// The HTTP transport of a pool.
@@ -49,7 +48,6 @@
             max_idle: max_idle_time(server_idle_timeout),
             reader,
             written,
-            unsolicited_data: LastUnsolicitedData::default(),
         })))
     }
 }
@@ -57,8 +55,7 @@
 impl Transport for HttpTransport {
     fn connector(&self, address: &Address) -> Rc<dyn EndpointConnector> {
         let pool = self.0.clone();
-        let endpoint =
-            EndpointConnections::new(address.clone(), pool.unsolicited_data.clone(), pool.max_idle);
+        let endpoint = EndpointConnections::new(address.clone(), pool.max_idle);
         Rc::new(HttpConnector { pool, endpoint: Rc::new(endpoint) })
     }
 
@@ -116,7 +113,7 @@
             if let Some(connection) = end.connection {
                 self.endpoint.return_when_ready(&self.pool.connections, connection, deadline).await;
             }
-            let ConnectionTiming { connect_time, idle_time } = progress.timing.get();
+            let ConnectionTiming { connect_time, idle_time, .. } = progress.timing.get();
             AttemptResult { connect_time, idle_time, ..end.result }
         })
     }
