Tests: tenant changes use the pool's one connection after its rest

tenant_changes_keep_the_pool_loop sent requests at once and failed since connections rest (3 connections, none closed). A request is sent after the rest now. The condition is the same: one connection opened, none closed, so the loop and its connection were kept.

--- a/crates/node/tests/tenants.rs
+++ b/crates/node/tests/tenants.rs
@@ -6,7 +6,8 @@
 use std::net::{SocketAddr, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::time::Instant;
+use std::thread;
+use std::time::{Duration, Instant};
 
 use pumicehead_flight_recorder::event::Event;
 use pumicehead_flight_recorder::recording::Recording;
@@ -50,6 +51,9 @@
     client.read().expect("a response").status()
 }
 
+/// Longer than the time for which a connection to an endpoint rests after a response.
+const CONNECTION_REST: Duration = Duration::from_millis(40);
+
 /// Guards that a pool keeps its loop, and with it what it has learned, when tenants change: its one connection stays open.
 #[test]
 fn tenant_changes_keep_the_pool_loop() {
@@ -68,6 +72,7 @@
     for tenants in changes {
         node.reload(&text(&servers, tenants));
         for (name, _) in tenants {
+            thread::sleep(CONNECTION_REST);
             assert_eq!(status(&node, &get("/boards/x", name)), 200);
         }
         assert_eq!(status(&node, &get("/boards/x", "unheard-of")), 400);
