Downstream: bound the memory of requests that are being received or queued

Cause: the number of client connections took no account of the memory limit, and bodies up to 64 KiB and heads up to 32 KiB were read without a reservation, in buffers that grew by doubling beside the HTTP library's.

Change: a quarter of the limit is for requests. A body over 4 KiB reserves its length before it is read and holds it until it is dropped; a head over 8 KiB reserves as well. While there is none, requests wait unread, and connections that have been silent within a request for 250 ms are closed with 408, the longest silent first. Rejected requests' bodies are not kept. One connection for each 96 KiB at most.

--- a/crates/node/src/net/admission.rs
+++ b/crates/node/src/net/admission.rs
@@ -75,6 +75,9 @@
     /// The body was not received in time.
     #[error("body too slow")]
     BodyTimeout,
+    /// There was no memory for the body in time.
+    #[error("no memory left for the body")]
+    NoMemory,
     /// The end of the body is ambiguous, so that the body may contain another request.
     #[error("Content-Length more than once or with Transfer-Encoding")]
     AmbiguousFraming,
@@ -97,6 +100,7 @@
             Self::DuplicateId => StatusCode::CONFLICT,
             Self::BodyTimeout => StatusCode::REQUEST_TIMEOUT,
             Self::UnknownTarget => StatusCode::NOT_FOUND,
+            Self::NoMemory => StatusCode::SERVICE_UNAVAILABLE,
             Self::MethodNotAllowed(_) => StatusCode::METHOD_NOT_ALLOWED,
             Self::NotImplemented => StatusCode::NOT_IMPLEMENTED,
             Self::BodyTooLong => StatusCode::PAYLOAD_TOO_LARGE,
@@ -107,7 +111,14 @@
     /// Whether the connection is closed after the response, because the end of the request is unknown, or too far
     /// away to read up to it.
     pub fn closes_connection(&self) -> bool {
-        matches!(self, Self::BodyTooLong | Self::BodyIncomplete | Self::BodyTimeout | Self::AmbiguousFraming)
+        matches!(
+            self,
+            Self::BodyTooLong
+                | Self::BodyIncomplete
+                | Self::BodyTimeout
+                | Self::NoMemory
+                | Self::AmbiguousFraming
+        )
     }
 }
 
--- a/crates/node/src/net/counting_stream/head_capture.rs
+++ b/crates/node/src/net/counting_stream/head_capture.rs
@@ -1,28 +1,71 @@
 //! Captures the heads of HTTP requests as they were received. The HTTP library drops a `Content-Length` next to a
 //! `Transfer-Encoding`, so request smuggling can't be detected in the header fields that it returns.
 
+use thiserror::Error;
 use tokio::time::Instant;
 
+use super::MAX_UNRESERVED_READ_BYTES;
+use crate::net::header_fields::MAX_HEAD_BYTES;
+use crate::net::memory_budget::Reservation;
+
+/// Heads up to this size need no reservation.
+const UNRESERVED_HEAD_BYTES: usize = MAX_UNRESERVED_READ_BYTES;
+/// Memory that a longer head reserves: this copy, whose capacity may be twice its length, and that of the HTTP library.
+const LONG_HEAD_RESERVATION_BYTES: usize = 3 * MAX_HEAD_BYTES;
+
+/// There is no memory left for a long head.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+#[error("no memory left for a head longer than {UNRESERVED_HEAD_BYTES} bytes")]
+pub(super) struct HeadMemoryExhausted;
+
 /// The head of the next request.
-#[derive(Default)]
 pub(super) struct HeadCapture {
     head: Vec<u8>,
     /// Number of bytes of the last request's body that have not been received yet.
     body_bytes_remaining: u64,
     /// When the first byte of `head` was received.
     started_at: Option<Instant>,
+    /// When bytes were last received.
+    last_read_at: Option<Instant>,
+    /// Memory for a long head.
+    reservation: Reservation,
 }
 
 impl HeadCapture {
+    /// Returns an empty capture; a long head is reserved in `reservation`.
+    pub fn new(reservation: Reservation) -> Self {
+        Self { head: Vec::new(), body_bytes_remaining: 0, started_at: None, last_read_at: None, reservation }
+    }
+
     /// Handles bytes that were read.
-    pub fn on_read(&mut self, bytes: &[u8]) {
+    ///
+    /// # Errors
+    /// There is no memory left for a head of this length.
+    pub fn on_read(&mut self, bytes: &[u8]) -> Result<(), HeadMemoryExhausted> {
+        self.last_read_at = Some(Instant::now());
         let skipped = bytes.len().min(usize::try_from(self.body_bytes_remaining).unwrap_or(usize::MAX));
         self.body_bytes_remaining -= skipped as u64;
         let rest = &bytes[skipped..];
         if !rest.is_empty() && self.head.is_empty() {
-            self.started_at = Some(Instant::now());
+            self.started_at = self.last_read_at;
+        }
+        if self.head.len() + rest.len() > UNRESERVED_HEAD_BYTES
+            && !self.reservation.try_grow_to(LONG_HEAD_RESERVATION_BYTES)
+        {
+            return Err(HeadMemoryExhausted);
         }
         self.head.extend_from_slice(rest);
+        Ok(())
+    }
+
+    /// Returns when bytes were last received.
+    pub fn last_read_at(&self) -> Option<Instant> {
+        self.last_read_at
+    }
+
+    /// Whether memory is reserved for a long head.
+    pub fn holds_memory(&self) -> bool {
+        !self.reservation.is_empty()
     }
 
     /// Returns when the first byte of a head that was not taken yet was received.
@@ -45,6 +88,9 @@
         // The buffer is split off so that an idle connection holds no buffer.
         self.head = received.split_off(body_received);
         self.restart(self.head.is_empty());
+        if self.head.len() <= UNRESERVED_HEAD_BYTES {
+            self.reservation.shrink_to(0);
+        }
     }
 
     fn restart(&mut self, is_empty: bool) {
--- a/crates/node/src/net/counting_stream/mod.rs
+++ b/crates/node/src/net/counting_stream/mod.rs
@@ -12,15 +12,22 @@
 use std::rc::Rc;
 use std::task::{Context, Poll, Waker, ready};
 
+use bytes::BufMut as _;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpStream, UnixStream};
 use tokio::time::Instant;
 
 use self::head_capture::HeadCapture;
 use self::socket::Socket;
+use crate::net::memory_budget::Reservation;
 
 /// Maximum number of bytes that are read and discarded from the peer of a closed connection.
 const MAX_DRAIN_BYTES: usize = 1 << 20;
+/// Written to a client whose head is too long for the memory that is left.
+const NO_MEMORY_RESPONSE: &[u8] =
+    b"HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+/// Maximum number of bytes per read from a client whose request has no memory reserved.
+pub const MAX_UNRESERVED_READ_BYTES: usize = 8 << 10;
 /// Size of the read buffer while draining, in bytes.
 const DRAIN_READ_BYTES: usize = 4096;
 
@@ -39,6 +46,8 @@
     is_blocked: Cell<bool>,
     write_threshold: RefCell<Option<WriteThreshold>>,
     head_capture: Option<RefCell<HeadCapture>>,
+    /// Maximum number of bytes per read. The HTTP library's read buffer grows with the size of the reads.
+    max_read: Cell<usize>,
 }
 
 /// Increments a counter once this number of bytes has been written.
@@ -69,9 +78,12 @@
         Self::from_socket(Socket::Unix(stream), None)
     }
 
-    /// Wraps the TCP stream of a client, and captures the heads of its requests.
-    pub fn capturing_heads(stream: TcpStream) -> Self {
-        Self::from_tcp(stream, Some(RefCell::default()))
+    /// Wraps the TCP stream of a client, and captures the heads of its requests. Long heads are reserved in
+    /// `head_memory`.
+    pub fn capturing_heads(stream: TcpStream, head_memory: Reservation) -> Self {
+        let stream = Self::from_tcp(stream, Some(RefCell::new(HeadCapture::new(head_memory))));
+        stream.set_max_read(MAX_UNRESERVED_READ_BYTES);
+        stream
     }
 
     fn from_tcp(stream: TcpStream, head_capture: Option<RefCell<HeadCapture>>) -> Self {
@@ -89,6 +101,7 @@
             is_blocked: Cell::new(false),
             write_threshold: RefCell::default(),
             head_capture,
+            max_read: Cell::new(usize::MAX),
         }))
     }
 
@@ -109,6 +122,21 @@
         self.0.head_capture.as_ref()?.borrow().started_at()
     }
 
+    /// Limits the number of bytes per read.
+    pub fn set_max_read(&self, bytes: usize) {
+        self.0.max_read.set(bytes);
+    }
+
+    /// Returns when the client last sent anything.
+    pub fn last_read_at(&self) -> Option<Instant> {
+        self.0.head_capture.as_ref()?.borrow().last_read_at()
+    }
+
+    /// Whether memory is reserved for a long head.
+    pub fn holds_head_memory(&self) -> bool {
+        self.0.head_capture.as_ref().is_some_and(|capture| capture.borrow().holds_memory())
+    }
+
     /// Writes as much as the kernel accepts immediately, for a message on a connection for which the HTTP library has
     /// no response.
     pub fn write_best_effort(&self, text: &[u8]) {
@@ -189,11 +217,13 @@
         }
     }
 
-    fn on_read(&self, bytes: &[u8]) {
+    fn on_read(&self, bytes: &[u8]) -> io::Result<()> {
         self.0.bytes_read.set(self.0.bytes_read.get() + bytes.len() as u64);
-        if let Some(capture) = &self.0.head_capture {
-            capture.borrow_mut().on_read(bytes);
-        }
+        let Some(capture) = &self.0.head_capture else { return Ok(()) };
+        capture.borrow_mut().on_read(bytes).map_err(|error| {
+            self.write_best_effort(NO_MEMORY_RESPONSE);
+            io::Error::other(error)
+        })
     }
 
     fn on_written(&self, count: u64) {
@@ -230,16 +260,17 @@
         loop {
             ready!(self.0.socket.poll_read_ready(cx))?;
             let before = buf.filled().len();
-            match self.0.socket.try_read_buf(buf) {
+            let max_read = self.0.max_read.get().min(buf.remaining());
+            match self.0.socket.try_read_buf(&mut (&mut *buf).limit(max_read)) {
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                 result => {
                     // A read that does not fill the buffer has read all available data. Clearing the readiness does
                     // not lose a close that was already seen, and can't miss another one, because only this thread
                     // polls the socket.
-                    if result.as_ref().is_ok_and(|&count| count > 0) && buf.remaining() > 0 {
+                    if result.as_ref().is_ok_and(|&count| count > 0 && count < max_read) {
                         self.0.socket.clear_read_ready();
                     }
-                    self.on_read(&buf.filled()[before..]);
+                    self.on_read(&buf.filled()[before..])?;
                     return Poll::Ready(result.map(|_| ()));
                 }
             }
--- a/crates/node/src/net/counting_stream/socket.rs
+++ b/crates/node/src/net/counting_stream/socket.rs
@@ -3,8 +3,9 @@
 use std::io;
 use std::task::{Context, Poll};
 
+use bytes::BufMut;
 use socket2::SockRef;
-use tokio::io::{Interest, ReadBuf, Ready};
+use tokio::io::{Interest, Ready};
 use tokio::net::{TcpStream, UnixStream};
 
 /// Either kind of stream.
@@ -43,7 +44,7 @@
     }
 
     /// Reads into memory that need not be initialized.
-    pub fn try_read_buf(&self, buffer: &mut ReadBuf<'_>) -> io::Result<usize> {
+    pub fn try_read_buf(&self, buffer: &mut impl BufMut) -> io::Result<usize> {
         either!(self, stream => stream.try_read_buf(buffer))
     }
 
--- a/crates/node/src/net/downstream/accept.rs
+++ b/crates/node/src/net/downstream/accept.rs
@@ -72,10 +72,10 @@
     /// Serves an accepted connection in a task of its own, which ends with the connection.
     pub(super) fn spawn_connection(self: Rc<Self>, accepted: Accepted) {
         let Accepted { stream, client_ip } = accepted;
-        let over_limit = self.budget.is_full() && !self.budget.evict_one();
+        let over_limit = self.budget.is_full() && self.budget.evict_one().is_none();
         let protocol = self.protocol.get();
         let stream = match protocol {
-            Protocol::Http => CountingStream::capturing_heads(stream),
+            Protocol::Http => CountingStream::capturing_heads(stream, self.budget.request_reservation()),
             Protocol::FastCgi => CountingStream::new(stream),
         };
         let connection = DownstreamConnection::new(
--- a/crates/node/src/net/downstream/connection.rs
+++ b/crates/node/src/net/downstream/connection.rs
@@ -20,6 +20,10 @@
 /// request or to read a response.
 const MIN_STALL_BEFORE_EVICTION: Duration = Duration::from_millis(500);
 
+/// If memory is scarce, a connection may be evicted once its client has sent nothing of an unfinished body for this
+/// long.
+pub const MIN_BODY_STALL_BEFORE_EVICTION: Duration = Duration::from_millis(250);
+
 /// A client's connection.
 pub struct DownstreamConnection {
     /// Its socket.
@@ -30,7 +34,9 @@
     requesting_count: Rc<Cell<usize>>,
     /// Whether this connection is included in `requesting_count`.
     is_counted: Cell<bool>,
-    /// When the connection was accepted, got its last response, or was closed.
+    /// Whether memory is reserved for the body of its request.
+    pub holds_body_memory: Cell<bool>,
+    /// When the connection was accepted, began to read a body, got its last response, or was closed.
     pub last_activity: Cell<Instant>,
     /// Index in the budget's list of connections. Only the budget changes it.
     pub index: Cell<usize>,
@@ -47,7 +53,9 @@
 pub enum ConnectionStage {
     /// Waiting for a request, or for the rest of its head.
     Waiting,
-    /// A request is being read or answered.
+    /// The body of a request is being read.
+    Receiving,
+    /// A request waits for memory or is being answered.
     Busy,
     /// Closed, except that data which the client still sends is read.
     Lingering,
@@ -55,6 +63,19 @@
     Ending,
 }
 
+/// Why a connection may be evicted, in the order in which connections are evicted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum EvictionRank {
+    /// It is closed except for data that the client still sends.
+    Lingering,
+    /// The client has never sent anything.
+    Silent,
+    /// The client is between two requests.
+    Idle,
+    /// The client has stopped in the middle of a request, or does not read its response.
+    Stalled,
+}
+
 impl DownstreamConnection {
     /// Returns a newly accepted connection.
     pub fn new(
@@ -69,6 +90,7 @@
             has_served: Cell::new(false),
             requesting_count,
             is_counted: Cell::new(false),
+            holds_body_memory: Cell::new(false),
             last_activity: Cell::new(Instant::now()),
             index: Cell::new(0),
             over_limit,
@@ -92,7 +114,7 @@
         self.stage.set(stage);
         self.has_served.set(has_served);
         let has_requests = match stage {
-            ConnectionStage::Busy => true,
+            ConnectionStage::Receiving | ConnectionStage::Busy => true,
             ConnectionStage::Waiting => has_served,
             ConnectionStage::Lingering | ConnectionStage::Ending => false,
         };
@@ -102,6 +124,19 @@
         }
     }
 
+    /// Records that no part of a request is awaited from the client, unless the connection is about to end.
+    pub fn set_busy(&self) {
+        if self.stage() == ConnectionStage::Receiving {
+            self.set_stage(ConnectionStage::Busy, self.has_served());
+        }
+    }
+
+    /// Records that the body of a request is being read from now on.
+    pub fn start_receiving(&self) {
+        self.last_activity.set(Instant::now());
+        self.set_stage(ConnectionStage::Receiving, self.has_served());
+    }
+
     /// Records that a response was passed on, so that the connection waits for the next request.
     pub fn mark_answered(&self) {
         self.last_activity.set(Instant::now());
@@ -122,28 +157,57 @@
     /// Whether a request is known to have been received whose response is not finished, or was only just written.
     pub fn has_pending_response(&self) -> bool {
         match self.stage.get() {
-            ConnectionStage::Busy => true,
+            ConnectionStage::Receiving | ConnectionStage::Busy => true,
             ConnectionStage::Waiting => self.stream.is_blocked() || self.stream.unread() == UnreadState::Data,
             ConnectionStage::Lingering => self.last_activity.get().elapsed() < MIN_IDLE_BEFORE_EVICTION,
             ConnectionStage::Ending => false,
         }
     }
 
-    /// Returns the rank for eviction, lowest first, or `None` if the connection must not be evicted.
-    pub fn eviction_rank(&self, now: Instant) -> Option<u8> {
+    /// Whether memory is reserved for a request that has not been received completely.
+    fn holds_receive_memory(&self) -> bool {
+        match self.stage.get() {
+            ConnectionStage::Waiting => self.stream.holds_head_memory(),
+            ConnectionStage::Receiving => self.holds_body_memory.get(),
+            _ => false,
+        }
+    }
+
+    /// Returns since when the client has sent nothing, if it has stopped in the middle of a request for which memory
+    /// is reserved.
+    pub fn memory_stalled_since(&self, now: Instant) -> Option<Instant> {
+        if !self.holds_receive_memory() {
+            return None;
+        }
+        let since = self.last_received_at();
+        (now >= since + MIN_BODY_STALL_BEFORE_EVICTION).then_some(since)
+    }
+
+    /// Returns when the client last sent anything, or when the node began to read.
+    pub fn last_received_at(&self) -> Instant {
+        let last_activity = self.last_activity.get();
+        self.stream.last_read_at().map_or(last_activity, |last_read| last_read.max(last_activity))
+    }
+
+    /// Returns the rank for eviction, or `None` if the connection must not be evicted.
+    pub fn eviction_rank(&self, now: Instant) -> Option<EvictionRank> {
         let inactive_for = |time| now.saturating_duration_since(self.last_activity.get()) >= time;
         match (self.stage.get(), self.stream.head_started_at()) {
-            (ConnectionStage::Lingering, _) => inactive_for(MIN_IDLE_BEFORE_EVICTION).then_some(0),
+            (ConnectionStage::Lingering, _) => {
+                inactive_for(MIN_IDLE_BEFORE_EVICTION).then_some(EvictionRank::Lingering)
+            }
             // The last response is still waiting for the client to read it; closing now would truncate it.
             (ConnectionStage::Waiting, _) if self.stream.is_blocked() => {
-                inactive_for(MIN_STALL_BEFORE_EVICTION).then_some(3)
+                inactive_for(MIN_STALL_BEFORE_EVICTION).then_some(EvictionRank::Stalled)
             }
             (ConnectionStage::Waiting, None) if !self.has_served.get() => {
-                inactive_for(MIN_INITIAL_IDLE_BEFORE_EVICTION).then_some(1)
+                inactive_for(MIN_INITIAL_IDLE_BEFORE_EVICTION).then_some(EvictionRank::Silent)
+            }
+            (ConnectionStage::Waiting, None) => {
+                inactive_for(MIN_IDLE_BEFORE_EVICTION).then_some(EvictionRank::Idle)
             }
-            (ConnectionStage::Waiting, None) => inactive_for(MIN_IDLE_BEFORE_EVICTION).then_some(2),
             (ConnectionStage::Waiting, Some(started)) => {
-                (now >= started + MIN_STALL_BEFORE_EVICTION).then_some(3)
+                (now >= started + MIN_STALL_BEFORE_EVICTION).then_some(EvictionRank::Stalled)
             }
             _ => None,
         }
--- a/crates/node/src/net/downstream/http.rs
+++ b/crates/node/src/net/downstream/http.rs
@@ -15,9 +15,10 @@
 use hyper_util::rt::TokioIo;
 use tokio::time::{Instant, timeout_at};
 
+use super::body_buffer::BodySource;
 use super::body_framing::BodyFraming;
 use super::connection::{ConnectionStage, DownstreamConnection};
-use super::request_body::{ReceivedBody, read_buffered, read_full};
+use super::request_body::{ReceivedBody, discard, read_buffered, read_full};
 use super::{DownstreamListener, ListenerOptions, response};
 use crate::net::admission::{AdmittedRequest, RequestError, RequestHead, ResponseStyle};
 use crate::net::header_fields::MAX_HEAD_BYTES;
@@ -32,10 +33,30 @@
 struct RequestProgress {
     /// Whether the request is being read or has no response yet.
     awaits_response: Cell<bool>,
+    /// Whether the request is being read.
+    is_receiving: Cell<bool>,
     /// Whether the response is being streamed.
     is_streaming: Cell<bool>,
 }
 
+/// How a connection has ended.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum ConnectionEnd {
+    /// It is to be closed immediately.
+    Close,
+    /// What the client still sends is to be read, so that the last response arrives.
+    Linger,
+}
+
+/// A request whose head was received.
+struct IncomingRequest {
+    request: Request<Incoming>,
+    client_ip: IpAddr,
+    framing: BodyFraming,
+    /// When the request must have been received.
+    due: Instant,
+}
+
 /// A request that was read and admitted.
 struct ReadRequest {
     admitted: AdmittedRequest,
@@ -57,6 +78,17 @@
 impl DownstreamListener {
     /// Serves a connection until it ends.
     pub(super) async fn serve_http(&self, connection: &Rc<DownstreamConnection>, client_ip: IpAddr) {
+        // The buffers of the connection are freed before it lingers.
+        if self.serve_requests(connection, client_ip).await == ConnectionEnd::Linger {
+            self.linger(connection).await;
+        }
+    }
+
+    async fn serve_requests(
+        &self,
+        connection: &Rc<DownstreamConnection>,
+        client_ip: IpAddr,
+    ) -> ConnectionEnd {
         let progress = RequestProgress::default();
         let service = service_fn(|request| async {
             Ok::<_, Infallible>(self.serve_request(connection, client_ip, request, &progress).await)
@@ -74,28 +106,29 @@
                 // that is being written; a pipelined request after it is rejected in `reply`.
                 () = peer_closed.as_mut(), if !has_peer_closed => {
                     if progress.awaits_response.get() {
-                        return;
+                        return ConnectionEnd::Close;
                     }
                     has_peer_closed = true;
                 }
                 // After an error, nothing more can be sent to the client.
-                _ = served.as_mut() => break,
+                _ = served.as_mut() => return ConnectionEnd::Linger,
                 () = connection.close.notified() => {
-                    // The connection was idle when it was selected; a request that has been read since then is
-                    // answered.
-                    if progress.awaits_response.get() {
+                    // The connection was idle or stalled when it was selected; a request that has been read since
+                    // then is answered.
+                    let was_stalled = progress.is_receiving.get() && connection.stage() == ConnectionStage::Ending;
+                    if progress.awaits_response.get() && !was_stalled {
                         served.as_mut().graceful_shutdown();
                         continue;
                     }
                     // This must not be written into the middle of a response.
-                    if connection.stream.head_started_at().is_some() && !progress.is_streaming.get() {
+                    let has_part_of_request = was_stalled || connection.stream.head_started_at().is_some();
+                    if has_part_of_request && !progress.is_streaming.get() {
                         connection.stream.write_best_effort(REQUEST_TIMEOUT_RESPONSE);
                     }
-                    return;
+                    return ConnectionEnd::Close;
                 }
             }
         }
-        self.linger(connection).await;
     }
 
     /// Serves one request, and updates the stage of its connection.
@@ -108,7 +141,7 @@
     ) -> Response<ResponseBody> {
         connection.set_stage(ConnectionStage::Busy, connection.has_served());
         progress.awaits_response.set(true);
-        let mut response = self.respond(connection, client_ip, request).await;
+        let mut response = self.respond(connection, client_ip, request, progress).await;
         progress.awaits_response.set(false);
         let body = response.body_mut();
         progress.is_streaming.set(body.is_stream());
@@ -128,13 +161,15 @@
         connection: &DownstreamConnection,
         client_ip: IpAddr,
         request: Request<Incoming>,
+        progress: &RequestProgress,
     ) -> Response<ResponseBody> {
         let read_from = if connection.has_served() { Instant::now() } else { connection.last_activity.get() };
         let framing = BodyFraming::parse(&connection.stream.take_head());
         connection.stream.skip_body(framing.body_length());
         let expects_continue = request.headers().contains_key(header::EXPECT);
         let read_due = read_from + self.options.get().request_timeout;
-        let reply = self.reply(connection, client_ip, request, framing, read_due).await;
+        let incoming = IncomingRequest { request, client_ip, framing, due: read_due };
+        let reply = self.reply(connection, incoming, progress).await;
         let HttpReply { mut response, is_upload_unfinished } = reply;
         let closes_after_response = connection.over_limit || self.budget.disables_keep_alive();
         // After an error status, a client that expects `100 Continue` may either send its body anyway or send the
@@ -155,12 +190,10 @@
     async fn reply(
         &self,
         connection: &DownstreamConnection,
-        client_ip: IpAddr,
-        request: Request<Incoming>,
-        framing: BodyFraming,
-        read_due: Instant,
+        incoming: IncomingRequest,
+        progress: &RequestProgress,
     ) -> HttpReply {
-        if self.options.get().serves_health_check && request.uri().path() == "/healthz" {
+        if self.options.get().serves_health_check && incoming.request.uri().path() == "/healthz" {
             return self.health_response().into();
         }
         if connection.stream.has_peer_closed() {
@@ -169,7 +202,11 @@
             return response::rejection(&ResponseStyle::Platform, None).into();
         }
         let read_started = Instant::now();
-        match self.read_request(request, client_ip, framing, read_due).await {
+        progress.is_receiving.set(true);
+        let received = self.read_request(connection, incoming).await;
+        progress.is_receiving.set(false);
+        connection.set_stage(ConnectionStage::Busy, connection.has_served());
+        match received {
             Err(error) => response::error(&error).into(),
             Ok(ReadRequest { mut admitted, body }) => {
                 admitted.request.body_read_time = read_started.elapsed();
@@ -187,14 +224,13 @@
         response::plain(status, "")
     }
 
-    /// Reads a request until `due`, and asks for its admission.
+    /// Reads a request, and asks for its admission.
     async fn read_request(
         &self,
-        request: Request<Incoming>,
-        client_ip: IpAddr,
-        framing: BodyFraming,
-        due: Instant,
+        connection: &DownstreamConnection,
+        incoming: IncomingRequest,
     ) -> Result<ReadRequest, RequestError> {
+        let IncomingRequest { request, client_ip, framing, due } = incoming;
         if framing == BodyFraming::Ambiguous {
             return Err(RequestError::AmbiguousFraming);
         }
@@ -215,15 +251,23 @@
         // The body is read before an error is reported, so that the response is not sent to a client that is still
         // writing.
         let ListenerOptions { max_buffered_body, max_streamed_body, .. } = self.options.get();
-        let body = match (max_streamed_body, &admitted) {
-            (Some(max), Ok(AdmittedRequest { request, .. })) => {
-                read_buffered(body, max_buffered_body, max, request.time_left, &self.memory).await?
+        let admitted = match admitted {
+            Ok(admitted) => admitted,
+            Err(error) => {
+                let discarded = timeout_at(due, discard(body, max_buffered_body, connection)).await;
+                return Err(discarded.unwrap_or(Err(RequestError::BodyTimeout)).err().unwrap_or(error));
             }
-            _ => {
-                let body = timeout_at(due, read_full(body, max_buffered_body)).await;
+        };
+        let time_left = admitted.request.time_left;
+        let source =
+            BodySource { connection, budget: &self.budget, due: due.min(Instant::now() + time_left) };
+        let body = match max_streamed_body {
+            Some(max) => read_buffered(body, max_buffered_body, max, time_left, &self.memory, source).await?,
+            None => {
+                let body = timeout_at(due, read_full(body, max_buffered_body, source)).await;
                 ReceivedBody::Full(body.unwrap_or(Err(RequestError::BodyTimeout))?)
             }
         };
-        Ok(ReadRequest { admitted: admitted?, body })
+        Ok(ReadRequest { admitted, body })
     }
 }
--- a/crates/node/src/net/downstream/mod.rs
+++ b/crates/node/src/net/downstream/mod.rs
@@ -1,6 +1,7 @@
 //! Client connections: reads requests, sends them to a pool, and gives each exactly one response.
 
 mod accept;
+mod body_buffer;
 mod body_framing;
 mod connection;
 pub mod connection_budget;
--- a/crates/node/src/net/downstream/request_body.rs
+++ b/crates/node/src/net/downstream/request_body.rs
@@ -4,12 +4,14 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
-use pumicehead_slow_peer::PaceMonitor;
+use pumicehead_slow_peer::{PaceLimits, PaceMonitor};
 use tokio::time::timeout;
 
+use super::body_buffer::{BodyBuffer, BodySource, MemoryWait};
+use super::connection::{DownstreamConnection, MIN_BODY_STALL_BEFORE_EVICTION};
 use crate::net::admission::RequestError;
 use crate::net::memory_budget::MemoryBudget;
 use crate::net::upload::{UPLOAD_PACE_LIMITS, Upload};
@@ -51,33 +53,75 @@
 /// Reads a complete body of at most `max` bytes.
 ///
 /// # Errors
+/// The body is longer or incomplete, or there is no memory for it.
+pub async fn read_full(
+    mut body: Incoming,
+    max: usize,
+    source: BodySource<'_>,
+) -> Result<Bytes, RequestError> {
+    let length = body.size_hint().upper().and_then(|length| usize::try_from(length).ok());
+    let mut buffer = BodyBuffer::new(source, length.unwrap_or(max).min(max));
+    if length.is_some() {
+        buffer.prepare().await?;
+    }
+    while let Some(data) = next_data(&mut body, max, buffer.len()).await? {
+        buffer.push(&data).await?;
+    }
+    Ok(buffer.finish())
+}
+
+/// Reads a complete body of at most `max` bytes without keeping it.
+///
+/// # Errors
 /// The body is longer or incomplete.
-pub async fn read_full(mut body: Incoming, max: usize) -> Result<Bytes, RequestError> {
-    if body.size_hint().lower() > max as u64 {
+pub async fn discard(
+    mut body: Incoming,
+    max: usize,
+    connection: &DownstreamConnection,
+) -> Result<(), RequestError> {
+    connection.start_receiving();
+    let mut received = 0;
+    while let Some(data) = next_data(&mut body, max, received).await? {
+        received += data.len();
+    }
+    connection.set_busy();
+    Ok(())
+}
+
+/// Returns the next part of a body of at most `max` bytes of which `received` were read, or `None` at its end.
+async fn next_data(body: &mut Incoming, max: usize, received: usize) -> Result<Option<Bytes>, RequestError> {
+    if received as u64 + body.size_hint().lower() > max as u64 {
         return Err(RequestError::BodyTooLong);
     }
-    let mut buffer = Vec::new();
     while let Some(frame) = body.frame().await {
         let Ok(data) = frame.map_err(|_| RequestError::BodyIncomplete)?.into_data() else { continue };
-        if buffer.len() + data.len() > max {
+        if received + data.len() > max {
             return Err(RequestError::BodyTooLong);
         }
-        buffer.extend_from_slice(&data);
+        return Ok(Some(data));
     }
-    Ok(buffer.into())
+    Ok(None)
+}
+
+/// Returns the monitor of a body that waited for memory. As long as memory is that scarce, a client may pause no longer
+/// than until it may be evicted; it may have stopped before the wait.
+fn pace_after_wait() -> PaceMonitor {
+    let limits = PaceLimits { idle_timeout: MIN_BODY_STALL_BEFORE_EVICTION, ..UPLOAD_PACE_LIMITS };
+    PaceMonitor::new(limits, Instant::now())
 }
 
 /// Reads a body of at most `max_streamed` bytes: completely if it has at most `max_buffered` bytes or the memory
 /// budget allows more, otherwise only its start. `time_left` is how long the client waits after the last byte.
 ///
 /// # Errors
-/// The body is longer, incomplete or too slow.
+/// The body is longer, incomplete or too slow, or there is no memory for it.
 pub async fn read_buffered(
     mut body: Incoming,
     max_buffered: usize,
     max_streamed: u64,
     time_left: Duration,
     memory: &Arc<MemoryBudget>,
+    source: BodySource<'_>,
 ) -> Result<ReceivedBody, RequestError> {
     let length = body.size_hint().exact();
     if length.is_some_and(|length| length > max_streamed) {
@@ -89,9 +133,15 @@
     let wanted = length.map_or(max_buffered, |length| {
         usize::try_from(length).unwrap_or(MAX_RETRYABLE_BYTES).min(MAX_RETRYABLE_BYTES)
     });
-    let limit = if wanted > max_buffered && reservation.try_grow_to(wanted) { wanted } else { max_buffered };
-    let mut buffer = BytesMut::new();
+    let (mut buffer, limit) = if wanted > max_buffered && reservation.try_grow_to(wanted) {
+        (BodyBuffer::reserved(source, wanted, reservation), wanted)
+    } else {
+        (BodyBuffer::new(source, wanted.min(max_buffered)), max_buffered)
+    };
     let mut pace = PaceMonitor::new(UPLOAD_PACE_LIMITS, Instant::now());
+    if length.is_some() && buffer.prepare().await? == MemoryWait::Waited {
+        pace = pace_after_wait();
+    }
     loop {
         pace.on_demand(Instant::now());
         let frame = match timeout(PACE_CHECK_INTERVAL, body.frame()).await {
@@ -99,17 +149,19 @@
                 pace.check(Instant::now()).map_err(|_| RequestError::BodyTimeout)?;
                 continue;
             }
-            Ok(None) => return Ok(ReceivedBody::Full(reservation.attach_to(buffer.freeze()))),
+            Ok(None) => return Ok(ReceivedBody::Full(buffer.finish())),
             Ok(Some(frame)) => frame.map_err(|_| RequestError::BodyIncomplete)?,
         };
         let Ok(data) = frame.into_data() else { continue };
         pace.on_bytes(data.len() as u64, Instant::now());
         pace.check(Instant::now()).map_err(|_| RequestError::BodyTimeout)?;
-        buffer.extend_from_slice(&data);
+        if buffer.push(&data).await? == MemoryWait::Waited {
+            pace = pace_after_wait();
+        }
         if buffer.len() > limit || buffer.len() == limit && !body.is_end_stream() {
             let allowed = max_streamed.checked_sub(buffer.len() as u64).ok_or(RequestError::BodyTooLong)?;
             let upload = Upload::new(body, length, allowed, time_left);
-            return Ok(ReceivedBody::Partial(reservation.attach_to(buffer.freeze()), upload));
+            return Ok(ReceivedBody::Partial(buffer.finish(), upload));
         }
     }
 }
--- a/crates/node/src/net/memory_budget.rs
+++ b/crates/node/src/net/memory_budget.rs
@@ -1,18 +1,23 @@
-//! The node's memory budget for long bodies.
+//! Memory budgets of the node: one for long bodies, one for requests that are being received.
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 
 use bytes::Bytes;
+use tokio::sync::Notify;
 
 /// Bodies up to this size, in bytes, need no reservation. Reservations that grow while a body is read grow in steps
 /// of this size.
 pub const SMALL_BODY_BYTES: usize = 64 << 10;
 
-/// Memory that is left for bodies longer than [`SMALL_BODY_BYTES`], in bytes. A body holds its memory until it has
-/// been written to its client. Atomic only because the body of an HTTP message has to be `Send`; a single thread uses
-/// it.
-pub struct MemoryBudget(AtomicUsize);
+/// An amount of memory that can be reserved. A body holds its memory until it has been written to its peer.
+pub struct MemoryBudget {
+    /// Bytes that are not reserved. Atomic only because the body of an HTTP message has to be `Send`; a single thread
+    /// uses it.
+    left: AtomicUsize,
+    /// Wakes one task that waits for memory.
+    released: Notify,
+}
 
 /// A reserved part of the budget, which is released on drop.
 pub struct Reservation {
@@ -23,13 +28,25 @@
 impl MemoryBudget {
     /// Returns a budget of `size` bytes.
     pub fn new(size: usize) -> Arc<Self> {
-        Arc::new(Self(AtomicUsize::new(size)))
+        Arc::new(Self { left: AtomicUsize::new(size), released: Notify::new() })
     }
 
     /// Returns an empty reservation.
     pub fn reservation(self: &Arc<Self>) -> Reservation {
         Reservation { budget: self.clone(), size: 0 }
     }
+
+    /// Waits until a reservation releases memory.
+    pub async fn released(&self) {
+        self.released.notified().await;
+    }
+
+    fn release(&self, size: usize) {
+        if size > 0 {
+            self.left.fetch_add(size, Ordering::Relaxed);
+            self.released.notify_one();
+        }
+    }
 }
 
 impl Reservation {
@@ -41,12 +58,24 @@
     /// Grows the reservation to at least `size` bytes; returns whether the budget allows it.
     pub fn try_grow_to(&mut self, size: usize) -> bool {
         let more = size.saturating_sub(self.size);
-        let Some(left) = self.budget.0.load(Ordering::Relaxed).checked_sub(more) else { return false };
-        self.budget.0.store(left, Ordering::Relaxed);
+        let Some(left) = self.budget.left.load(Ordering::Relaxed).checked_sub(more) else { return false };
+        self.budget.left.store(left, Ordering::Relaxed);
         self.size += more;
         true
     }
 
+    /// Releases what exceeds `size` bytes.
+    pub fn shrink_to(&mut self, size: usize) {
+        let released = self.size.saturating_sub(size);
+        self.size -= released;
+        self.budget.release(released);
+    }
+
+    /// Whether any memory is reserved.
+    pub fn is_empty(&self) -> bool {
+        self.size == 0
+    }
+
     /// Grows the reservation, in steps of [`SMALL_BODY_BYTES`], if a body of `size` bytes needs it; returns whether
     /// the budget allows it.
     pub fn try_grow_to_fit(&mut self, size: usize) -> bool {
@@ -56,7 +85,7 @@
 
 impl Drop for Reservation {
     fn drop(&mut self) {
-        self.budget.0.fetch_add(self.size, Ordering::Relaxed);
+        self.budget.release(self.size);
     }
 }
 
--- a/crates/node/src/platform/mod.rs
+++ b/crates/node/src/platform/mod.rs
@@ -191,7 +191,7 @@
         Rc::new(PlatformAdmission::new(config, pool.clone())),
         active_requests.clone(),
         options,
-        ConnectionBudget::new(descriptors.downstream, config.max_descriptors),
+        ConnectionBudget::new(descriptors.downstream, config.max_descriptors, config.max_memory),
         move || failing_pool.fail_all(),
         stats.clone(),
         memory,
--- a/crates/node/src/standalone/runtime.rs
+++ b/crates/node/src/standalone/runtime.rs
@@ -86,7 +86,11 @@
         let in_force = ConfigInForce { pools: names.zip(handles).collect(), listeners: Vec::new(), revision };
         let runtime = Rc::new(Self {
             admission: RouteAdmission::new(routing, seed, traffic_recorder),
-            connection_budget: ConnectionBudget::new(descriptors.downstream, config.limits.max_descriptors),
+            connection_budget: ConnectionBudget::new(
+                descriptors.downstream,
+                config.limits.max_descriptors,
+                config.limits.memory_bytes as usize,
+            ),
             pool_factory,
             in_force: RefCell::new(in_force),
             node_share: Cell::new(None),
--- a/crates/node/tests/unit/downstream.rs
+++ b/crates/node/tests/unit/downstream.rs
@@ -142,7 +142,7 @@
         admission,
         active_requests,
         options,
-        ConnectionBudget::new(100, 400),
+        ConnectionBudget::new(100, 400, 1 << 20),
         || (),
         stats,
         MemoryBudget::new(1 << 20),
@@ -253,11 +253,11 @@
             });
         }
         tokio::time::advance(2 * MIN_IDLE_BEFORE_EVICTION).await;
-        let early = downstream.budget.evict_one();
+        let early = downstream.budget.evict_one().is_some();
         client.set_nonblocking(true).unwrap();
         let response = read_response(&mut client).await;
         // Nothing is waiting to be written any more.
-        let late = downstream.budget.evict_one();
+        let late = downstream.budget.evict_one().is_some();
         (early, late, response)
     });
     assert!(!early && late && response.ends_with("done"), "{early} {late} {}", response.len());
