Downstream: clients that stop in a body give up their places when all are taken

Cause: a connection whose request was being read was never evicted, so it held its place for the 2 s of the body's pace check; usual clients between two requests gave up theirs instead. At its limit the node accepted one connection every 5 ms at the most.

Change: a connection that has been silent within a body for 250 ms may be evicted, with 408, the longest silent first. After a stalled one the next connection is accepted in the next turn of the event loop.

--- a/crates/node/src/net/downstream/accept.rs
+++ b/crates/node/src/net/downstream/accept.rs
@@ -8,12 +8,12 @@
 use pumicehead_config::model::Protocol;
 use pumicehead_flight_recorder::event::{Event, ExhaustedResource};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
-use tokio::task;
+use tokio::task::{self, yield_now};
 use tokio::time::{sleep, timeout};
 use tracing::warn;
 
 use super::DownstreamListener;
-use super::connection::{ConnectionStage, DownstreamConnection};
+use super::connection::{ConnectionStage, DownstreamConnection, EvictionRank};
 use crate::net::counting_stream::CountingStream;
 
 /// Backlog of the listening socket.
@@ -50,8 +50,12 @@
     pub(super) async fn accept(&self, listener: &TcpListener) -> Accepted {
         loop {
             if self.budget.is_overflow_full() {
-                self.budget.evict_one();
-                sleep(FULL_RETRY_DELAY).await;
+                if self.budget.evict_one() == Some(EvictionRank::Stalled) {
+                    // The connection's task ends in the next turn of the event loop.
+                    yield_now().await;
+                } else {
+                    sleep(FULL_RETRY_DELAY).await;
+                }
                 continue;
             }
             match listener.accept().await {
--- a/crates/node/src/net/downstream/connection.rs
+++ b/crates/node/src/net/downstream/connection.rs
@@ -20,8 +20,8 @@
 /// request or to read a response.
 const MIN_STALL_BEFORE_EVICTION: Duration = Duration::from_millis(500);
 
-/// If memory is scarce, a connection may be evicted once its client has sent nothing of an unfinished body for this
-/// long.
+/// If memory or descriptors are scarce, a connection may be evicted once its client has sent nothing of an unfinished
+/// body for this long.
 pub const MIN_BODY_STALL_BEFORE_EVICTION: Duration = Duration::from_millis(250);
 
 /// A client's connection.
@@ -209,6 +209,9 @@
             (ConnectionStage::Waiting, Some(started)) => {
                 (now >= started + MIN_STALL_BEFORE_EVICTION).then_some(EvictionRank::Stalled)
             }
+            (ConnectionStage::Receiving, _) => (now
+                >= self.last_received_at() + MIN_BODY_STALL_BEFORE_EVICTION)
+                .then_some(EvictionRank::Stalled),
             _ => None,
         }
     }
--- a/crates/node/tests/memory_limit.rs
+++ b/crates/node/tests/memory_limit.rs
@@ -12,6 +12,12 @@
 const ERROR_DUE: Duration = Duration::from_secs(3);
 /// Interval at which the memory of the node is read.
 const CHECK_INTERVAL: Duration = Duration::from_millis(5);
+/// Size of the large body of a usual client, in bytes.
+const LARGE_BODY_BYTES: usize = 40 << 10;
+/// Deadline of usual clients, and the time after it in which a response is still due.
+const DEADLINE: Duration = Duration::from_millis(1_200);
+const ANSWER_SLACK: Duration = Duration::from_millis(550);
+
 /// What a client sends before it stops.
 #[derive(Clone, Copy, Debug)]
 enum UnfinishedRequest {
@@ -72,8 +78,28 @@
     }
 }
 
+/// Asks with a large body, on a new connection. Returns whether there was a whole response in time, or the node closed the
+/// connection before it had received the request.
+fn is_answered(address: SocketAddr) -> bool {
+    let mut client = Client::connect(address);
+    let headers = format!("X-Time-Left: {}m\r\n", DEADLINE.as_millis());
+    let body = "y".repeat(LARGE_BODY_BYTES);
+    let text = request_with("submit", &body, &headers);
+    let start = Instant::now();
+    let mut stream = client.stream();
+    if stream.write_all(text.as_bytes()).is_err() {
+        return true;
+    }
+    client.read().is_some() && start.elapsed() < DEADLINE + ANSWER_SLACK
+}
+
+/// Joins threads and returns how many of them returned false.
+fn count_false(threads: Vec<thread::ScopedJoinHandle<'_, bool>>) -> usize {
+    threads.into_iter().map(|thread| thread.join().unwrap()).filter(|succeeded| !succeeded).count()
+}
+
 /// Guards against a node that is killed for its memory because each client connection may hold a part of a request, however
-/// little memory there is.
+/// little memory there is. Meanwhile requests of other clients with large bodies are answered.
 #[test]
 fn clients_that_stop_in_a_request_do_not_exceed_the_memory_limit() {
     for limits in LIMITS {
@@ -86,18 +112,21 @@
             wait_for("the endpoint", || node.ask(&request("submit", "x")).body == b"done");
             let address = node.address;
             let text = unfinished.text();
-            let peak = thread::scope(|scope| {
+            let (late, unanswered, peak) = thread::scope(|scope| {
                 let stopping: Vec<_> =
                     (0..limits.clients).map(|_| scope.spawn(|| stop_in_the_middle(address, &text))).collect();
+                let usual: Vec<_> = (0..10).map(|_| scope.spawn(move || is_answered(address))).collect();
                 let mut peak = 0;
                 while !stopping.iter().all(|client| client.is_finished()) {
                     peak = peak.max(node.resident_bytes());
                     thread::sleep(CHECK_INTERVAL);
                 }
-                peak
+                (count_false(stopping), count_false(usual), peak)
             });
             let case = format!("{limits:?}, {unfinished:?}");
             assert!(peak < limits.memory_mb << 20, "{case}: {} kB resident", peak >> 10);
+            assert_eq!(late, 0, "{case}: clients that stopped got neither an error nor a close in time");
+            assert_eq!(unanswered, 0, "{case}: requests of usual clients without a response in time");
         }
     }
 }
