Tests: a late copy of a rejection sends no keyed request outside its group

Seen beside wrong responses: keyed requests sent again outside their group, requests that may have run sent again, two attempts at once. The cause is that of the wrong responses: on a shifted connection the X-Unprocessed rejection of one request is taken for that of the next.

--- a/crates/node/tests/late_responses.rs
+++ b/crates/node/tests/late_responses.rs
@@ -106,14 +106,14 @@
 }
 
 /// Sends requests of several clients at once, each client's one after another, and returns what each body was answered with.
-fn responses(node: &Node) -> Vec<(String, Message)> {
+fn responses(node: &Node, class: &'static str) -> Vec<(String, Message)> {
     let clients: Vec<_> = (0..CLIENTS)
         .map(|client| {
             let mut connection = node.connect();
             thread::spawn(move || {
                 let mut ask = |number| {
                     let body = format!("request {number} of client {client}");
-                    connection.write(&request("submit", &body));
+                    connection.write(&request(class, &body));
                     (body, connection.read().expect("a response"))
                 };
                 (0..REQUESTS).map(&mut ask).collect::<Vec<_>>()
@@ -123,16 +123,20 @@
     clients.into_iter().flat_map(|client| client.join().unwrap()).collect()
 }
 
-/// Starts a node whose endpoints are in another zone.
+/// Starts a node whose endpoints are in another zone, in a deduplication group each.
 fn start_node(endpoints: &[CopyingEndpoint]) -> Node {
     let hosts: Vec<_> = endpoints
         .iter()
-        .enumerate()
-        .map(|(index, endpoint)| {
-            host(&format!("s-{index}"), delayed_path(endpoint.address, ONE_WAY_DELAY), "active")
+        .zip(["a", "b"])
+        .map(|(endpoint, zone)| {
+            let address = delayed_path(endpoint.address, ONE_WAY_DELAY);
+            host(&format!("s-{zone}"), address, "active")
+                .replace("\"site\":\"a\"", &format!("\"site\":\"{zone}\""))
         })
         .collect();
-    Setup { endpoint_list: list(1, true, &hosts), ..Setup::of(&[]) }.start()
+    let replacements =
+        &[("\"effect\":\"token\",\"dedup_scope\":\"all\"", "\"effect\":\"token\",\"dedup_scope\":\"zone\"")];
+    Setup { endpoint_list: list(1, true, &hosts), replacements, ..Setup::of(&[]) }.start()
 }
 
 fn assert_copies_written(endpoints: &[CopyingEndpoint]) {
@@ -157,7 +161,7 @@
 fn late_copy_from_another_zone_is_given_to_no_request() {
     let endpoints = [CopyingEndpoint::start(Rejections::None)];
     let node = start_node(&endpoints);
-    assert_own_responses(&responses(&node));
+    assert_own_responses(&responses(&node, "submit"));
     assert_copies_written(&endpoints);
 }
 
@@ -165,9 +169,21 @@
 /// endpoint although the first one executes it.
 #[test]
 fn late_copy_of_a_rejection_causes_no_second_execution() {
+    assert_executed_once("submit");
+}
+
+/// Guards against the copy of a rejection that is taken for the rejection of the next request with an idempotency key, which is
+/// then sent to an endpoint outside its deduplication group although the first one executes it.
+#[test]
+fn late_copy_of_a_rejection_sends_no_keyed_request_outside_its_group() {
+    assert_executed_once("put");
+}
+
+/// Asserts that each request of a class is executed by at most one endpoint, once.
+fn assert_executed_once(class: &'static str) {
     let endpoints = [0, 1].map(|_| CopyingEndpoint::start(Rejections::EverySecond));
     let node = start_node(&endpoints);
-    let responses = responses(&node);
+    let responses = responses(&node, class);
     let mut executions = BTreeMap::<String, usize>::new();
     for endpoint in &endpoints {
         for body in endpoint.executed.lock().unwrap().iter() {
