Downstream: long bodies reserve their read buffer, and a sixth of the limit is for requests

Evidence: the case LongBody of clients_that_stop_in_a_request_do_not_exceed_the_memory_limit failed before.

--- a/crates/node/src/net/downstream/body_buffer.rs
+++ b/crates/node/src/net/downstream/body_buffer.rs
@@ -48,23 +48,27 @@
     /// Returns an empty buffer for a body of `expected_size` bytes, and marks its connection as receiving.
     pub fn new(source: BodySource<'a>, expected_size: usize) -> Self {
         let reservation = source.budget.request_reservation();
-        Self::with_reservation(source, expected_size, reservation, MAX_UNRESERVED_READ_BYTES)
+        source.connection.start_receiving();
+        source.connection.stream.set_max_read(MAX_UNRESERVED_READ_BYTES);
+        Self { source, bytes: BytesMut::new(), expected_size, reservation }
     }
 
-    /// Returns an empty buffer for a body of `expected_size` bytes, which `reservation` covers.
+    /// Returns an empty buffer for a body of `expected_size` bytes, for which `reservation` has [`reservation_for`] as
+    /// much.
     pub fn reserved(source: BodySource<'a>, expected_size: usize, reservation: Reservation) -> Self {
-        Self::with_reservation(source, expected_size, reservation, usize::MAX)
+        let mut buffer = Self::new(source, expected_size);
+        buffer.reservation = reservation;
+        buffer.use_reservation();
+        buffer
     }
 
-    fn with_reservation(
-        source: BodySource<'a>,
-        expected_size: usize,
-        reservation: Reservation,
-        max_read: usize,
-    ) -> Self {
-        source.connection.start_receiving();
-        source.connection.stream.set_max_read(max_read);
-        Self { source, bytes: BytesMut::new(), expected_size, reservation }
+    /// Allocates the whole body, since growing its buffer step by step would need up to twice its size, and reads as
+    /// much at a time as the HTTP library does.
+    fn use_reservation(&mut self) {
+        self.source.connection.stream.set_max_read(usize::MAX);
+        let mut bytes = BytesMut::with_capacity(self.expected_size);
+        bytes.extend_from_slice(&self.bytes);
+        self.bytes = bytes;
     }
 
     /// Waits for memory if a body with a stated length needs a reservation, before any part of it is read.
@@ -116,12 +120,8 @@
             wait = MemoryWait::Waited;
         }
         connection.holds_body_memory.set(true);
-        connection.stream.set_max_read(usize::MAX);
         connection.start_receiving();
-        // Growing the buffer step by step would need up to twice its size.
-        let mut bytes = BytesMut::with_capacity(self.expected_size);
-        bytes.extend_from_slice(&self.bytes);
-        self.bytes = bytes;
+        self.use_reservation();
         Ok(wait)
     }
 }
@@ -134,6 +134,6 @@
 }
 
 /// Returns the memory that a body of `size` bytes takes, with the read buffer of its connection.
-fn reservation_for(size: usize) -> usize {
+pub fn reservation_for(size: usize) -> usize {
     size + size.min(MAX_READ_BUFFER_BYTES)
 }
--- a/crates/node/src/net/downstream/connection_budget.rs
+++ b/crates/node/src/net/downstream/connection_budget.rs
@@ -19,7 +19,7 @@
 const KEEP_ALIVE_DIVISOR: usize = 4;
 
 /// Requests that are being received or wait for their response may use the memory limit divided by this.
-const REQUEST_MEMORY_DIVISOR: usize = 4;
+const REQUEST_MEMORY_DIVISOR: usize = 6;
 /// Memory limit per client connection: what a connection holds without a reservation, and as much again for everything
 /// else.
 const MEMORY_LIMIT_PER_CONNECTION: usize = 96 << 10;
--- a/crates/node/src/net/downstream/request_body.rs
+++ b/crates/node/src/net/downstream/request_body.rs
@@ -10,7 +10,7 @@
 use pumicehead_slow_peer::{PaceLimits, PaceMonitor};
 use tokio::time::timeout;
 
-use super::body_buffer::{BodyBuffer, BodySource, MemoryWait};
+use super::body_buffer::{BodyBuffer, BodySource, MemoryWait, reservation_for};
 use super::connection::{DownstreamConnection, MIN_BODY_STALL_BEFORE_EVICTION};
 use crate::net::admission::RequestError;
 use crate::net::memory_budget::MemoryBudget;
@@ -133,7 +133,7 @@
     let wanted = length.map_or(max_buffered, |length| {
         usize::try_from(length).unwrap_or(MAX_RETRYABLE_BYTES).min(MAX_RETRYABLE_BYTES)
     });
-    let (mut buffer, limit) = if wanted > max_buffered && reservation.try_grow_to(wanted) {
+    let (mut buffer, limit) = if wanted > max_buffered && reservation.try_grow_to(reservation_for(wanted)) {
         (BodyBuffer::reserved(source, wanted, reservation), wanted)
     } else {
         (BodyBuffer::new(source, wanted.min(max_buffered)), max_buffered)
--- a/crates/node/tests/memory_limit.rs
+++ b/crates/node/tests/memory_limit.rs
@@ -23,6 +23,8 @@
 enum UnfinishedRequest {
     /// Most of a body with a stated length.
     Body,
+    /// Most of a body that is longer than those that are always read completely.
+    LongBody,
     /// Part of a body without a stated length.
     ChunkedBody,
     /// Part of a body of a request that admission rejects.
@@ -32,7 +34,7 @@
 }
 
 impl UnfinishedRequest {
-    const ALL: [Self; 4] = [Self::Body, Self::ChunkedBody, Self::RejectedBody, Self::Head];
+    const ALL: [Self; 5] = [Self::Body, Self::LongBody, Self::ChunkedBody, Self::RejectedBody, Self::Head];
 
     fn text(self) -> String {
         let head =
@@ -40,6 +42,7 @@
         let part = "x".repeat(60_000);
         match self {
             Self::Body => head("submit", "\r\nContent-Length: 65536\r\n\r\n") + &part,
+            Self::LongBody => head("submit", "\r\nContent-Length: 100000\r\n\r\n") + &"x".repeat(90_000),
             Self::ChunkedBody => {
                 head("submit", "\r\nTransfer-Encoding: chunked\r\n\r\n") + "ffff\r\n" + &part
             }
