Upstream: a connection whose waiting attempt is cancelled is registered again

The connection is registered when it is put back.

Evidence: connection_awaited_during_a_sweep_expires fails without the registration.

--- a/crates/node/src/net/upstream/http/idle_connections.rs
+++ b/crates/node/src/net/upstream/http/idle_connections.rs
@@ -54,6 +54,8 @@
     fn drop(&mut self) {
         if let Some(idle) = self.idle.take().filter(|_| self.endpoint.is_usable.get()) {
             self.endpoint.insert_idle(idle);
+            // A sweep may have found no idle connection in the meantime.
+            self.registry.register(self.endpoint);
         }
     }
 }
--- a/crates/node/tests/unit/http_transport.rs
+++ b/crates/node/tests/unit/http_transport.rs
@@ -133,6 +133,32 @@
         .await;
 }
 
+/// Guards against a connection that stays open for ever, because the endpoint was unregistered by a sweep while an attempt
+/// waited for its only connection and was then cancelled.
+#[tokio::test]
+async fn connection_awaited_during_a_sweep_expires() {
+    let local = LocalSet::new();
+    local
+        .run_until(async {
+            let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+            let (endpoint, registry, connections, _peers) = connected_endpoint(&listener, 1).await;
+            tokio::time::pause();
+            for connection in connections {
+                endpoint.return_idle(&registry, connection);
+            }
+            let mut waiting = Box::pin(endpoint.take_idle(&registry));
+            let is_pending = poll_fn(|cx| Poll::Ready(waiting.as_mut().poll(cx).is_pending())).await;
+            assert!(is_pending);
+            registry.sweep();
+            drop(waiting);
+            assert!(endpoint.oldest_idle_since().is_some());
+            tokio::time::advance(Duration::from_secs(60)).await;
+            registry.sweep();
+            assert!(endpoint.oldest_idle_since().is_none());
+        })
+        .await;
+}
+
 /// Returns an endpoint, its registry, connections to it that are not idle yet, and their far ends.
 async fn connected_endpoint(
     listener: &TcpListener,
