--- a/crates/node/src/net/upstream/http/idle_connections.rs
+++ b/crates/node/src/net/upstream/http/idle_connections.rs
@@ -23,7 +23,7 @@
 /// Maximum time between a response and the next request on its connection, if connections are established slowly.
 const MAX_IDLE_BEFORE_REUSE: Duration = Duration::from_millis(50);
 /// An attempt waits for a connection for at most this many response times of its endpoint.
-const MAX_REUSE_WAIT_RESPONSES: u32 = 4;
+const MAX_REUSE_WAIT_RESPONSES: u32 = 16;
 
 /// An idle connection.
 pub(super) struct IdleConnection {
