--- /dev/null
+++ b/review/standin-2/src/main.rs
@@ -0,0 +1,33 @@
+//! The stand-ins for the cases 6 to 10 of the review: clients, backends, discovery and the platform, all in one process
+//! that starts the nodes. One subcommand a case; `run.sh` of a case starts it.
+
+mod id_of_open_request;
+mod late_answers;
+mod memory_of_answers;
+mod silent_watch;
+mod stopped_heads;
+mod support;
+
+use std::env;
+use std::process::ExitCode;
+
+use support::Case;
+
+fn main() -> ExitCode {
+    let run = match env::args().nth(1).as_deref() {
+        Some("id-of-open-request") => id_of_open_request::run,
+        Some("memory-of-answers") => memory_of_answers::run,
+        Some("late-answers") => late_answers::run,
+        Some("silent-watch") => silent_watch::run,
+        Some("stopped-heads") => stopped_heads::run,
+        other => {
+            eprintln!("no such case: {other:?}");
+            return ExitCode::from(2);
+        }
+    };
+    let case = Case::begin();
+    let verdict = run(&case);
+    // All nodes have been waited for.
+    case.folder.forget_processes();
+    verdict.exit(&case.record)
+}
