--- a/review/standin-2/src/support.rs
+++ b/review/standin-2/src/support.rs
@@ -16,7 +16,7 @@
 pub const MS: Duration = Duration::from_millis(1);
 
 /// Milliseconds as a duration.
-pub fn ms(n: u64) -> Duration {
+pub const fn ms(n: u64) -> Duration {
     Duration::from_millis(n)
 }
 
@@ -447,6 +447,9 @@
     bytes
 }
 
+/// How long a call of discovery waits at most (BENCH: `timeout_ms`).
+const MAX_CALL_WAIT: Duration = ms(2000);
+
 /// State of discovery, by version.
 struct Lists {
     seq: u64,
@@ -462,13 +465,20 @@
     /// Watches that were opened before this number are silent.
     silent_before: AtomicU64,
     opened: AtomicU64,
-    /// What the next calls meet, in their order: how long they wait, and whether they are answered.
-    pub next_calls: Mutex<Vec<(Duration, bool)>>,
+    /// How long it works on a call.
+    work: Duration,
+    /// Until when it has calls to work on.
+    busy_until: Mutex<Instant>,
     pub calls: Mutex<Vec<(Instant, String)>>,
 }
 
 impl Discovery {
     pub fn start(entries: Vec<Entry>) -> Arc<Self> {
+        Self::with_capacity(entries, Duration::ZERO)
+    }
+
+    /// A service that works through calls in turn, each for this time. A call that has to wait too long ends with 503.
+    pub fn with_capacity(entries: Vec<Entry>, work: Duration) -> Arc<Self> {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port for discovery");
         let this = Arc::new(Self {
             address: listener.local_addr().expect("the address of discovery"),
@@ -476,7 +486,8 @@
             changed: Condvar::new(),
             silent_before: AtomicU64::new(0),
             opened: AtomicU64::new(0),
-            next_calls: Mutex::default(),
+            work,
+            busy_until: Mutex::new(Instant::now()),
             calls: Mutex::default(),
         });
         let serving = this.clone();
@@ -514,6 +525,26 @@
         list_json(lists.seq, true, &entries)
     }
 
+    /// Number of watches that were opened.
+    pub fn opened(&self) -> u64 {
+        self.opened.load(Ordering::SeqCst)
+    }
+
+    /// Waits until a call has been worked on; returns false if it has waited too long.
+    fn take_turn(&self) -> bool {
+        let now = Instant::now();
+        let done = {
+            let mut busy_until = self.busy_until.lock().unwrap();
+            let begin = now.max(*busy_until);
+            (begin - now <= MAX_CALL_WAIT).then(|| {
+                *busy_until = begin + self.work;
+                *busy_until
+            })
+        };
+        thread::sleep(done.map_or(MAX_CALL_WAIT, |done| done - now));
+        done.is_some()
+    }
+
     fn changes_after(lists: &Lists, after: u64) -> String {
         if after == 0 {
             let entries: Vec<_> = lists
@@ -534,13 +565,14 @@
         let mut input = BufReader::new(stream.try_clone()?);
         while let Some(message) = read_head(&mut input)? {
             let path = message.path().to_owned();
-            self.calls.lock().unwrap().push((Instant::now(), path.clone()));
-            let next = {
-                let mut next = self.next_calls.lock().unwrap();
-                if next.is_empty() { (Duration::ZERO, true) } else { next.remove(0) }
-            };
-            thread::sleep(next.0);
-            if !next.1 {
+            let called = Instant::now();
+            let is_answered = self.take_turn();
+            let waited = called.elapsed().as_millis();
+            self.calls
+                .lock()
+                .unwrap()
+                .push((called, format!("{path} waited {waited} ms, answered {is_answered}")));
+            if !is_answered {
                 stream.write_all(
                     b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nConnection: close\r\n\r\n",
                 )?;
