--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -4,8 +4,8 @@
 mod id_of_open_request;
 mod late_answers;
 mod memory_of_answers;
-mod silent_watch;
 mod stopped_heads;
+mod streamed_body;
 mod support;
 
 use std::env;
@@ -18,8 +18,8 @@
         Some("id-of-open-request") => id_of_open_request::run,
         Some("memory-of-answers") => memory_of_answers::run,
         Some("late-answers") => late_answers::run,
-        Some("silent-watch") => silent_watch::run,
         Some("stopped-heads") => stopped_heads::run,
+        Some("streamed-body") => streamed_body::run,
         other => {
             eprintln!("no such case: {other:?}");
             return ExitCode::from(2);
--- a/review/standin-2/src/support.rs
+++ b/review/standin-2/src/support.rs
@@ -9,7 +9,7 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitCode, Stdio};
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Condvar, Mutex};
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -448,49 +448,17 @@
     bytes
 }
 
-/// How long a call of discovery waits at most (BENCH: `timeout_ms`).
-const MAX_CALL_WAIT: Duration = ms(2000);
-
-/// State of discovery, by version.
-struct Lists {
-    seq: u64,
-    /// Each host's last entry, and the version in which it changed.
-    hosts: Vec<(u64, Entry)>,
-}
-
-/// A discovery service; its threads end with the process.
+/// A discovery service whose list does not change; its threads end with the process.
 pub struct Discovery {
     pub address: SocketAddr,
-    lists: Mutex<Lists>,
-    changed: Condvar,
-    /// Watches that were opened before this number are silent.
-    silent_before: AtomicU64,
-    opened: AtomicU64,
-    /// How long it works on a call.
-    work: Duration,
-    /// Until when it has calls to work on.
-    busy_until: Mutex<Instant>,
-    pub calls: Mutex<Vec<(Instant, String)>>,
+    entries: Vec<Entry>,
 }
 
 impl Discovery {
     pub fn start(entries: Vec<Entry>) -> Arc<Self> {
-        Self::with_capacity(entries, Duration::ZERO)
-    }
-
-    /// A service that works through calls in turn, each for this time. A call that has to wait too long ends with 503.
-    pub fn with_capacity(entries: Vec<Entry>, work: Duration) -> Arc<Self> {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port for discovery");
-        let this = Arc::new(Self {
-            address: listener.local_addr().expect("the address of discovery"),
-            lists: Mutex::new(Lists { seq: 1, hosts: entries.into_iter().map(|entry| (1, entry)).collect() }),
-            changed: Condvar::new(),
-            silent_before: AtomicU64::new(0),
-            opened: AtomicU64::new(0),
-            work,
-            busy_until: Mutex::new(Instant::now()),
-            calls: Mutex::default(),
-        });
+        let address = listener.local_addr().expect("the address of discovery");
+        let this = Arc::new(Self { address, entries });
         let serving = this.clone();
         thread::spawn(move || {
             for stream in listener.incoming() {
@@ -504,143 +472,40 @@
         this
     }
 
-    /// Adds or changes an entry.
-    pub fn set(&self, entry: Entry) {
-        let mut lists = self.lists.lock().unwrap();
-        lists.seq += 1;
-        let seq = lists.seq;
-        lists.hosts.retain(|(_, other)| other.host != entry.host);
-        lists.hosts.push((seq, entry));
-        self.changed.notify_all();
-    }
-
-    /// All watches that are open now fall silent.
-    pub fn silence_open_watches(&self) {
-        self.silent_before.store(self.opened.load(Ordering::SeqCst) + 1, Ordering::SeqCst);
-        self.changed.notify_all();
-    }
-
+    /// The whole list, as a node is told it at its start.
     pub fn known(&self) -> String {
-        let lists = self.lists.lock().unwrap();
-        let entries: Vec<_> = lists.hosts.iter().map(|(_, entry)| entry.clone()).collect();
-        list_json(lists.seq, true, &entries)
-    }
-
-    /// Number of watches that were opened.
-    pub fn opened(&self) -> u64 {
-        self.opened.load(Ordering::SeqCst)
-    }
-
-    /// Waits until a call has been worked on; returns false if it has waited too long.
-    fn take_turn(&self) -> bool {
-        let now = Instant::now();
-        let done = {
-            let mut busy_until = self.busy_until.lock().unwrap();
-            let begin = now.max(*busy_until);
-            (begin - now <= MAX_CALL_WAIT).then(|| {
-                *busy_until = begin + self.work;
-                *busy_until
-            })
-        };
-        thread::sleep(done.map_or(MAX_CALL_WAIT, |done| done - now));
-        done.is_some()
-    }
-
-    fn changes_after(lists: &Lists, after: u64) -> String {
-        if after == 0 {
-            let entries: Vec<_> = lists
-                .hosts
-                .iter()
-                .filter(|(_, entry)| entry.health != "left")
-                .map(|(_, entry)| entry.clone())
-                .collect();
-            return list_json(lists.seq, true, &entries);
-        }
-        let entries: Vec<_> =
-            lists.hosts.iter().filter(|(seq, _)| *seq > after).map(|(_, entry)| entry.clone()).collect();
-        list_json(lists.seq, false, &entries)
+        list_json(1, true, &self.entries)
     }
 
     fn serve(&self, mut stream: TcpStream) -> io::Result<()> {
         stream.set_nodelay(true)?;
         let mut input = BufReader::new(stream.try_clone()?);
         while let Some(message) = read_head(&mut input)? {
-            let path = message.path().to_owned();
-            let called = Instant::now();
-            let is_answered = self.take_turn();
-            let waited = called.elapsed().as_millis();
-            self.calls
-                .lock()
-                .unwrap()
-                .push((called, format!("{path} waited {waited} ms, answered {is_answered}")));
-            if !is_answered {
-                stream.write_all(
-                    b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nConnection: close\r\n\r\n",
-                )?;
-                return Ok(());
-            }
-            let after = path
-                .split("after=")
-                .nth(1)
-                .and_then(|text| text.split('&').next()?.parse().ok())
-                .unwrap_or(0);
-            if !path.contains("watch=1") {
-                let text = Self::changes_after(&self.lists.lock().unwrap(), 0);
-                let head = format!(
-                    "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
-                    text.len()
-                );
-                stream.write_all(head.as_bytes())?;
-                stream.write_all(text.as_bytes())?;
-                continue;
+            if message.path().contains("watch=1") {
+                return self.watch(stream, message.path().ends_with("after=0"));
             }
-            return self.watch(stream, after);
+            let text = self.known();
+            let length = text.len();
+            let head = format!(
+                "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: {length}\r\n\r\n"
+            );
+            stream.write_all(head.as_bytes())?;
+            stream.write_all(text.as_bytes())?;
         }
         Ok(())
     }
 
-    fn watch(&self, mut stream: TcpStream, after: u64) -> io::Result<()> {
-        let number = self.opened.fetch_add(1, Ordering::SeqCst) + 1;
+    /// What changed, which is nothing, or the whole list; then an empty line every 2 s.
+    fn watch(&self, mut stream: TcpStream, is_whole: bool) -> io::Result<()> {
         stream.write_all(
             b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n",
         )?;
-        let mut sent = None;
+        let mut text = if is_whole { self.known() } else { list_json(1, false, &[]) };
         loop {
-            let mut lists = self.lists.lock().unwrap();
-            let text = loop {
-                if number < self.silent_before.load(Ordering::SeqCst) {
-                    drop(lists);
-                    // Silent until the process ends.
-                    loop {
-                        thread::sleep(ms(60_000));
-                    }
-                }
-                match sent {
-                    None => {
-                        sent = Some(lists.seq);
-                        break format!("{}\n", Self::changes_after(&lists, after));
-                    }
-                    Some(seq) if lists.seq > seq => {
-                        sent = Some(lists.seq);
-                        let entries: Vec<_> = lists
-                            .hosts
-                            .iter()
-                            .filter(|(at, _)| *at > seq)
-                            .map(|(_, entry)| entry.clone())
-                            .collect();
-                        break format!("{}\n", list_json(lists.seq, false, &entries));
-                    }
-                    Some(_) => {
-                        let (again, timeout) = self.changed.wait_timeout(lists, ms(2000)).unwrap();
-                        lists = again;
-                        if timeout.timed_out() && number >= self.silent_before.load(Ordering::SeqCst) {
-                            break "\n".to_owned();
-                        }
-                    }
-                }
-            };
-            drop(lists);
+            text.push('\n');
             stream.write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes())?;
+            text.clear();
+            thread::sleep(ms(2000));
         }
     }
 }
