Policy: the tenant table keeps its size, however often records are replaced

Cause: the hash table from tenants to positions marks some removed entries as deleted instead of empty. With 3,584 of 3,584 usable buckets taken, the next insertion finds no free bucket and doubles the table. How many entries are marked follows from the width of a group of control bytes, which differs by architecture.

Change: the positions are found by separate chaining in an index of its own (tenant_index.rs). A removal leaves nothing behind, and the size follows from the capacity of the records alone. The records no longer repeat the tenant's id. Which records are kept, and so each decision, is as before.

The policy package's tests pass. check-decisions runs on x86-64 only and was not run.

--- a/crates/policy/src/tenant_table.rs
+++ b/crates/policy/src/tenant_table.rs
@@ -19,12 +19,12 @@
 //! its first one, than with a record that is never evicted (a property test in `tests/tenant_quota.rs`).
 
 mod overflow;
-
-use rustc_hash::FxHashMap;
+mod tenant_index;
 
 use crate::time::seconds;
 use crate::{Nanos, SECOND, TenantId};
 use overflow::Overflow;
+use tenant_index::TenantIndex;
 
 /// Longest time between two requests for which a tenant earns allowance, in seconds.
 pub(crate) const EARNING_S: f64 = 10.0;
@@ -32,7 +32,7 @@
 const EARNING_SPAN: Nanos = EARNING_S as Nanos * SECOND;
 /// Number of records that a pool keeps, however long they are idle.
 pub const KEPT_IDLE_TENANT_RECORDS: usize = 256;
-/// Maximum number of records of a pool: what fills a hash table with 4,096 buckets.
+/// Maximum number of records of a pool.
 pub const MAX_TENANT_RECORDS: usize = 3_584;
 /// Above [`KEPT_IDLE_TENANT_RECORDS`], records without a request for this long are evicted.
 const EVICT_IDLE_AFTER: Nanos = 600 * SECOND;
@@ -75,7 +75,6 @@
 /// An entry in the list of records, which is ordered by the time of the last request. The links are indices
 /// of records.
 struct TenantRecord {
-    tenant: TenantId,
     state: TenantState,
     older: u32,
     newer: u32,
@@ -83,7 +82,8 @@
 
 /// Records of the tenants with traffic in a pool.
 pub(crate) struct TenantTable {
-    positions: FxHashMap<TenantId, u32>,
+    /// The position of each tenant's record in `records`.
+    index: TenantIndex,
     records: Vec<TenantRecord>,
     oldest: u32,
     newest: u32,
@@ -92,8 +92,8 @@
 
 impl Default for TenantTable {
     fn default() -> Self {
-        let (positions, records) = (FxHashMap::default(), Vec::new());
-        Self { positions, records, oldest: NONE, newest: NONE, overflow: None }
+        let (index, records) = (TenantIndex::default(), Vec::new());
+        Self { index, records, oldest: NONE, newest: NONE, overflow: None }
     }
 }
 
@@ -106,7 +106,7 @@
         is_over: impl FnOnce(&mut TenantState) -> bool,
     ) -> bool {
         self.evict_idle(request.at);
-        let position = self.positions.get(&request.tenant).copied();
+        let position = self.index.position(request.tenant);
         let position = position.or_else(|| self.make_room(request.at).then(|| self.insert(request)));
         let Some(position) = position else { return self.check_and_charge_without_record(request, is_over) };
         self.move_to_newest(position);
@@ -124,12 +124,10 @@
         self.records.len()
     }
 
-    /// Returns the memory that the table takes, in bytes. A bucket of the hash table takes its entry and a
-    /// control byte.
+    /// Returns the memory that the table takes, in bytes.
     pub fn bytes(&self) -> usize {
-        let bucket = size_of::<(TenantId, u32)>() + 1;
         self.records.capacity() * size_of::<TenantRecord>()
-            + self.positions.capacity() * 8 / 7 * bucket
+            + self.index.bytes()
             + self.overflow.as_ref().map_or(0, Overflow::bytes)
     }
 
@@ -138,14 +136,14 @@
         let mut position = self.oldest;
         let mut unknown = Vec::new();
         while position != NONE && self.is_idle(position, now, EARNING_SPAN) {
-            let record = &self.records[position as usize];
-            if !is_known(record.tenant) {
-                unknown.push(record.tenant);
+            let tenant = self.index.tenant(position);
+            if !is_known(tenant) {
+                unknown.push(tenant);
             }
-            position = record.newer;
+            position = self.records[position as usize].newer;
         }
         for tenant in unknown {
-            if let Some(&position) = self.positions.get(&tenant) {
+            if let Some(position) = self.index.position(tenant) {
                 self.remove(position);
             }
         }
@@ -201,28 +199,26 @@
     fn insert(&mut self, request: TenantRequest) -> u32 {
         let overflow = self.overflow.as_ref().filter(|overflow| overflow.has_debt(request));
         let state = overflow.map_or_else(TenantState::default, |overflow| overflow.estimated_state(request));
-        let position = self.records.len() as u32;
-        self.records.push(TenantRecord { tenant: request.tenant, state, older: NONE, newer: NONE });
-        self.positions.insert(request.tenant, position);
+        let position = self.index.push(request.tenant);
+        self.records.push(TenantRecord { state, older: NONE, newer: NONE });
         self.push_newest(position);
         position
     }
 
     fn remove(&mut self, position: u32) {
         self.unlink(position);
-        let record = self.records.swap_remove(position as usize);
-        self.positions.remove(&record.tenant);
+        self.records.swap_remove(position as usize);
+        self.index.swap_remove(position);
         // The last record has moved to the freed position.
         if let Some(moved) = self.records.get(position as usize) {
-            let (tenant, older, newer) = (moved.tenant, moved.older, moved.newer);
-            self.positions.insert(tenant, position);
+            let (older, newer) = (moved.older, moved.newer);
             *self.newer_of(older) = position;
             *self.older_of(newer) = position;
         }
         if self.records.len() * 4 <= self.records.capacity() && self.records.len() >= KEPT_IDLE_TENANT_RECORDS
         {
             self.records.shrink_to(self.records.len() * 2);
-            self.positions.shrink_to(self.records.len() * 2);
+            self.index.shrink_to(self.records.len() * 2);
         }
     }
 
--- a/crates/policy/tests/tenant_quota.rs
+++ b/crates/policy/tests/tenant_quota.rs
@@ -344,6 +344,29 @@
     busy.check(30);
 }
 
+/// Guards against a table that grows although no record is added: a new tenant that replaces an idle one
+/// takes no memory, however often that happens.
+#[test]
+fn replaced_records_take_no_memory() {
+    const REPLACEMENTS_PER_ROUND: u32 = MAX_TENANT_RECORDS as u32;
+    let mut node = node_with_many_tenants();
+    let mut next_tenant = 0;
+    let mut send_round = |node: &mut QuotaNode| {
+        node.now += 11 * SECOND;
+        for _ in 0..REPLACEMENTS_PER_ROUND {
+            node.request_weight(next_tenant % TENANTS);
+            next_tenant += 1;
+        }
+    };
+    send_round(&mut node);
+    let usage = node.balancer.tenant_record_usage();
+    assert_eq!(usage.0, MAX_TENANT_RECORDS);
+    for _ in 0..20 {
+        send_round(&mut node);
+        assert_eq!(node.balancer.tenant_record_usage(), usage);
+    }
+}
+
 /// Idle records are evicted as requests arrive, until few are left.
 #[test]
 fn idle_records_are_evicted() {
