Node: a request's id is in use from the end of its head on

While a request waits in the node for memory, another one under its id is served, and then the first runs too; or it gets 409 in place of the other one.

Cause: PoolHandle::proxy reserved the id, after the whole body had been read. The wait for memory in BodyBuffer::reserve_for and a body that comes slowly lie before that. The record of the case shows it: both runs of an id begin after the usual request's last byte, and only requests that wait for memory are affected.

Change: DownstreamListener::admit reserves the id when the head has been admitted, and the guard is passed on with the request. The same way serves FastCGI. Half a request holds its id until its client has left or it is turned away.

--- a/crates/node/src/net/active_requests.rs
+++ b/crates/node/src/net/active_requests.rs
@@ -12,7 +12,7 @@
 #[derive(Default)]
 struct ActiveRequestState {
     count: Cell<usize>,
-    ids: RefCell<FxHashSet<Box<str>>>,
+    ids: RefCell<FxHashSet<Rc<str>>>,
 }
 
 impl ActiveRequestIds {
@@ -29,16 +29,17 @@
 
     /// Reserves a correlation id; returns `None` if it is in use.
     pub(in crate::net) fn claim(&self, correlation_id: &str) -> Option<Rc<RequestIdGuard>> {
-        let is_new = self.0.ids.borrow_mut().insert(correlation_id.into());
-        is_new.then(|| Rc::new(RequestIdGuard { ids: self.clone(), correlation_id: correlation_id.into() }))
+        let correlation_id: Rc<str> = correlation_id.into();
+        let is_new = self.0.ids.borrow_mut().insert(correlation_id.clone());
+        is_new.then(|| Rc::new(RequestIdGuard { ids: self.clone(), correlation_id }))
     }
 }
 
-/// Reserves a correlation id. Held until the final response has been given, a streamed response has ended, and no
-/// attempt of the request is in flight.
+/// Reserves a correlation id. Held from the end of the request's head until the final response has been given, a streamed
+/// response has ended, and no attempt of the request is in flight.
 pub(in crate::net) struct RequestIdGuard {
     ids: ActiveRequestIds,
-    correlation_id: Box<str>,
+    correlation_id: Rc<str>,
 }
 
 impl Drop for RequestIdGuard {
--- a/crates/node/src/net/downstream/fastcgi/mod.rs
+++ b/crates/node/src/net/downstream/fastcgi/mod.rs
@@ -96,11 +96,10 @@
             client_ip: read.client_address.unwrap_or(client_ip),
         };
         let is_complete = read.body_length.is_none_or(|length| length == body.len() as u64);
-        let admitted = self.admission.admit(head);
-        let response = match admitted {
+        let response = match self.admit(head) {
             Err(error) => response::error(&error),
             Ok(_) if !is_complete => response::error(&RequestError::BodyIncomplete),
-            Ok(admitted) => self.proxy(admitted, ReceivedBody::Full(body), over_limit).await,
+            Ok(claimed) => self.proxy(claimed, ReceivedBody::Full(body), over_limit).await,
         };
         application_output(&read.method, response).await
     }
--- a/crates/node/src/net/downstream/http.rs
+++ b/crates/node/src/net/downstream/http.rs
@@ -18,9 +18,10 @@
 use super::body_buffer::BodySource;
 use super::body_framing::BodyFraming;
 use super::connection::{ConnectionStage, DownstreamConnection};
+use super::proxy::ClaimedRequest;
 use super::request_body::{ReceivedBody, discard, read_buffered, read_full};
 use super::{DownstreamListener, ListenerOptions, response};
-use crate::net::admission::{AdmittedRequest, RequestError, RequestHead, ResponseStyle};
+use crate::net::admission::{RequestError, RequestHead, ResponseStyle};
 use crate::net::header_fields::MAX_HEAD_BYTES;
 use crate::net::response_body::ResponseBody;
 
@@ -59,7 +60,7 @@
 
 /// A request that was read and admitted.
 struct ReadRequest {
-    admitted: AdmittedRequest,
+    claimed: ClaimedRequest,
     body: ReceivedBody,
 }
 
@@ -208,10 +209,10 @@
         connection.set_stage(ConnectionStage::Busy, connection.has_served());
         match received {
             Err(error) => response::error(&error).into(),
-            Ok(ReadRequest { mut admitted, body }) => {
-                admitted.request.body_read_time = read_started.elapsed();
+            Ok(ReadRequest { mut claimed, body }) => {
+                claimed.admitted.request.body_read_time = read_started.elapsed();
                 let upload = body.upload();
-                let response = self.proxy(admitted, body, connection.over_limit).await;
+                let response = self.proxy(claimed, body, connection.over_limit).await;
                 let is_upload_unfinished = upload.is_some_and(|upload| upload.completed_at().is_none());
                 HttpReply { response, is_upload_unfinished }
             }
@@ -243,22 +244,22 @@
             client_ip,
         };
         let expects_continue = head.headers.contains_key(header::EXPECT);
-        let admitted = self.admission.admit(head);
-        if admitted.is_err() && expects_continue {
+        let claimed = self.admit(head);
+        if claimed.is_err() && expects_continue {
             // The client has not sent its body and need not send it (RFC 9110 section 10.1.1).
-            return admitted.map(|admitted| ReadRequest { admitted, body: ReceivedBody::Full(Bytes::new()) });
+            return claimed.map(|claimed| ReadRequest { claimed, body: ReceivedBody::Full(Bytes::new()) });
         }
         // The body is read before an error is reported, so that the response is not sent to a client that is still
         // writing.
         let ListenerOptions { max_buffered_body, max_streamed_body, .. } = self.options.get();
-        let admitted = match admitted {
-            Ok(admitted) => admitted,
+        let claimed = match claimed {
+            Ok(claimed) => claimed,
             Err(error) => {
                 let discarded = timeout_at(due, discard(body, max_buffered_body, connection)).await;
                 return Err(discarded.unwrap_or(Err(RequestError::BodyTimeout)).err().unwrap_or(error));
             }
         };
-        let time_left = admitted.request.time_left;
+        let time_left = claimed.admitted.request.time_left;
         let source =
             BodySource { connection, budget: &self.budget, due: due.min(Instant::now() + time_left) };
         let body = match max_streamed_body {
@@ -268,6 +269,6 @@
                 ReceivedBody::Full(body.unwrap_or(Err(RequestError::BodyTimeout))?)
             }
         };
-        Ok(ReadRequest { admitted, body })
+        Ok(ReadRequest { claimed, body })
     }
 }
--- a/crates/node/src/net/downstream/proxy.rs
+++ b/crates/node/src/net/downstream/proxy.rs
@@ -1,5 +1,7 @@
 //! Sends an admitted request to its pool and builds the response, for all client protocols.
 
+use std::rc::Rc;
+
 use hyper::Response;
 use pumicehead_admin::stats::RequestOutcome;
 use pumicehead_flight_recorder::event::ListenerRejection;
@@ -7,18 +9,35 @@
 use super::DownstreamListener;
 use super::request_body::ReceivedBody;
 use super::response;
-use crate::net::admission::{AdmittedRequest, RequestError};
+use crate::net::active_requests::RequestIdGuard;
+use crate::net::admission::{AdmittedRequest, RequestError, RequestHead};
 use crate::net::exchange::FinalResponse;
 use crate::net::response_body::{ResponseBody, StreamEnd};
 
+/// An admitted request whose correlation id is reserved for it.
+pub(super) struct ClaimedRequest {
+    pub admitted: AdmittedRequest,
+    id_guard: Rc<RequestIdGuard>,
+}
+
 impl DownstreamListener {
+    /// Admits a request by its head and reserves its correlation id, before its body is read: meanwhile another request
+    /// must not run under that id.
+    pub(super) fn admit(&self, head: RequestHead<'_>) -> Result<ClaimedRequest, RequestError> {
+        let admitted = self.admission.admit(head)?;
+        let id_guard = self.active_requests.claim(&admitted.request.correlation_id);
+        let id_guard = id_guard.ok_or(RequestError::DuplicateId)?;
+        Ok(ClaimedRequest { admitted, id_guard })
+    }
+
     /// Proxies a request. A request on a connection that is `over_limit` is rejected.
     pub(super) async fn proxy(
         &self,
-        admitted: AdmittedRequest,
+        claimed: ClaimedRequest,
         body: ReceivedBody,
         over_limit: bool,
     ) -> Response<ResponseBody> {
+        let ClaimedRequest { admitted, id_guard } = claimed;
         let AdmittedRequest { pool, mut request, style, requires_empty_body } = admitted;
         let class = request.class;
         if requires_empty_body && !body.is_empty() {
@@ -30,9 +49,7 @@
             return response::rejection(&style, self.options.get().retry_after);
         }
         (request.upstream.body, request.upstream.upload) = body.into_parts();
-        let Some(mut final_response) = pool.proxy(request).await else {
-            return response::error(&RequestError::DuplicateId);
-        };
+        let mut final_response = pool.proxy(request, id_guard).await;
         self.count_outcome(class, &mut final_response);
         response::from_final(&style, final_response)
     }
--- a/crates/node/src/net/pool_handle.rs
+++ b/crates/node/src/net/pool_handle.rs
@@ -10,7 +10,7 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::Instant;
 
-use crate::net::active_requests::ActiveRequestIds;
+use crate::net::active_requests::{ActiveRequestIds, RequestIdGuard};
 use crate::net::discovery::EndpointList;
 use crate::net::exchange::{FinalResponse, ProxyRequest};
 pub use crate::net::pool_message::Retirement;
@@ -61,11 +61,13 @@
         }
     }
 
-    /// Sends a request to the pool and waits for its final response. Dropping the future reports a client disconnect.
-    ///
-    /// Returns `None`, without sending the request, if the correlation id is in use.
-    pub async fn proxy(&self, request: ProxyRequest) -> Option<FinalResponse> {
-        let id_guard = self.active_requests.claim(&request.correlation_id)?;
+    /// Sends a request, whose correlation id `id_guard` reserves, to the pool and waits for its final response. Dropping
+    /// the future reports a client disconnect.
+    pub(in crate::net) async fn proxy(
+        &self,
+        request: ProxyRequest,
+        id_guard: Rc<RequestIdGuard>,
+    ) -> FinalResponse {
         let active_guard = self.active_requests.count_request();
         let id = self.allocate_id();
         let mut notifier = DisconnectNotifier { handle: self, id, answered: false };
@@ -84,7 +86,7 @@
         if let FinalResponse::Upstream(upstream) = &mut response {
             upstream.body.on_end(move |_| drop((id_guard, active_guard)));
         }
-        Some(response)
+        response
     }
 
     fn allocate_id(&self) -> RequestId {
--- a/crates/node/tests/unit/pool_loop.rs
+++ b/crates/node/tests/unit/pool_loop.rs
@@ -83,7 +83,8 @@
     let config = config(AUTOMATIC, EndpointSource::Fixed(serde_json::from_str(list).unwrap()));
     let local = LocalSet::new();
     let response = local.run_until(async {
-        let (mut pool, handle) = PoolLoop::new(config, ActiveRequestIds::default());
+        let ids = ActiveRequestIds::default();
+        let (mut pool, handle) = PoolLoop::new(config, ids.clone());
         let request = ProxyRequest {
             correlation_id: "one".into(),
             class: 0,
@@ -95,7 +96,8 @@
             body_read_time: Duration::ZERO,
             upstream: UpstreamRequest::default(),
         };
-        let response = tokio::task::spawn_local(async move { handle.proxy(request).await });
+        let id_guard = ids.claim(&request.correlation_id).unwrap();
+        let response = tokio::task::spawn_local(async move { handle.proxy(request, id_guard).await });
         tokio::task::yield_now().await;
         pool.dispatch_events();
         pool.handle_waiting_messages();
@@ -116,7 +118,7 @@
         pool.fire_due_timers();
         response.await.unwrap()
     });
-    assert!(matches!(response.await, Some(FinalResponse::Upstream(_))));
+    assert!(matches!(response.await, FinalResponse::Upstream(_)));
 }
 
 /// A process that takes over from another one requests the list when it starts. Other processes request it when the
