Node: an id stays in use while an endpoint may still execute a cancelled attempt

Seen: a client leaves, and a request under the same id runs at a second endpoint while the first one still works on it. Shown by id_stays_in_use_while_an_endpoint_may_execute_a_cancelled_attempt, which gets 200 for 409 on the code before.

Cause: the id was free as soon as the attempts had reported their end. A cancelled attempt has closed its connection; the endpoint may go on with what it has received (PROTOCOL: "it may have, or may yet").

Change: if an attempt ended with an outcome after which the endpoint may still execute it, the id is kept until the request's deadline, which is the time that the endpoint was told. A request that was answered, or whose attempts are known not to have run, gives its id up at once, as before.

--- a/crates/node/src/net/pool_loop/attempts.rs
+++ b/crates/node/src/net/pool_loop/attempts.rs
@@ -121,10 +121,11 @@
         self.record_end(&ended, duration);
         let EndedAttempt { id, attempt, endpoint, result, .. } = ended;
         let outcome = result.outcome;
-        if let Some(in_flight) = self.in_flight.get_mut(&id)
-            && let Some(cancel) = in_flight.attempts.get_mut(usize::from(attempt.0))
-        {
-            *cancel = None;
+        if let Some(in_flight) = self.in_flight.get_mut(&id) {
+            in_flight.may_still_execute |= outcome.may_still_execute();
+            if let Some(cancel) = in_flight.attempts.get_mut(usize::from(attempt.0)) {
+                *cancel = None;
+            }
         }
         if let Some(response) = result.response {
             self.take_response(id, outcome, response);
--- a/crates/node/src/net/pool_loop/in_flight.rs
+++ b/crates/node/src/net/pool_loop/in_flight.rs
@@ -21,7 +21,9 @@
     pub attempts: Vec<Option<oneshot::Sender<()>>>,
     /// Held while an attempt is in flight, even after a disconnect, because a second request with the same id could
     /// repeat a side effect that an endpoint is still processing.
-    pub _id_guard: Rc<RequestIdGuard>,
+    pub id_guard: Rc<RequestIdGuard>,
+    /// Whether an endpoint may still be executing an attempt that has ended without its response.
+    pub may_still_execute: bool,
     /// Timers armed for this request. They are removed together with it, so that they don't wake the loop needlessly.
     pub timers: Vec<Timer>,
 }
--- a/crates/node/src/net/pool_loop/mod.rs
+++ b/crates/node/src/net/pool_loop/mod.rs
@@ -14,7 +14,7 @@
 
 use std::cell::Cell;
 use std::collections::{BTreeSet, VecDeque};
-use std::rc::Weak;
+use std::rc::{Rc, Weak};
 
 use pumicehead_flight_recorder::bounded_text::escape;
 use pumicehead_flight_recorder::event::Event as RecordedEvent;
@@ -30,7 +30,7 @@
 use self::stall::StallDetector;
 use self::timers::{SWEEP_INTERVAL, Timer, TimerKind};
 use self::watch_task::WatchTask;
-use crate::net::active_requests::ActiveRequestIds;
+use crate::net::active_requests::{ActiveRequestIds, RequestIdGuard};
 use crate::net::clock::{Clock, MILLISECOND};
 use crate::net::endpoint_directory::EndpointDirectory;
 use crate::net::pool_handle::PoolHandle;
@@ -50,6 +50,8 @@
     /// Queue of events for the decision module.
     events: VecDeque<Event>,
     in_flight: FxHashMap<RequestId, InFlightRequest>,
+    /// Correlation ids of requests that are done and may still be executed by an endpoint, until their deadlines.
+    executing_ids: FxHashMap<RequestId, Rc<RequestIdGuard>>,
     /// Whether an agent on this machine pushes the list.
     list_is_pushed: bool,
     /// Copy of `Settings::rejection_may_execute`.
@@ -94,6 +96,7 @@
             timers: BTreeSet::new(),
             events: VecDeque::new(),
             in_flight: FxHashMap::default(),
+            executing_ids: FxHashMap::default(),
             watch: WatchTask::new(endpoints.service_address()),
             handle_alive,
             retired: false,
@@ -134,7 +137,8 @@
     }
 
     fn is_finished(&self) -> bool {
-        self.retired && self.in_flight.is_empty() && self.handle_alive.strong_count() == 0
+        let has_requests = !self.in_flight.is_empty() || !self.executing_ids.is_empty();
+        self.retired && !has_requests && self.handle_alive.strong_count() == 0
     }
 
     /// Checks whether the loop stalled between two times, and reports a stall to the decision module; returns whether
--- a/crates/node/src/net/pool_loop/requests.rs
+++ b/crates/node/src/net/pool_loop/requests.rs
@@ -31,7 +31,8 @@
             deadline,
             error_response: None,
             attempts: Vec::new(),
-            _id_guard: id_guard,
+            id_guard,
+            may_still_execute: false,
             timers: vec![overdue],
         };
         self.in_flight.insert(id, in_flight);
@@ -71,15 +72,18 @@
         true
     }
 
-    /// Removes a request that is done, with its timers.
+    /// Removes a request that is done, with its timers. While an endpoint may still be executing it, its id stays in use.
     pub(super) fn remove_if_done(&mut self, id: RequestId) {
         if !self.in_flight.get(&id).is_some_and(InFlightRequest::is_done) {
             return;
         }
-        if let Some(done) = self.in_flight.remove(&id) {
-            for timer in done.timers {
-                self.timers.remove(&timer);
-            }
+        let Some(done) = self.in_flight.remove(&id) else { return };
+        for timer in done.timers {
+            self.timers.remove(&timer);
+        }
+        if done.may_still_execute && self.now() < done.deadline {
+            self.executing_ids.insert(id, done.id_guard);
+            self.arm(done.deadline, TimerKind::ReleaseId(id.0));
         }
     }
 
--- a/crates/node/src/net/pool_loop/timers.rs
+++ b/crates/node/src/net/pool_loop/timers.rs
@@ -18,6 +18,8 @@
     Policy(u64),
     /// Fails a request whose deadline has passed.
     RequestOverdue(u32),
+    /// Releases the correlation id of a request that no endpoint can still be executing.
+    ReleaseId(u32),
     SweepIdleConnections,
     RetryWatch,
     /// Removes the endpoints of a pool that was removed from the configuration.
@@ -48,6 +50,7 @@
         match timer.kind {
             TimerKind::Policy(token) => self.events.push_back(Event::TimerFired(TimerToken(token))),
             TimerKind::RequestOverdue(id) => self.on_overdue_timer(timer, RequestId(id)),
+            TimerKind::ReleaseId(id) => drop(self.executing_ids.remove(&RequestId(id))),
             TimerKind::SweepIdleConnections => {
                 self.directory.transport().sweep();
                 self.arm(self.now() + SWEEP_INTERVAL, TimerKind::SweepIdleConnections);
--- a/crates/node/tests/request_ids.rs
+++ b/crates/node/tests/request_ids.rs
@@ -3,7 +3,7 @@
 
 use std::io::Write;
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use pumicehead_testbed::scripted::*;
 
@@ -107,3 +107,27 @@
     wait_for("the id to be free", || node.ask(&text).status() == 200);
     assert_eq!(received_bodies(&backend, &text), [LARGE_BODY_BYTES]);
 }
+
+/// Guards against a second execution under an id whose client has left: the endpoint may still be executing the first
+/// attempt, although the node has closed the connection to it.
+#[test]
+fn id_stays_in_use_while_an_endpoint_may_execute_a_cancelled_attempt() {
+    const TIME_LEFT: Duration = Duration::from_millis(1_000);
+    let backend = Backend::start(|message| if message.body == b"first" { Act::Hang } else { ok("done") });
+    let node = Setup::of(&[&backend]).start();
+    wait_for("the endpoint", || node.ask(&request("submit", "x")).status() == 200);
+    let text = request_with("submit", "first", &format!("X-Time-Left: {}m\r\n", TIME_LEFT.as_millis()));
+    let mut leaving = node.connect();
+    let sent = Instant::now();
+    leaving.write(&text);
+    wait_for("the attempt", || received_bodies(&backend, &text).len() == 1);
+    let closed = backend.closed();
+    drop(leaving);
+    wait_for("the cancellation", || backend.closed() > closed);
+    let again = with_body(&text, "again");
+    while sent.elapsed() < TIME_LEFT - PART_PAUSE {
+        assert_eq!(node.ask(&again).status(), CONFLICT);
+        thread::sleep(PART_PAUSE);
+    }
+    wait_for("the id to be free", || node.ask(&again).status() == 200);
+}
