Node: responses that are read completely reserve their memory

Cause: the bodies took no reservation and grew by doubling. A heap profile of the node in that state showed the rest: read buffers of the HTTP library (13 of 34 MB), which doubled because a read of 8 KiB fills the first one, or were kept by a header field that was kept; and up to 400 connections to endpoints, 25 KiB each before anything is read.

Change: responses over 4 KiB reserve their length from a budget of an eighth of the limit (long bodies have an eighth in place of a quarter) and are kept in pieces. One that finds no memory waits unread while it arrives, and is then passed on piece by piece. While memory for long responses is scarce they take 32 KiB each in place of 96 KiB, so as many as before pass at once. Reads stay below the library's first buffer, kept fields are copied, connections to endpoints are limited by memory as those of clients are. Responses that are not forwarded are not kept. MemoryBudget serves waiting reservations in order.

The tests of the node and of slow-peer pass (240).

--- a/crates/node/src/net/counting_stream/head_capture.rs
+++ b/crates/node/src/net/counting_stream/head_capture.rs
@@ -4,12 +4,11 @@
 use thiserror::Error;
 use tokio::time::Instant;
 
-use super::MAX_UNRESERVED_READ_BYTES;
 use crate::net::header_fields::MAX_HEAD_BYTES;
 use crate::net::memory_budget::Reservation;
 
 /// Heads up to this size need no reservation.
-const UNRESERVED_HEAD_BYTES: usize = MAX_UNRESERVED_READ_BYTES;
+const UNRESERVED_HEAD_BYTES: usize = 8 << 10;
 /// Memory that a longer head reserves: this copy, whose capacity may be twice its length, and that of the HTTP library.
 const LONG_HEAD_RESERVATION_BYTES: usize = 3 * MAX_HEAD_BYTES;
 
--- a/crates/node/src/net/counting_stream/mod.rs
+++ b/crates/node/src/net/counting_stream/mod.rs
@@ -26,8 +26,13 @@
 /// Written to a client whose head is too long for the memory that is left.
 const NO_MEMORY_RESPONSE: &[u8] =
     b"HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
-/// Maximum number of bytes per read from a client whose request has no memory reserved.
-pub const MAX_UNRESERVED_READ_BYTES: usize = 8 << 10;
+/// Initial size of the HTTP library's read buffer, which is doubled whenever a read fills it.
+const INITIAL_READ_BUFFER_BYTES: usize = 8 << 10;
+/// Maximum number of bytes per read from a peer whose message has no memory reserved for the buffers of its connection. It
+/// is too little to make the HTTP library's read buffer grow.
+pub const MAX_UNRESERVED_READ_BYTES: usize = INITIAL_READ_BUFFER_BYTES - 1;
+/// Maximum number of unread bytes that are counted.
+const MAX_COUNTED_BYTES: usize = 64 << 10;
 /// Size of the read buffer while draining, in bytes.
 const DRAIN_READ_BYTES: usize = 4096;
 
@@ -44,6 +49,8 @@
     bytes_read: Cell<u64>,
     /// Whether a write is blocked until the peer reads.
     is_blocked: Cell<bool>,
+    /// Woken when a blocked write can go on.
+    unblocked: RefCell<Option<Waker>>,
     write_threshold: RefCell<Option<WriteThreshold>>,
     head_capture: Option<RefCell<HeadCapture>>,
     /// Maximum number of bytes per read. The HTTP library's read buffer grows with the size of the reads.
@@ -99,6 +106,7 @@
             bytes_written: Cell::new(0),
             bytes_read: Cell::new(0),
             is_blocked: Cell::new(false),
+            unblocked: RefCell::default(),
             write_threshold: RefCell::default(),
             head_capture,
             max_read: Cell::new(usize::MAX),
@@ -148,6 +156,15 @@
         self.0.is_blocked.get()
     }
 
+    /// Waits while a write is blocked until the peer reads.
+    pub fn poll_unblocked(&self, cx: &mut Context<'_>) -> Poll<()> {
+        if !self.is_blocked() {
+            return Poll::Ready(());
+        }
+        *self.0.unblocked.borrow_mut() = Some(cx.waker().clone());
+        Poll::Pending
+    }
+
     /// Reduces the kernel's send buffer to the minimum, for tests with a peer that does not read.
     #[cfg(test)]
     pub fn shrink_send_buffer(&self) {
@@ -182,6 +199,11 @@
         }
     }
 
+    /// Returns the number of bytes that have arrived and were not read, at most [`MAX_COUNTED_BYTES`].
+    pub fn count_unread(&self) -> usize {
+        self.0.socket.as_ref().peek(&mut [MaybeUninit::uninit(); MAX_COUNTED_BYTES]).unwrap_or(0)
+    }
+
     /// Acknowledges all data that has been received. Until then the peer's system may hold back small writes.
     pub fn acknowledge(&self) {
         // Without it the acknowledgement is sent later.
@@ -250,6 +272,9 @@
             let ready = self.0.socket.poll_write_ready(cx);
             self.0.is_blocked.set(ready.is_pending());
             ready!(ready)?;
+            if let Some(waker) = self.0.unblocked.borrow_mut().take() {
+                waker.wake();
+            }
             match write(&self.0.socket) {
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                 result => {
--- a/crates/node/src/net/downstream/connection_budget.rs
+++ b/crates/node/src/net/downstream/connection_budget.rs
@@ -20,9 +20,9 @@
 
 /// Requests that are being received or wait for their response may use the memory limit divided by this.
 const REQUEST_MEMORY_DIVISOR: usize = 6;
-/// Memory limit per client connection: what a connection holds without a reservation, and as much again for everything
-/// else.
-const MEMORY_LIMIT_PER_CONNECTION: usize = 96 << 10;
+/// Memory limit per client connection, and per connection to an endpoint: what a connection of either kind holds without a
+/// reservation, and as much again for everything else.
+pub const MEMORY_LIMIT_PER_CONNECTION: usize = 96 << 10;
 /// Interval at which a request that waits for memory looks for a connection to evict.
 const EVICTION_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
--- a/crates/node/src/net/downstream/http.rs
+++ b/crates/node/src/net/downstream/http.rs
@@ -148,6 +148,7 @@
         progress.is_streaming.set(body.is_stream());
         if body.is_stream() {
             let (aborted, answered) = (connection.clone(), connection.clone());
+            body.limit_unread_data(&connection.stream);
             body.set_abort_hook(move || aborted.close_now());
             body.on_end(move |_| answered.mark_answered());
         } else {
--- a/crates/node/src/net/header_fields.rs
+++ b/crates/node/src/net/header_fields.rs
@@ -27,6 +27,13 @@
 /// Maximum size of a `Forwarded` entry without the host, in bytes.
 const MAX_FORWARDED_BYTES: usize = 80;
 
+/// Returns a copy of a value in memory of its own. A clone shares the read buffer of the connection that the value was
+/// received on, and keeps all of it in use.
+#[must_use]
+pub fn detached(value: &HeaderValue) -> HeaderValue {
+    HeaderValue::from_bytes(value.as_bytes()).unwrap_or_else(|_| value.clone())
+}
+
 /// Removes the hop-by-hop fields: the standard ones and those that `Connection` names.
 pub fn strip_hop_by_hop(headers: &mut HeaderMap) {
     let named: Vec<HeaderName> = headers
--- a/crates/node/src/net/memory_budget.rs
+++ b/crates/node/src/net/memory_budget.rs
@@ -1,10 +1,9 @@
-//! Memory budgets of the node: one for long bodies, one for requests that are being received.
+//! Memory budgets of the node: one for long bodies, one for requests and one for responses that are read completely.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
 
 use bytes::Bytes;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, Semaphore};
 
 /// Bodies up to this size, in bytes, need no reservation. Reservations that grow while a body is read grow in steps
 /// of this size.
@@ -12,9 +11,10 @@
 
 /// An amount of memory that can be reserved. A body holds its memory until it has been written to its peer.
 pub struct MemoryBudget {
-    /// Bytes that are not reserved. Atomic only because the body of an HTTP message has to be `Send`; a single thread
-    /// uses it.
-    left: AtomicUsize,
+    /// Size of the budget in bytes.
+    size: usize,
+    /// One permit for each byte that is not reserved.
+    unreserved: Semaphore,
     /// Wakes one task that waits for memory.
     released: Notify,
 }
@@ -28,7 +28,8 @@
 impl MemoryBudget {
     /// Returns a budget of `size` bytes.
     pub fn new(size: usize) -> Arc<Self> {
-        Arc::new(Self { left: AtomicUsize::new(size), released: Notify::new() })
+        let unreserved = Semaphore::new(size.min(Semaphore::MAX_PERMITS));
+        Arc::new(Self { size, unreserved, released: Notify::new() })
     }
 
     /// Returns an empty reservation.
@@ -36,6 +37,21 @@
         Reservation { budget: self.clone(), size: 0 }
     }
 
+    /// Whether less than half of the memory would be left after a reservation of `size` bytes.
+    pub fn is_scarce_for(&self, size: usize) -> bool {
+        self.unreserved.available_permits() < self.size / 2 + size
+    }
+
+    /// Waits for a reservation of `size` bytes, in the order of the calls.
+    pub async fn reserve(self: &Arc<Self>, size: u32) -> Reservation {
+        let mut reservation = self.reservation();
+        if let Ok(permits) = self.unreserved.acquire_many(size).await {
+            permits.forget();
+            reservation.size = size as usize;
+        }
+        reservation
+    }
+
     /// Waits until a reservation releases memory.
     pub async fn released(&self) {
         self.released.notified().await;
@@ -43,7 +59,7 @@
 
     fn release(&self, size: usize) {
         if size > 0 {
-            self.left.fetch_add(size, Ordering::Relaxed);
+            self.unreserved.add_permits(size);
             self.released.notify_one();
         }
     }
@@ -58,12 +74,21 @@
     /// Grows the reservation to at least `size` bytes; returns whether the budget allows it.
     pub fn try_grow_to(&mut self, size: usize) -> bool {
         let more = size.saturating_sub(self.size);
-        let Some(left) = self.budget.left.load(Ordering::Relaxed).checked_sub(more) else { return false };
-        self.budget.left.store(left, Ordering::Relaxed);
+        let Ok(permits) = u32::try_from(more) else { return false };
+        let Ok(acquired) = self.budget.unreserved.try_acquire_many(permits) else { return false };
+        acquired.forget();
         self.size += more;
         true
     }
 
+    /// Moves up to `size` bytes into a reservation of their own.
+    #[must_use]
+    pub fn split_off(&mut self, size: usize) -> Self {
+        let size = size.min(self.size);
+        self.size -= size;
+        Self { budget: self.budget.clone(), size }
+    }
+
     /// Releases what exceeds `size` bytes.
     pub fn shrink_to(&mut self, size: usize) {
         let released = self.size.saturating_sub(size);
--- a/crates/node/src/net/response_body/mod.rs
+++ b/crates/node/src/net/response_body/mod.rs
@@ -10,9 +10,12 @@
 use std::time::Instant;
 use tokio::task;
 
+pub use self::pieces::{BodyPieces, PieceBuffer};
 pub use self::progress::StreamProgress;
+use crate::net::counting_stream::CountingStream;
 use crate::net::memory_budget::Reservation;
 
+mod pieces;
 mod progress;
 
 /// How a streamed body ended.
@@ -30,6 +33,8 @@
 pub enum ResponseBody {
     /// The complete body.
     Full(Bytes),
+    /// The complete body, in pieces.
+    Pieces(BodyPieces),
     /// A body that is streamed.
     Stream(Box<StreamedBody>),
 }
@@ -47,6 +52,15 @@
         matches!(self, Self::Stream(_))
     }
 
+    /// Makes a streamed body with a small window wait while `client` does not read.
+    pub fn limit_unread_data(&mut self, client: &CountingStream) {
+        if let Self::Stream(stream) = self
+            && stream.window == StreamWindow::Small
+        {
+            stream.blocking_client = Some(client.clone());
+        }
+    }
+
     /// Sets the hook that aborts a streamed body by closing the client's connection.
     pub fn set_abort_hook(&self, hook: impl Fn() + 'static) {
         if let Self::Stream(stream) = self {
@@ -61,40 +75,54 @@
     }
 }
 
+/// How much of a streamed body may wait for the client in this process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StreamWindow {
+    /// What fills the buffers of the HTTP library for both connections.
+    Full,
+    /// A single piece.
+    Small,
+}
+
 /// Called at the end of a stream.
 type EndHook = Box<dyn FnOnce(StreamEnd)>;
 
 /// A streamed body.
 pub struct StreamedBody {
-    /// The start of the body, until it has been passed on.
-    start: Option<Bytes>,
+    /// The part of the start of the body that has not been passed on.
+    start: BodyPieces,
     rest: Incoming,
     /// Length, if stated.
     length: Option<u64>,
     progress: Rc<StreamProgress>,
     hooks: Vec<EndHook>,
+    window: StreamWindow,
     /// Reservation for the buffers of the connections.
     _reservation: Reservation,
+    /// The client's connection, if the body waits while it is blocked.
+    blocking_client: Option<CountingStream>,
 }
 
 impl StreamedBody {
     /// Returns a body whose start has been received. Its pace is checked in a task that ends with the stream.
     pub fn new(
-        start: Bytes,
+        start: BodyPieces,
         rest: Incoming,
         length: Option<u64>,
+        window: StreamWindow,
         reservation: Reservation,
     ) -> (Self, Rc<StreamProgress>) {
         let progress = StreamProgress::new();
         task::spawn_local(progress.clone().enforce_pace());
-        let start = Some(start).filter(|start| !start.is_empty());
         let body = Self {
             start,
             rest,
             length,
             progress: progress.clone(),
             hooks: Vec::new(),
+            window,
             _reservation: reservation,
+            blocking_client: None,
         };
         (body, progress)
     }
@@ -106,7 +134,7 @@
     }
 
     fn is_at_end(&self) -> bool {
-        self.start.is_none() && self.rest.is_end_stream()
+        self.start.is_empty() && self.rest.is_end_stream()
     }
 
     fn poll(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
@@ -114,9 +142,15 @@
             self.finish(StreamEnd::UpstreamFailed);
             return Poll::Ready(Some(Err(io::ErrorKind::TimedOut.into())));
         }
-        if let Some(start) = self.start.take() {
-            self.progress.on_data(start.len(), Instant::now());
-            return Poll::Ready(Some(Ok(Frame::data(start))));
+        if let Some(client) = &self.blocking_client
+            && client.poll_unblocked(cx).is_pending()
+        {
+            self.progress.on_blocked(Instant::now());
+            return Poll::Pending;
+        }
+        if let Some(piece) = self.start.pop() {
+            self.progress.on_data(piece.len(), Instant::now());
+            return Poll::Ready(Some(Ok(Frame::data(piece))));
         }
         loop {
             let polled = Pin::new(&mut self.rest).poll_frame(cx);
@@ -165,6 +199,7 @@
         match self.get_mut() {
             Self::Full(bytes) if bytes.is_empty() => Poll::Ready(None),
             Self::Full(bytes) => Poll::Ready(Some(Ok(Frame::data(std::mem::take(bytes))))),
+            Self::Pieces(pieces) => Poll::Ready(pieces.pop().map(|piece| Ok(Frame::data(piece)))),
             Self::Stream(stream) => stream.poll(cx),
         }
     }
@@ -172,6 +207,7 @@
     fn is_end_stream(&self) -> bool {
         match self {
             Self::Full(bytes) => bytes.is_empty(),
+            Self::Pieces(pieces) => pieces.is_empty(),
             Self::Stream(stream) => stream.is_at_end(),
         }
     }
@@ -179,6 +215,7 @@
     fn size_hint(&self) -> SizeHint {
         match self {
             Self::Full(bytes) => SizeHint::with_exact(bytes.len() as u64),
+            Self::Pieces(pieces) => SizeHint::with_exact(pieces.len() as u64),
             Self::Stream(stream) => stream.length.map_or_else(SizeHint::default, |length| {
                 SizeHint::with_exact(length.saturating_sub(stream.progress.bytes()))
             }),
--- a/crates/node/src/net/response_body/progress.rs
+++ b/crates/node/src/net/response_body/progress.rs
@@ -81,6 +81,11 @@
         self.pace.borrow_mut().on_demand(now);
     }
 
+    /// Records that the client can't take more data yet.
+    pub(super) fn on_blocked(&self, now: Instant) {
+        self.pace.borrow_mut().on_blocked(now);
+    }
+
     pub(super) fn is_aborted(&self) -> bool {
         self.aborted.get()
     }
--- a/crates/node/src/net/upstream/http/attempt.rs
+++ b/crates/node/src/net/upstream/http/attempt.rs
@@ -15,7 +15,7 @@
 use super::response_reader::{ReadResponse, StreamingResponse};
 use super::transport::HttpConnector;
 use crate::net::exchange::UpstreamRequest;
-use crate::net::response_body::StreamEnd;
+use crate::net::response_body::{StreamEnd, StreamWindow};
 use crate::net::upload::Upload;
 use crate::net::upstream::transport::{AttemptDeadlines, AttemptResult, OnResponseStarted};
 
@@ -102,7 +102,7 @@
         };
         let server_time =
             || upload.and_then(Upload::completed_at).map_or(started, Instant::from_std).elapsed();
-        match self.pool.reader.read(response, &request.method).await {
+        match self.pool.reader.read(response, &request.method, &connection).await {
             ReadResponse::Complete(mut result) => {
                 if result.outcome == AttemptOutcome::Success {
                     self.endpoint.on_response(server_time());
@@ -158,7 +158,10 @@
         streaming: StreamingResponse,
         on_started: OnResponseStarted,
     ) -> AttemptOutcome {
-        let StreamingResponse { mut response, progress } = streaming;
+        let StreamingResponse { mut response, progress, window } = streaming;
+        if window == StreamWindow::Full {
+            connection.stream.set_max_read(usize::MAX);
+        }
         let (registry, endpoint) = (self.pool.connections.clone(), self.endpoint.clone());
         response.body.on_end(move |end| {
             if end != StreamEnd::Complete {
--- a/crates/node/src/net/upstream/http/connection.rs
+++ b/crates/node/src/net/upstream/http/connection.rs
@@ -8,7 +8,7 @@
 
 use super::idle_connections::EndpointConnections;
 use super::transport::PoolTransport;
-use crate::net::counting_stream::{CountingStream, UnreadState};
+use crate::net::counting_stream::{CountingStream, MAX_UNRESERVED_READ_BYTES, UnreadState};
 use crate::net::header_fields::MAX_HEAD_BYTES;
 use crate::net::upload::OutgoingBody;
 use crate::net::upstream::connect::connect;
@@ -36,9 +36,15 @@
     /// data that belongs to no request, it sends that now and not when it receives the next request.
     pub fn mark_idle(&mut self) {
         self.stream.acknowledge();
+        self.stream.set_max_read(MAX_UNRESERVED_READ_BYTES);
         self.bytes_read_when_idle = self.stream.bytes_read();
     }
 
+    /// Returns the number of bytes that have arrived since the connection became idle.
+    pub fn arrived_bytes(&self) -> u64 {
+        self.stream.bytes_read() - self.bytes_read_when_idle + self.stream.count_unread() as u64
+    }
+
     /// Whether data has been received since the connection became idle.
     pub fn has_unsolicited_data(&self) -> bool {
         self.stream.bytes_read() != self.bytes_read_when_idle || self.stream.unread() == UnreadState::Data
@@ -55,6 +61,7 @@
         };
         let stream = connect(TcpStream::connect(address), self.connect_timeout).await?;
         let stream = CountingStream::new(stream);
+        stream.set_max_read(MAX_UNRESERVED_READ_BYTES);
         let mut builder = http1::Builder::new();
         builder.max_buf_size(MAX_HEAD_BYTES);
         let handshake = builder.handshake(TokioIo::new(stream.clone())).await;
--- a/crates/node/src/net/upstream/http/mod.rs
+++ b/crates/node/src/net/upstream/http/mod.rs
@@ -6,4 +6,5 @@
 mod idle_connections;
 mod request;
 pub mod response_reader;
+mod small_body;
 pub mod transport;
--- a/crates/node/src/platform/admission.rs
+++ b/crates/node/src/platform/admission.rs
@@ -4,6 +4,7 @@
 
 use hyper::Method;
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
+use hyper::http::uri::PathAndQuery;
 use pumicehead_policy::deployment_settings::ClassSettings;
 use pumicehead_policy::{Idempotency, Nanos, TenantId};
 use rustc_hash::FxHashMap;
@@ -11,6 +12,7 @@
 use super::config::Config;
 use crate::net::admission::{Admission, AdmittedRequest, RequestError, RequestHead, ResponseStyle};
 use crate::net::exchange::{ProxyRequest, UpstreamRequest};
+use crate::net::header_fields::detached;
 use crate::net::pool_handle::PoolHandle;
 
 /// Durations stated by clients are capped at this value.
@@ -111,7 +113,9 @@
 impl Admission for PlatformAdmission {
     fn admit(&self, head: RequestHead<'_>) -> Result<AdmittedRequest, RequestError> {
         check_absolute_form(&head)?;
-        let target = head.uri.path_and_query().cloned().ok_or(RequestError::UnknownTarget)?;
+        let target = head.uri.path_and_query().ok_or(RequestError::UnknownTarget)?;
+        // A copy, since a clone would keep the read buffer of the client's connection in use.
+        let target: PathAndQuery = target.as_str().parse().map_err(|_| RequestError::UnknownTarget)?;
         let mut path = head.uri.path().strip_prefix('/').ok_or(RequestError::UnknownTarget)?.split('/');
         let class = self.class(path.next().ok_or(RequestError::UnknownTarget)?, &head)?;
         let rule = &self.classes[class];
@@ -200,6 +204,6 @@
 fn forwarded(headers: &HeaderMap) -> HeaderMap {
     let present = FORWARDED_HEADERS
         .iter()
-        .filter_map(|&name| Some((HeaderName::from_static(name), headers.get(name)?.clone())));
+        .filter_map(|&name| Some((HeaderName::from_static(name), detached(headers.get(name)?))));
     present.collect()
 }
--- a/crates/node/src/platform/mod.rs
+++ b/crates/node/src/platform/mod.rs
@@ -28,7 +28,7 @@
 use crate::log::{Log, LoopWriter};
 use crate::net::active_requests::ActiveRequestIds;
 use crate::net::clock::Clock;
-use crate::net::downstream::connection_budget::ConnectionBudget;
+use crate::net::downstream::connection_budget::{ConnectionBudget, MEMORY_LIMIT_PER_CONNECTION};
 use crate::net::downstream::{DownstreamListener, DrainReason, ListenerOptions};
 use crate::net::memory_budget::MemoryBudget;
 use crate::net::pool_handle::PoolHandle;
@@ -49,7 +49,9 @@
 /// Maximum length of a request or response body in bytes; clients send up to 32 MB.
 const MAX_BODY_BYTES: u64 = 40 << 20;
 /// Streamed bodies may use the memory limit divided by this; the rest is for connections and requests.
-const STREAMED_BODY_MEMORY_DIVISOR: usize = 4;
+const STREAMED_BODY_MEMORY_DIVISOR: usize = 8;
+/// Responses that are read completely may use the memory limit divided by this.
+const RESPONSE_MEMORY_DIVISOR: usize = 8;
 /// Timeout for receiving the head of a request, and the body of one that admission rejects. The platform expects an error or
 /// a close within 3 s of connecting.
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(2_600);
@@ -154,11 +156,12 @@
         max_body: MAX_BODY_BYTES,
         max_unsized_body: MAX_BODY_BYTES,
         memory: memory.clone(),
+        response_memory: MemoryBudget::new(config.max_memory / RESPONSE_MEMORY_DIVISOR),
         streaming: true,
     };
     let limits = &config.deployment.limits;
     HttpTransport::new(
-        ConnectionRegistry::new(descriptors.upstream),
+        ConnectionRegistry::new(descriptors.upstream.min(config.max_memory / MEMORY_LIMIT_PER_CONNECTION)),
         Duration::from_nanos(limits.connect_timeout_ns),
         Duration::from_nanos(limits.connection_idle_timeout_ns),
         response_reader,
--- a/crates/node/src/standalone/pool_factory.rs
+++ b/crates/node/src/standalone/pool_factory.rs
@@ -94,6 +94,7 @@
             max_unsized_body: settings.max_response_body,
             streaming: false,
             memory: self.memory.clone(),
+            response_memory: self.memory.clone(),
         }
     }
 }
--- a/crates/node/tests/unit/http_transport.rs
+++ b/crates/node/tests/unit/http_transport.rs
@@ -37,6 +37,7 @@
         max_body: 1 << 20,
         max_unsized_body: 1 << 20,
         memory: MemoryBudget::new(1 << 20),
+        response_memory: MemoryBudget::new(1 << 20),
         streaming: false,
     };
     let second = Duration::from_secs(1);
--- a/crates/slow-peer/src/monitor.rs
+++ b/crates/slow-peer/src/monitor.rs
@@ -73,6 +73,13 @@
         }
     }
 
+    /// Records that the sink can't take more data yet.
+    pub fn on_blocked(&mut self, now: Instant) {
+        if self.awaited == Side::Source {
+            self.await_side(Side::Sink, now);
+        }
+    }
+
     fn await_side(&mut self, side: Side, now: Instant) {
         self.awaited = side;
         self.awaited_since = now;
--- a/crates/slow-peer/tests/pace.rs
+++ b/crates/slow-peer/tests/pace.rs
@@ -129,3 +129,19 @@
         }
     }
 }
+
+/// Guards against a source that is blamed, or that is not ahead, while its sink can't take more data.
+#[test]
+fn a_blocked_sink_is_awaited() {
+    let start = Instant::now();
+    let limits = PaceLimits { min_window_bytes: 0, ..LIMITS };
+    let mut pace = PaceMonitor::new(limits, start);
+    pace.on_bytes(1, start);
+    pace.on_demand(start + ms(10));
+    pace.on_blocked(start + ms(100));
+    // Repeated reports do not restart the wait.
+    pace.on_blocked(start + ms(300));
+    assert!(!pace.source_is_ahead(start + ms(349)));
+    assert!(pace.source_is_ahead(start + ms(350)));
+    assert_eq!(pace.check(start + ms(10_100)), Err(PaceError::Idle(Side::Sink)));
+}
--- a/crates/testbed/src/scripted/backend.rs
+++ b/crates/testbed/src/scripted/backend.rs
@@ -13,6 +13,8 @@
 pub enum Act {
     /// Writes this text and keeps the connection open.
     Write(String),
+    /// Writes this text in pieces of this size, with this pause before each but the first, and keeps the connection open.
+    WriteInPieces(String, usize, Duration),
     /// Writes this text and closes the connection.
     WriteAndClose(String),
     /// Writes nothing until the other side closes.
@@ -121,6 +123,10 @@
         seen.lock().unwrap().push(message.clone());
         let (text, keep_open) = match script(&message) {
             Act::Write(text) => (text, true),
+            Act::WriteInPieces(text, size, pause) => {
+                write_in_pieces(output, text.as_bytes(), size, pause);
+                (String::new(), true)
+            }
             Act::WriteAndClose(text) => (text, false),
             Act::Hang => (String::new(), true),
         };
@@ -129,3 +135,15 @@
         }
     }
 }
+
+/// Writes a text in pieces, as far as the other side accepts it.
+fn write_in_pieces(mut output: &TcpStream, text: &[u8], size: usize, pause: Duration) {
+    for (index, piece) in text.chunks(size).enumerate() {
+        if index > 0 {
+            thread::sleep(pause);
+        }
+        if output.write_all(piece).is_err() {
+            return;
+        }
+    }
+}
--- a/crates/testbed/src/scripted/node_process.rs
+++ b/crates/testbed/src/scripted/node_process.rs
@@ -185,12 +185,20 @@
 
     /// Resident memory in bytes.
     pub fn resident_bytes(&self) -> usize {
+        self.status_bytes("VmRSS:")
+    }
+
+    /// Resident memory in bytes without the pages of files, such as the program.
+    pub fn anonymous_bytes(&self) -> usize {
+        self.status_bytes("RssAnon:")
+    }
+
+    /// Returns a size from the process's status, whose lines begin with the field's name.
+    fn status_bytes(&self, field: &str) -> usize {
         let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
-        let line = status
-            .lines()
-            .find_map(|line| line.strip_prefix("VmRSS:"))
-            .expect("no VmRSS in /proc/PID/status");
-        let kibibytes: usize = line.trim().trim_end_matches(" kB").parse().unwrap();
+        let size =
+            status.lines().find_map(|line| line.strip_prefix(field)).expect("a line in /proc/PID/status");
+        let kibibytes: usize = size.trim().trim_end_matches(" kB").parse().unwrap();
         kibibytes << 10
     }
 
