Node: the deadline of a request counts from the arrival of its last byte

Requests that wait in the node, for a backend with room or for memory, get their whole time anew when they go on, and answers come up to 1 s late.

Cause: the deadline was the time of the hand-over to the pool plus the whole time left; that of a streamed body counted from the last byte handed to a backend. A chunked body of exactly 64 KiB was streamed, since its end had not been read.

Change: client connections observe when their data arrives, read or not (counting_stream/arrival.rs). The deadline, its extension for streamed bodies, the end of an attempt and the time that it tells take the arrival of the last byte. A body is streamed only once data beyond 64 KiB has come. Time in which the client is awaited does not count, as before.

--- a/crates/node/src/net/counting_stream/head_capture.rs
+++ b/crates/node/src/net/counting_stream/head_capture.rs
@@ -62,6 +62,11 @@
         self.last_read_at
     }
 
+    /// Returns the number of bytes of the last request's body that have not been read yet.
+    pub fn body_bytes_remaining(&self) -> u64 {
+        self.body_bytes_remaining
+    }
+
     /// Whether memory is reserved for a long head.
     pub fn holds_memory(&self) -> bool {
         !self.reservation.is_empty()
--- a/crates/node/src/net/counting_stream/mod.rs
+++ b/crates/node/src/net/counting_stream/mod.rs
@@ -1,5 +1,6 @@
 //! A socket that counts the transferred bytes and can be inspected while a library reads and writes it.
 
+mod arrival;
 mod head_capture;
 mod socket;
 
@@ -17,6 +18,7 @@
 use tokio::net::{TcpStream, UnixStream};
 use tokio::time::Instant;
 
+use self::arrival::ArrivalMonitor;
 use self::head_capture::HeadCapture;
 use self::socket::Socket;
 use crate::net::memory_budget::Reservation;
@@ -31,8 +33,6 @@
 /// Maximum number of bytes per read from a peer whose message has no memory reserved for the buffers of its connection. It
 /// is too little to make the HTTP library's read buffer grow.
 pub const MAX_UNRESERVED_READ_BYTES: usize = INITIAL_READ_BUFFER_BYTES - 1;
-/// Maximum number of unread bytes that are counted.
-const MAX_COUNTED_BYTES: usize = 64 << 10;
 /// Size of the read buffer while draining, in bytes.
 const DRAIN_READ_BYTES: usize = 4096;
 
@@ -47,6 +47,7 @@
     socket: Socket,
     bytes_written: Cell<u64>,
     bytes_read: Cell<u64>,
+    arrival: ArrivalMonitor,
     /// Whether a write is blocked until the peer reads.
     is_blocked: Cell<bool>,
     /// Woken when a blocked write can go on.
@@ -105,6 +106,7 @@
             socket,
             bytes_written: Cell::new(0),
             bytes_read: Cell::new(0),
+            arrival: ArrivalMonitor::new(),
             is_blocked: Cell::new(false),
             unblocked: RefCell::default(),
             write_threshold: RefCell::default(),
@@ -199,9 +201,25 @@
         }
     }
 
-    /// Returns the number of bytes that have arrived and were not read, at most [`MAX_COUNTED_BYTES`].
-    pub fn count_unread(&self) -> usize {
-        self.0.socket.as_ref().peek(&mut [MaybeUninit::uninit(); MAX_COUNTED_BYTES]).unwrap_or(0)
+    /// Returns the number of bytes that have arrived and were not read.
+    pub fn count_unread(&self) -> u64 {
+        self.0.socket.count_unread().unwrap_or(0)
+    }
+
+    /// Records what has arrived. Must be called regularly while nothing is read and the time of arrival matters.
+    pub fn observe_arrival(&self) {
+        self.0.arrival.observe(self.bytes_read() + self.count_unread());
+    }
+
+    /// Returns when data was last observed to have arrived.
+    pub fn last_arrival_at(&self) -> Instant {
+        self.0.arrival.last_at()
+    }
+
+    /// Whether the whole body of the request whose head was taken has arrived; false if its length is not stated.
+    pub fn has_body_arrived(&self) -> bool {
+        let capture = self.0.head_capture.as_ref();
+        capture.is_some_and(|capture| capture.borrow().body_bytes_remaining() <= self.count_unread())
     }
 
     /// Acknowledges all data that has been received. Until then the peer's system may hold back small writes.
@@ -247,6 +265,7 @@
 
     fn on_read(&self, bytes: &[u8]) -> io::Result<()> {
         self.0.bytes_read.set(self.0.bytes_read.get() + bytes.len() as u64);
+        self.0.arrival.observe(self.0.bytes_read.get());
         let Some(capture) = &self.0.head_capture else { return Ok(()) };
         capture.borrow_mut().on_read(bytes).map_err(|error| {
             self.write_best_effort(NO_MEMORY_RESPONSE);
--- a/crates/node/src/net/counting_stream/socket.rs
+++ b/crates/node/src/net/counting_stream/socket.rs
@@ -4,6 +4,7 @@
 use std::task::{Context, Poll};
 
 use bytes::BufMut;
+use rustix::io::ioctl_fionread;
 use socket2::SockRef;
 use tokio::io::{Interest, Ready};
 use tokio::net::{TcpStream, UnixStream};
@@ -74,6 +75,11 @@
         either!(self, stream => stream.try_write_vectored(buffers))
     }
 
+    /// Returns the number of bytes that have arrived and were not read.
+    pub fn count_unread(&self) -> io::Result<u64> {
+        Ok(either!(self, stream => ioctl_fionread(stream))?)
+    }
+
     pub fn as_ref(&self) -> SockRef<'_> {
         either!(self, stream => SockRef::from(stream))
     }
--- a/crates/node/src/net/downstream/body_buffer.rs
+++ b/crates/node/src/net/downstream/body_buffer.rs
@@ -115,7 +115,7 @@
         if !self.reservation.try_grow_to(size) {
             // A client can't be blamed for a pause in which nothing is read.
             connection.set_busy();
-            let reserved = timeout_at(due, budget.reserve_request_memory(size)).await;
+            let reserved = timeout_at(due, budget.reserve_request_memory(size, connection)).await;
             self.reservation = reserved.map_err(|_| RequestError::NoMemory)?;
             wait = MemoryWait::Waited;
         }
--- a/crates/node/src/net/downstream/connection_budget.rs
+++ b/crates/node/src/net/downstream/connection_budget.rs
@@ -131,11 +131,16 @@
         self.request_memory.reservation()
     }
 
-    /// Reserves memory for a request. While there is not enough, evicts connections whose clients have stopped in the
-    /// middle of a request, and waits.
-    pub async fn reserve_request_memory(&self, size: usize) -> Reservation {
+    /// Reserves memory for the request of a connection. While there is not enough, evicts connections whose clients have
+    /// stopped in the middle of a request, and waits. Meanwhile it observes when the rest of the request arrives.
+    pub async fn reserve_request_memory(
+        &self,
+        size: usize,
+        connection: &DownstreamConnection,
+    ) -> Reservation {
         let mut reservation = self.request_reservation();
         while !reservation.try_grow_to(size) {
+            connection.stream.observe_arrival();
             self.evict_stalled_request();
             let _ = timeout(EVICTION_CHECK_INTERVAL, self.request_memory.released()).await;
         }
--- a/crates/node/src/net/downstream/http.rs
+++ b/crates/node/src/net/downstream/http.rs
@@ -203,7 +203,7 @@
             // the response.
             return response::rejection(&ResponseStyle::Platform, None).into();
         }
-        let read_started = Instant::now();
+        let head_received_at = Instant::now();
         progress.is_receiving.set(true);
         let received = self.read_request(connection, incoming).await;
         progress.is_receiving.set(false);
@@ -211,8 +211,14 @@
         match received {
             Err(error) => response::error(&error).into(),
             Ok(ReadRequest { mut claimed, body }) => {
-                claimed.admitted.request.body_read_time = read_started.elapsed();
                 let upload = body.upload();
+                let request = &mut claimed.admitted.request;
+                request.body_read_time = head_received_at.elapsed();
+                request.received_at = match upload {
+                    // The head may have arrived behind that of a request that was answered first.
+                    None => connection.stream.last_arrival_at().max(head_received_at),
+                    Some(_) => Instant::now(),
+                };
                 let response = self.proxy(claimed, body, connection.over_limit).await;
                 let is_upload_unfinished = upload.is_some_and(|upload| upload.completed_at().is_none());
                 HttpReply { response, is_upload_unfinished }
--- a/crates/node/src/net/downstream/request_body.rs
+++ b/crates/node/src/net/downstream/request_body.rs
@@ -14,7 +14,7 @@
 use super::connection::{DownstreamConnection, MIN_BODY_STALL_BEFORE_EVICTION};
 use crate::net::admission::RequestError;
 use crate::net::memory_budget::MemoryBudget;
-use crate::net::upload::{UPLOAD_PACE_LIMITS, Upload};
+use crate::net::upload::{UPLOAD_PACE_LIMITS, Upload, UploadStart};
 
 /// Maximum part of a streamed body that is buffered if the memory budget allows it, in bytes. A request can be
 /// retried until more than the buffered part is sent.
@@ -155,13 +155,14 @@
         let Ok(data) = frame.into_data() else { continue };
         pace.on_bytes(data.len() as u64, Instant::now());
         pace.check(Instant::now()).map_err(|_| RequestError::BodyTimeout)?;
-        if buffer.push(&data).await? == MemoryWait::Waited {
-            pace = pace_after_wait();
-        }
-        if buffer.len() > limit || buffer.len() == limit && !body.is_end_stream() {
+        if buffer.len() + data.len() > limit {
             let allowed = max_streamed.checked_sub(buffer.len() as u64).ok_or(RequestError::BodyTooLong)?;
-            let upload = Upload::new(body, length, allowed, time_left);
+            let start = UploadStart { next: data, rest: body, length, allowed, time_left };
+            let upload = Upload::new(start, source.connection.stream.clone());
             return Ok(ReceivedBody::Partial(buffer.finish(), upload));
         }
+        if buffer.push(&data).await? == MemoryWait::Waited {
+            pace = pace_after_wait();
+        }
     }
 }
--- a/crates/node/src/net/exchange.rs
+++ b/crates/node/src/net/exchange.rs
@@ -10,6 +10,7 @@
 use hyper::{Method, StatusCode, Uri};
 use pumicehead_admin::stats::RequestOutcome;
 use pumicehead_policy::{Nanos, TenantId};
+use tokio::time::Instant;
 
 use crate::net::response_body::ResponseBody;
 use crate::net::upload::Upload;
@@ -48,7 +49,9 @@
     pub ordering_key: Option<Vec<u8>>,
     /// Revision of the configuration under which the request was admitted, if the configuration has revisions.
     pub revision: Option<u64>,
-    /// How long the client still waits.
+    /// When its last byte arrived, as far as the body was read completely. Its deadline counts from this time.
+    pub received_at: Instant,
+    /// How long the client waits from then on.
     pub time_left: Duration,
     /// Time taken to read the body.
     pub body_read_time: Duration,
--- a/crates/node/src/net/pool_handle.rs
+++ b/crates/node/src/net/pool_handle.rs
@@ -8,7 +8,6 @@
 use pumicehead_policy::WarmState;
 use pumicehead_policy::{NodeShare, RequestId, Settings};
 use tokio::sync::{mpsc, oneshot};
-use tokio::time::Instant;
 
 use crate::net::active_requests::{ActiveRequestIds, RequestIdGuard};
 use crate::net::discovery::EndpointList;
@@ -75,7 +74,6 @@
         self.send(PoolMessage::Request(Box::new(NewProxyRequest {
             id,
             request,
-            arrived: Instant::now(),
             responder,
             id_guard: id_guard.clone(),
         })));
--- a/crates/node/src/net/pool_loop/requests.rs
+++ b/crates/node/src/net/pool_loop/requests.rs
@@ -5,7 +5,6 @@
 use pumicehead_flight_recorder::bounded_text;
 use pumicehead_flight_recorder::event::{Event as RecordedEvent, RequestOutcome};
 use pumicehead_policy::{ClassId, Event, Nanos, NewRequest, RequestId, SECOND};
-use tokio::time::Instant;
 
 use super::PoolLoop;
 use super::in_flight::InFlightRequest;
@@ -18,10 +17,10 @@
 const UPLOAD_CHECK_INTERVAL: Nanos = SECOND / 10;
 
 impl PoolLoop {
-    /// Accepts a new request. Its deadline counts from the time at which it was sent to this loop.
+    /// Accepts a new request.
     pub(super) fn on_request(&mut self, new: NewProxyRequest) {
-        let NewProxyRequest { id, request, arrived, responder, id_guard } = new;
-        let deadline = self.clock.time_of(arrived) + request.time_left.as_nanos() as Nanos;
+        let NewProxyRequest { id, request, responder, id_guard } = new;
+        let deadline = self.clock.time_of(request.received_at) + request.time_left.as_nanos() as Nanos;
         self.record_request(id, &request);
         let overdue = Timer { due: deadline + OVERDUE_MARGIN, kind: TimerKind::RequestOverdue(id.0) };
         self.timers.insert(overdue);
@@ -111,14 +110,12 @@
         }
     }
 
-    /// Returns the extended due time of a request whose body is being sent or was sent recently, since its deadline
-    /// counts from the last byte of the body; `None` if the request is overdue.
+    /// Returns the extended due time of a request whose body is streamed, since its deadline counts from the last byte of
+    /// the body; `None` if the request is overdue.
     pub(super) fn extended_due_time(&self, id: RequestId) -> Option<Nanos> {
         let upload = self.in_flight.get(&id)?.request.upload.as_ref()?;
-        let due = match upload.completed_at() {
-            Some(completed) => {
-                self.clock.time_of(Instant::from_std(completed) + upload.time_left) + OVERDUE_MARGIN
-            }
+        let due = match upload.deadline() {
+            Some(deadline) => self.clock.time_of(deadline) + OVERDUE_MARGIN,
             None if upload.is_in_progress() => self.now() + UPLOAD_CHECK_INTERVAL,
             None => return None,
         };
--- a/crates/node/src/net/pool_message.rs
+++ b/crates/node/src/net/pool_message.rs
@@ -6,7 +6,6 @@
 use pumicehead_policy::WarmState;
 use pumicehead_policy::{AttemptNo, EndpointId, Nanos, NodeShare, RequestId, Settings};
 use tokio::sync::oneshot;
-use tokio::time::Instant;
 
 use crate::net::active_requests::RequestIdGuard;
 use crate::net::discovery::{EndpointList, WatchError};
@@ -26,8 +25,6 @@
 pub(super) struct NewProxyRequest {
     pub id: RequestId,
     pub request: ProxyRequest,
-    /// When the request was sent to the loop. Its deadline counts from this time.
-    pub arrived: Instant,
     pub responder: oneshot::Sender<FinalResponse>,
     pub id_guard: Rc<RequestIdGuard>,
 }
--- a/crates/node/src/net/upload.rs
+++ b/crates/node/src/net/upload.rs
@@ -12,6 +12,8 @@
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use pumicehead_slow_peer::{PaceError, PaceLimits, PaceMonitor, Side};
 
+use crate::net::counting_stream::CountingStream;
+
 /// Maximum pause of a client that has started to send its body.
 const IDLE_TIMEOUT: Duration = Duration::from_millis(2_000);
 /// Window in which a client has to send at least [`MIN_WINDOW_BYTES`].
@@ -47,7 +49,11 @@
 
 /// The part of a request's body that is not buffered.
 pub struct Upload {
+    /// Data that was read after the buffered part.
+    next: Cell<Bytes>,
     rest: RefCell<Option<Incoming>>,
+    /// The client's connection.
+    client: CountingStream,
     pace: RefCell<PaceMonitor>,
     stage: Cell<Stage>,
     /// Length of the whole body, if stated.
@@ -55,13 +61,33 @@
     /// Number of further bytes that are allowed.
     remaining_bytes: Cell<u64>,
     /// How long the client waits for its response after the last byte of the body.
+    time_left: Duration,
+    /// When the last byte arrived, once the body was read completely.
+    last_byte_at: Cell<Option<tokio::time::Instant>>,
+}
+
+/// What is known of a streamed body when its streaming begins.
+pub struct UploadStart {
+    /// Data that was read after the buffered part.
+    pub next: Bytes,
+    /// The rest, which has not been read.
+    pub rest: Incoming,
+    /// Length of the whole body, if stated.
+    pub length: Option<u64>,
+    /// Maximum number of bytes after the buffered part.
+    pub allowed: u64,
+    /// How long the client waits for its response after the last byte of the body.
     pub time_left: Duration,
 }
 
 impl Upload {
-    /// Returns the rest of a body whose start is buffered. At most `allowed` more bytes are accepted.
-    pub fn new(rest: Incoming, length: Option<u64>, allowed: u64, time_left: Duration) -> Rc<Self> {
+    /// Returns the part that is not buffered of a body that `client` sends.
+    pub fn new(start: UploadStart, client: CountingStream) -> Rc<Self> {
+        let UploadStart { next, rest, length, allowed, time_left } = start;
         Rc::new(Self {
+            next: Cell::new(next),
+            client,
+            last_byte_at: Cell::new(None),
             rest: RefCell::new(Some(rest)),
             pace: RefCell::new(PaceMonitor::new(UPLOAD_PACE_LIMITS, Instant::now())),
             stage: Cell::new(Stage::Buffered),
@@ -81,6 +107,26 @@
         if let Stage::Completed(at) = self.stage.get() { Some(at) } else { None }
     }
 
+    /// Returns the time up to which the client waits for its response, if the whole body is known to have arrived, read or
+    /// not. While nothing is read, the client must not be blamed for the time that passes.
+    pub fn deadline(&self) -> Option<tokio::time::Instant> {
+        if self.last_byte_at.get().is_none() {
+            self.client.observe_arrival();
+        }
+        let has_arrived = || self.client.has_body_arrived().then(|| self.client.last_arrival_at());
+        Some(self.last_byte_at.get().or_else(has_arrived)? + self.time_left)
+    }
+
+    /// Returns how long the client waits, from `now` or from the last byte of the body if that has not arrived yet.
+    pub fn time_left(&self, now: tokio::time::Instant) -> Duration {
+        self.deadline().map_or(self.time_left, |deadline| deadline.saturating_duration_since(now))
+    }
+
+    fn complete(&self, now: Instant) {
+        self.stage.set(Stage::Completed(now));
+        self.last_byte_at.set(Some(self.client.last_arrival_at()));
+    }
+
     /// Whether the upload failed because of the client.
     pub fn is_client_fault(&self) -> bool {
         matches!(self.stage.get(), Stage::Incomplete | Stage::TooLong)
@@ -132,6 +178,10 @@
         let mut rest = self.rest.borrow_mut();
         let Some(body) = rest.as_mut() else { return Poll::Ready(None) };
         self.start();
+        let next = self.next.take();
+        if !next.is_empty() {
+            return Poll::Ready(Some(self.on_data(next, body.is_end_stream(), Instant::now())));
+        }
         loop {
             let polled = Pin::new(&mut *body).poll_frame(cx);
             let now = Instant::now();
@@ -141,7 +191,7 @@
                     Poll::Pending
                 }
                 Poll::Ready(None) => {
-                    self.stage.set(Stage::Completed(now));
+                    self.complete(now);
                     *rest = None;
                     Poll::Ready(None)
                 }
@@ -168,7 +218,7 @@
         self.remaining_bytes.set(remaining);
         self.pace.borrow_mut().on_bytes(data.len() as u64, now);
         if is_last {
-            self.stage.set(Stage::Completed(now));
+            self.complete(now);
         }
         Ok(Frame::data(data))
     }
--- a/crates/node/src/net/upstream/http/attempt.rs
+++ b/crates/node/src/net/upstream/http/attempt.rs
@@ -87,12 +87,15 @@
         // The time in which a connection must not be reused is none of the endpoint's.
         let reuse_delay = progress.timing.get().reuse_delay;
         let started = requested + reuse_delay;
-        let time_left = deadlines.time_left(Instant::now());
-        if time_left.is_zero() || !self.endpoint.is_usable.get() || request.finished.get() {
+        let now = Instant::now();
+        let upload = request.upload.as_deref();
+        let client_time_left =
+            upload.map_or_else(|| deadlines.time_left(now), |upload| upload.time_left(now));
+        let is_due = deadlines.time_left(now).is_zero() || client_time_left.is_zero();
+        if is_due || !self.endpoint.is_usable.get() || request.finished.get() {
             return AttemptEnd::with_outcome(AttemptOutcome::NotSent);
         }
-        let upload = request.upload.as_deref();
-        let outgoing = OutgoingRequest::new(request, upload.map_or(time_left, |upload| upload.time_left));
+        let outgoing = OutgoingRequest::new(request, client_time_left);
         let written_before = connection.stream.bytes_written();
         connection.stream.count_after_writing(outgoing.min_size, &self.pool.written);
         progress.stage.set(AttemptStage::Written);
--- a/crates/node/src/net/upstream/http/attempt_timeout.rs
+++ b/crates/node/src/net/upstream/http/attempt_timeout.rs
@@ -58,10 +58,14 @@
 /// The outcome of the attempt, if it has timed out. A request is not executed before the last byte of its body is
 /// written.
 fn check_upload(upload: &Upload) -> Result<Instant, AttemptOutcome> {
-    let (completed, pace) = (upload.completed_at(), upload.check_pace());
-    if let Some(completed) = completed {
-        let deadline = Instant::from_std(completed) + upload.time_left;
-        return if Instant::now() >= deadline { Err(AttemptOutcome::TimedOut) } else { Ok(deadline) };
+    let pace = upload.check_pace();
+    let is_complete = upload.completed_at().is_some();
+    match upload.deadline() {
+        Some(deadline) if Instant::now() >= deadline => {
+            return Err(if is_complete { AttemptOutcome::TimedOut } else { AttemptOutcome::NotSent });
+        }
+        Some(deadline) if is_complete => return Ok(deadline),
+        _ => {}
     }
     match pace {
         Ok(()) => Ok(Instant::now() + CHECK_INTERVAL),
--- a/crates/node/src/net/upstream/http/connection.rs
+++ b/crates/node/src/net/upstream/http/connection.rs
@@ -42,7 +42,7 @@
 
     /// Returns the number of bytes that have arrived since the connection became idle.
     pub fn arrived_bytes(&self) -> u64 {
-        self.stream.bytes_read() - self.bytes_read_when_idle + self.stream.count_unread() as u64
+        self.stream.bytes_read() - self.bytes_read_when_idle + self.stream.count_unread()
     }
 
     /// Whether data has been received since the connection became idle.
--- a/crates/node/src/platform/admission.rs
+++ b/crates/node/src/platform/admission.rs
@@ -8,6 +8,7 @@
 use pumicehead_policy::deployment_settings::ClassSettings;
 use pumicehead_policy::{Idempotency, Nanos, TenantId};
 use rustc_hash::FxHashMap;
+use tokio::time::Instant;
 
 use super::config::Config;
 use crate::net::admission::{Admission, AdmittedRequest, RequestError, RequestHead, ResponseStyle};
@@ -133,6 +134,7 @@
             cost_hint: cost_hint(headers)?,
             ordering_key: path.next_back().filter(|key| !key.is_empty()).map(Into::into),
             revision: None,
+            received_at: Instant::now(),
             // The deadline of the class limits the time that the client states.
             time_left: time_left.min(rule.deadline),
             body_read_time: Duration::ZERO,
--- a/crates/node/src/standalone/route_admission.rs
+++ b/crates/node/src/standalone/route_admission.rs
@@ -11,6 +11,7 @@
 use pumicehead_config::model::TenantSource;
 use pumicehead_policy::TenantId;
 use pumicehead_route::{MatchResult, RequestPath, RouteQuery, request_host};
+use tokio::time::Instant;
 
 use super::request_table::{RequestTable, RouteTarget};
 use super::traffic_recorder::TrafficRecorder;
@@ -104,6 +105,7 @@
             cost_hint: None,
             ordering_key: routed.ordering_key,
             revision: Some(table.revision().0),
+            received_at: Instant::now(),
             time_left: routed.deadline,
             body_read_time: Duration::ZERO,
             upstream,
--- a/crates/node/tests/unit/downstream.rs
+++ b/crates/node/tests/unit/downstream.rs
@@ -91,6 +91,7 @@
             cost_hint: None,
             ordering_key: None,
             revision: None,
+            received_at: tokio::time::Instant::now(),
             time_left: Duration::from_secs(60),
             body_read_time: Duration::ZERO,
             upstream: UpstreamRequest {
--- a/crates/node/tests/unit/pool_loop.rs
+++ b/crates/node/tests/unit/pool_loop.rs
@@ -92,6 +92,7 @@
             cost_hint: None,
             ordering_key: None,
             revision: None,
+            received_at: tokio::time::Instant::now(),
             time_left: Duration::from_millis(100),
             body_read_time: Duration::ZERO,
             upstream: UpstreamRequest::default(),
