Node: the rest of a streamed request is read ahead of a slow server

Seen: 733 KB, chunked, read by a server at 92 KB/s: 504 1.8 s after the request's time. Reproduced with 3.4 MB at 90 KB/s (on loopback the kernel takes some 2.5 MB for the server): chunked, 503 after 2.02 s of 0.6 s; with 4 and 6 MB 2.02 s in either framing.

Cause: a streamed body was read from its client only as the server took it. Its last byte lay unread, so the deadline that counts from it was not known; the pace check ended the request after 2 s of silence. Probed by a log line at each check: some 450 KB lay unread in the node's socket for as long as the request lasted.

Pace, retries and the limit on the length are as before.

--- a/crates/node/src/net/downstream/request_body.rs
+++ b/crates/node/src/net/downstream/request_body.rs
@@ -158,7 +158,7 @@
         if buffer.len() + data.len() > limit {
             let allowed = max_streamed.checked_sub(buffer.len() as u64).ok_or(RequestError::BodyTooLong)?;
             let start = UploadStart { next: data, rest: body, length, allowed, time_left };
-            let upload = Upload::new(start, source.connection.stream.clone());
+            let upload = Upload::new(start, source.connection.stream.clone(), memory.clone());
             return Ok(ReceivedBody::Partial(buffer.finish(), upload));
         }
         if buffer.push(&data).await? == MemoryWait::Waited {
--- a/crates/node/src/net/upload.rs
+++ b/crates/node/src/net/upload/mod.rs
@@ -1,18 +1,24 @@
 //! The streamed part of a request's body. It is sent to a single endpoint, and can't be sent again once streaming has
 //! started.
 
+mod read_ahead;
+
 use std::cell::{Cell, RefCell};
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use pumicehead_slow_peer::{PaceError, PaceLimits, PaceMonitor, Side};
+use tokio::task::JoinSet;
 
+use self::read_ahead::{BodyEnd, ReadAhead};
 use crate::net::counting_stream::CountingStream;
+use crate::net::memory_budget::MemoryBudget;
 
 /// Maximum pause of a client that has started to send its body.
 const IDLE_TIMEOUT: Duration = Duration::from_millis(2_000);
@@ -47,23 +53,10 @@
     TooLong,
 }
 
-/// The part of a request's body that is not buffered.
+/// The part of a request's body that is not buffered. It is read in a task of its own, which ends with this.
 pub struct Upload {
-    /// Data that was read after the buffered part.
-    next: Cell<Bytes>,
-    rest: RefCell<Option<Incoming>>,
-    /// The client's connection.
-    client: CountingStream,
-    pace: RefCell<PaceMonitor>,
-    stage: Cell<Stage>,
-    /// Length of the whole body, if stated.
-    length: Option<u64>,
-    /// Number of further bytes that are allowed.
-    remaining_bytes: Cell<u64>,
-    /// How long the client waits for its response after the last byte of the body.
-    time_left: Duration,
-    /// When the last byte arrived, once the body was read completely.
-    last_byte_at: Cell<Option<tokio::time::Instant>>,
+    state: Rc<UploadState>,
+    _reader: JoinSet<()>,
 }
 
 /// What is known of a streamed body when its streaming begins.
@@ -80,66 +73,78 @@
     pub time_left: Duration,
 }
 
+struct UploadState {
+    read_ahead: ReadAhead,
+    /// The client's connection.
+    client: CountingStream,
+    pace: RefCell<PaceMonitor>,
+    stage: Cell<Stage>,
+    /// Length of the whole body, if stated.
+    length: Option<u64>,
+    /// How long the client waits for its response after the last byte of the body.
+    time_left: Duration,
+    /// When the last byte arrived, once the body was read completely.
+    last_byte_at: Cell<Option<tokio::time::Instant>>,
+}
+
 impl Upload {
-    /// Returns the part that is not buffered of a body that `client` sends.
-    pub fn new(start: UploadStart, client: CountingStream) -> Rc<Self> {
+    /// Returns the part that is not buffered of a body that `client` sends, which is read ahead within `memory`.
+    pub fn new(start: UploadStart, client: CountingStream, memory: Arc<MemoryBudget>) -> Rc<Self> {
         let UploadStart { next, rest, length, allowed, time_left } = start;
-        Rc::new(Self {
-            next: Cell::new(next),
+        let allowed = allowed.checked_sub(next.len() as u64);
+        let state = Rc::new(UploadState {
+            read_ahead: ReadAhead::new(next, memory),
             client,
-            last_byte_at: Cell::new(None),
-            rest: RefCell::new(Some(rest)),
             pace: RefCell::new(PaceMonitor::new(UPLOAD_PACE_LIMITS, Instant::now())),
             stage: Cell::new(Stage::Buffered),
             length,
-            remaining_bytes: Cell::new(allowed),
             time_left,
-        })
+            last_byte_at: Cell::new(None),
+        });
+        let mut reader = JoinSet::new();
+        reader.spawn_local(state.clone().read(rest, allowed));
+        Rc::new(Self { state, _reader: reader })
     }
 
     /// Whether streaming has started, so that the body can't be sent again.
     pub fn has_started(&self) -> bool {
-        self.stage.get() != Stage::Buffered
+        self.state.stage.get() != Stage::Buffered
     }
 
     /// When the last byte was handed over for sending.
     pub fn completed_at(&self) -> Option<Instant> {
-        if let Stage::Completed(at) = self.stage.get() { Some(at) } else { None }
+        if let Stage::Completed(at) = self.state.stage.get() { Some(at) } else { None }
     }
 
     /// Returns the time up to which the client waits for its response, if the whole body is known to have arrived, read or
     /// not. While nothing is read, the client must not be blamed for the time that passes.
     pub fn deadline(&self) -> Option<tokio::time::Instant> {
-        if self.last_byte_at.get().is_none() {
-            self.client.observe_arrival();
+        if self.state.last_byte_at.get().is_none() {
+            self.state.client.observe_arrival();
         }
-        let has_arrived = || self.client.has_body_arrived().then(|| self.client.last_arrival_at());
-        Some(self.last_byte_at.get().or_else(has_arrived)? + self.time_left)
+        let has_arrived =
+            || self.state.client.has_body_arrived().then(|| self.state.client.last_arrival_at());
+        Some(self.state.last_byte_at.get().or_else(has_arrived)? + self.state.time_left)
     }
 
     /// Returns how long the client waits, from `now` or from the last byte of the body if that has not arrived yet.
     pub fn time_left(&self, now: tokio::time::Instant) -> Duration {
-        self.deadline().map_or(self.time_left, |deadline| deadline.saturating_duration_since(now))
-    }
-
-    fn complete(&self, now: Instant) {
-        self.stage.set(Stage::Completed(now));
-        self.last_byte_at.set(Some(self.client.last_arrival_at()));
+        self.deadline().map_or(self.state.time_left, |deadline| deadline.saturating_duration_since(now))
     }
 
     /// Whether the upload failed because of the client.
     pub fn is_client_fault(&self) -> bool {
-        matches!(self.stage.get(), Stage::Incomplete | Stage::TooLong)
+        matches!(self.state.stage.get(), Stage::Incomplete | Stage::TooLong)
     }
 
     /// Whether the body exceeds the size limit. If no length is stated, this is only detected while streaming.
     pub fn is_too_long(&self) -> bool {
-        self.stage.get() == Stage::TooLong
+        self.state.stage.get() == Stage::TooLong
     }
 
     /// Whether the upload has started and not ended.
     pub fn is_in_progress(&self) -> bool {
-        self.stage.get() == Stage::InProgress
+        self.state.stage.get() == Stage::InProgress
     }
 
     /// Checks the pace of the upload while it is in progress.
@@ -150,21 +155,30 @@
         if !self.is_in_progress() {
             return Ok(());
         }
-        let pace = self.pace.borrow_mut().check(Instant::now());
+        let pace = self.state.pace.borrow_mut().check(Instant::now());
         if matches!(
             pace,
             Err(PaceError::Idle(Side::Source)
                 | PaceError::TooSlow(Side::Source)
                 | PaceError::MaxDurationExceeded)
         ) {
-            self.stage.set(Stage::Incomplete);
+            self.state.stage.set(Stage::Incomplete);
         }
         pace
     }
 
     /// Length of the whole body, if stated.
     pub fn length(&self) -> Option<u64> {
-        self.length
+        self.state.length
+    }
+}
+
+impl UploadState {
+    /// Reads the rest, of which at most `allowed` bytes are accepted; `None` if there are too many already.
+    async fn read(self: Rc<Self>, rest: Incoming, allowed: Option<u64>) {
+        if self.read_ahead.fill(rest, allowed, &self.client).await == BodyEnd::Complete {
+            self.last_byte_at.set(Some(self.client.last_arrival_at()));
+        }
     }
 
     fn start(&self) {
@@ -174,53 +188,38 @@
         }
     }
 
-    fn poll(&self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
-        let mut rest = self.rest.borrow_mut();
-        let Some(body) = rest.as_mut() else { return Poll::Ready(None) };
+    fn poll(&self, cx: &Context<'_>) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
         self.start();
-        let next = self.next.take();
-        if !next.is_empty() {
-            return Poll::Ready(Some(self.on_data(next, body.is_end_stream(), Instant::now())));
+        let now = Instant::now();
+        if let Some(data) = self.read_ahead.take() {
+            self.pace.borrow_mut().on_bytes(data.len() as u64, now);
+            // With a stated length, the body may not be polled again.
+            if self.read_ahead.is_finished() {
+                self.stage.set(Stage::Completed(now));
+            }
+            return Poll::Ready(Some(Ok(Frame::data(data))));
         }
-        loop {
-            let polled = Pin::new(&mut *body).poll_frame(cx);
-            let now = Instant::now();
-            return match polled {
-                Poll::Pending => {
-                    self.pace.borrow_mut().on_demand(now);
-                    Poll::Pending
-                }
-                Poll::Ready(None) => {
-                    self.complete(now);
-                    *rest = None;
-                    Poll::Ready(None)
-                }
-                Poll::Ready(Some(Err(error))) => {
-                    self.stage.set(Stage::Incomplete);
-                    Poll::Ready(Some(Err(io::Error::other(error))))
+        match self.read_ahead.end() {
+            None => {
+                self.pace.borrow_mut().on_demand(now);
+                self.read_ahead.wake_when_read(cx);
+                Poll::Pending
+            }
+            Some(BodyEnd::Complete) => {
+                if self.stage.get() == Stage::InProgress {
+                    self.stage.set(Stage::Completed(now));
                 }
-                Poll::Ready(Some(Ok(frame))) => {
-                    let Ok(data) = frame.into_data() else { continue };
-                    // With a stated length, the end is known with the last frame, and the body may not be polled
-                    // again.
-                    let is_last = body.is_end_stream();
-                    Poll::Ready(Some(self.on_data(data, is_last, now)))
-                }
-            };
-        }
-    }
-
-    fn on_data(&self, data: Bytes, is_last: bool, now: Instant) -> Result<Frame<Bytes>, io::Error> {
-        let Some(remaining) = self.remaining_bytes.get().checked_sub(data.len() as u64) else {
-            self.stage.set(Stage::TooLong);
-            return Err(io::ErrorKind::FileTooLarge.into());
-        };
-        self.remaining_bytes.set(remaining);
-        self.pace.borrow_mut().on_bytes(data.len() as u64, now);
-        if is_last {
-            self.complete(now);
+                Poll::Ready(None)
+            }
+            Some(BodyEnd::Aborted) => {
+                self.stage.set(Stage::Incomplete);
+                Poll::Ready(Some(Err(io::ErrorKind::UnexpectedEof.into())))
+            }
+            Some(BodyEnd::TooLong) => {
+                self.stage.set(Stage::TooLong);
+                Poll::Ready(Some(Err(io::ErrorKind::FileTooLarge.into())))
+            }
         }
-        Ok(Frame::data(data))
     }
 }
 
@@ -252,7 +251,7 @@
             self.sent += buffered.len() as u64;
             return Poll::Ready(Some(Ok(Frame::data(buffered))));
         }
-        let polled = self.upload.as_ref().map_or(Poll::Ready(None), |upload| upload.poll(cx));
+        let polled = self.upload.as_ref().map_or(Poll::Ready(None), |upload| upload.state.poll(cx));
         if let Poll::Ready(Some(Ok(frame))) = &polled {
             self.sent += frame.data_ref().map_or(0, |data| data.len() as u64);
         }
@@ -266,7 +265,7 @@
     fn size_hint(&self) -> SizeHint {
         match &self.upload {
             None => SizeHint::with_exact(self.buffered.len() as u64),
-            Some(upload) => upload.length.map_or_else(SizeHint::default, |length| {
+            Some(upload) => upload.length().map_or_else(SizeHint::default, |length| {
                 SizeHint::with_exact(length.saturating_sub(self.sent))
             }),
         }
