Node: the id of a cancelled upload stays in use until the upload's own deadline

Seen: a client leaves after the last byte of an upload that took longer than its time left, and a request under the same id runs at once, although the endpoint was told the whole time from that byte on..

Change: for a streamed body it is kept until the deadline that counts from its last byte.

Measured (arm64): id_of_a_cancelled_upload_stays_in_use_until_its_deadline fails before (200 for 409) and passes now.

--- a/crates/node/src/net/pool_loop/requests.rs
+++ b/crates/node/src/net/pool_loop/requests.rs
@@ -80,9 +80,11 @@
         for timer in done.timers {
             self.timers.remove(&timer);
         }
-        if done.may_still_execute && self.now() < done.deadline {
+        let uploaded = done.request.upload.as_ref().and_then(|upload| upload.deadline());
+        let due = uploaded.map_or(done.deadline, |deadline| self.clock.time_of(deadline));
+        if done.may_still_execute && self.now() < due {
             self.executing_ids.insert(id, done.id_guard);
-            self.arm(done.deadline, TimerKind::ReleaseId(id.0));
+            self.arm(due, TimerKind::ReleaseId(id.0));
         }
     }
 
--- a/crates/node/tests/request_ids.rs
+++ b/crates/node/tests/request_ids.rs
@@ -131,3 +131,32 @@
     }
     wait_for("the id to be free", || node.ask(&again).status() == 200);
 }
+
+/// Guards against an id that is free too early after an upload, whose deadline counts from its last byte.
+#[test]
+fn id_of_a_cancelled_upload_stays_in_use_until_its_deadline() {
+    const TIME_LEFT: Duration = Duration::from_millis(800);
+    /// More than is read before the request is sent on.
+    const UPLOAD_BYTES: usize = 1_200_000;
+    const UPLOAD_DURATION: Duration = Duration::from_millis(1_000);
+    let backend =
+        Backend::start(|message| if message.body.len() == UPLOAD_BYTES { Act::Hang } else { ok("done") });
+    let node = Setup::of(&[&backend]).start();
+    wait_for("the endpoint", || node.ask(&request("submit", "x")).status() == 200);
+    let headers = format!("X-Time-Left: {}m\r\nContent-Length: {UPLOAD_BYTES}\r\n", TIME_LEFT.as_millis());
+    let head = request_with("submit", "", &headers);
+    let body = "x".repeat(UPLOAD_BYTES);
+    let (first, last) = body.split_at(UPLOAD_BYTES - BODY_PARTS);
+    let mut leaving = node.connect();
+    leaving.write(&(head.clone() + first));
+    for part in last.as_bytes().chunks(1) {
+        thread::sleep(UPLOAD_DURATION / BODY_PARTS as u32);
+        leaving.stream().write_all(part).unwrap();
+    }
+    wait_for("the attempt", || !received_bodies(&backend, &head).is_empty());
+    let closed = backend.closed();
+    drop(leaving);
+    wait_for("the cancellation", || backend.closed() > closed);
+    assert_eq!(node.ask(&with_body(&head, "again")).status(), CONFLICT);
+    wait_for("the id to be free", || node.ask(&with_body(&head, "again")).status() == 200);
+}
